--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# `make run` starts a first try, `make test` checks everything.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: run test lint fuzz bench docs lock clean
+
+run: $(READY)
+	$(BIN)/python examples/first_try.py
+
+test: $(READY)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/behave --format progress --no-capture features
+	$(BIN)/pytest
+
+lint: $(READY)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+fuzz: $(READY)
+	$(BIN)/python -m benchmarks.fuzz
+
+bench: $(READY)
+	$(BIN)/python -m benchmarks.decisions
+
+docs: $(READY)
+	$(BIN)/mkdocs build --strict
+
+# Only maintainers need this: it resolves the lock file anew.
+lock:
+	$(BIN)/pip install uv
+	$(BIN)/uv pip compile pyproject.toml --extra dev --generate-hashes \
+		--no-annotate --no-header --output-file requirements.lock
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+clean:
+	rm -rf $(VENV) data site
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,44 @@
+"""Each feature gets a system of real processes of its own."""
+
+from __future__ import annotations
+
+import pathlib
+
+from harness.cluster import Cluster
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+DEFAULT_SIZE = "1x1"
+
+
+def _red_scenarios() -> list[str]:
+    if not KNOWN_RED.exists():
+        return []
+    return [
+        line.removeprefix("scenario:").strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith("scenario:")
+    ]
+
+
+def before_feature(context, feature):
+    """Starts a system; the tag `size.ExC` gives entries and controls."""
+    sizes = [t for t in feature.tags if t.startswith("size.")]
+    size = sizes[0].removeprefix("size.") if sizes else DEFAULT_SIZE
+    entries, _, controls = size.partition("x")
+    context.cluster = Cluster(int(entries), int(controls))
+    try:
+        context.cluster.start()
+    except BaseException:
+        context.cluster.close()
+        raise
+
+
+def before_scenario(context, scenario):
+    """Passes over what is known to be red."""
+    if scenario.name in _red_scenarios():
+        scenario.skip("listed in KNOWN-RED.txt")
+
+
+def after_feature(context, feature):
+    """Ends the system."""
+    context.cluster.close()
--- /dev/null
+++ b/features/steps/operators.py
@@ -0,0 +1,84 @@
+"""Steps of operators, and of what befalls their processes."""
+
+from __future__ import annotations
+
+import time
+
+from behave import then, when
+
+from gentianwall.commands import apply as applying
+from harness.cluster import DECLARATION, call, wait_until
+
+UNREADY_S = 1.5
+
+
+def _control(context) -> str:
+    return context.cluster.names("control")[0]
+
+
+def _entry(context) -> str:
+    return context.cluster.names("entry")[0]
+
+
+@when("the control instance is killed")
+def step_kill_control(context):
+    context.cluster.kill(_control(context))
+
+
+@when("the control instance is started again")
+def step_start_control(context):
+    context.cluster.start_instance(_control(context))
+    context.cluster.leader()
+
+
+@when("the entry is restarted")
+def step_restart_entry(context):
+    context.cluster.kill(_entry(context))
+    context.cluster.start_instance(_entry(context))
+
+
+@then("the entry is live but not ready")
+def step_not_ready(context):
+    address = context.cluster.address(_entry(context))
+    wait_until(
+        lambda: call(address, "GET", "/livez").status == 200, "it is live"
+    )
+    end_s = time.monotonic() + UNREADY_S
+    while time.monotonic() < end_s:
+        assert call(address, "GET", "/readyz").status == 503
+        time.sleep(0.05)
+    refused = call(address, "GET", "/die-ledger/x")
+    assert refused.status == 503 and refused.executed == "no"
+
+
+@then("the entry becomes ready with version {version:d}")
+def step_ready(context, version):
+    wait_until(context.cluster.is_ready, "the entry is ready")
+    step_version(context, version)
+
+
+@then("a caller is still answered")
+def step_answered(context):
+    address = context.cluster.address(_entry(context))
+    assert call(address, "GET", "/die-ledger/x").status == 200
+
+
+@when("an operator applies a changed declaration")
+def step_apply(context):
+    text = DECLARATION.replace("price = 5", "price = 6")
+    context.result = applying.apply(
+        context.cluster.client(), text, "ann", None, "", 10.0
+    )
+
+
+@then("the exit code is {code:d}")
+def step_code(context, code):
+    assert context.result.code == code, context.result
+
+
+@then("the version in force is {version:d}")
+def step_version(context, version):
+    status = context.cluster.status()
+    assert status and status["version"] == version, status
+    held = {e["name"]: e["version"] for e in status["entries"]}
+    assert set(held.values()) == {version}, held
--- /dev/null
+++ b/gentianwall/admission/prices.py
@@ -0,0 +1,17 @@
+"""The price list: who waits longer pays less."""
+
+from __future__ import annotations
+
+from gentianwall.config.declaration import TierSettings
+
+
+def tier_of(
+    tiers: tuple[TierSettings, ...], max_wait_ms: float
+) -> TierSettings:
+    """Returns the cheapest tier that does not outlast the caller's wait.
+
+    A caller that waits less than any tier gets the quickest one.
+    """
+    ordered = sorted(tiers, key=lambda tier: tier.max_wait_ms)
+    fitting = [t for t in ordered if t.max_wait_ms <= max_wait_ms]
+    return fitting[-1] if fitting else ordered[0]
--- /dev/null
+++ b/gentianwall/admission/queue.py
@@ -0,0 +1,51 @@
+"""Calls that wait for a slot, the most urgent first.
+
+A call's place is its arrival plus a share of its tier's wait. Impatient calls
+go first, and a patient one is overtaken only for that share of its wait, so
+it cannot starve.
+"""
+
+from __future__ import annotations
+
+import bisect
+
+import attrs
+
+START_SHARE = 0.5
+
+
+@attrs.define
+class WaitingCalls:
+    """The queue of one service; entries are (start target in ms, call id)."""
+
+    order: list[tuple[float, int]] = attrs.field(factory=list)
+
+    def __len__(self) -> int:
+        return len(self.order)
+
+    def put(self, target_ms: float, call_id: int) -> None:
+        """Adds a call."""
+        bisect.insort(self.order, (target_ms, call_id))
+
+    def first(self) -> int:
+        """Returns the most urgent call; the queue must not be empty."""
+        return self.order[0][1]
+
+    def pop(self) -> int:
+        """Removes the most urgent call and returns it."""
+        return self.order.pop(0)[1]
+
+    def remove(self, target_ms: float, call_id: int) -> None:
+        """Removes a call if it waits."""
+        place = bisect.bisect_left(self.order, (target_ms, call_id))
+        if self.order[place : place + 1] == [(target_ms, call_id)]:
+            del self.order[place]
+
+    def ahead_of(self, target_ms: float) -> int:
+        """Returns how many calls would start before one with this target."""
+        return bisect.bisect_left(self.order, (target_ms, 0))
+
+
+def start_target_ms(arrived_ms: float, tier_wait_ms: float) -> float:
+    """Returns when a call of a tier should have started."""
+    return arrived_ms + tier_wait_ms * START_SHARE
--- /dev/null
+++ b/gentianwall/claims/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state: configuration, claims and quarantines."""
--- /dev/null
+++ b/gentianwall/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the command lines call."""
--- /dev/null
+++ b/gentianwall/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of an instance and declarations of operators."""
--- /dev/null
+++ b/gentianwall/control/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries and the control instances, and both ends."""
--- /dev/null
+++ b/gentianwall/core/__init__.py
@@ -0,0 +1,1 @@
+"""The pure reducers, with their events and effects."""
--- /dev/null
+++ b/gentianwall/core/attempts.py
@@ -0,0 +1,96 @@
+"""Attempts of a call at a server, and what they teach about the server."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianwall.core.events import AttemptAnswered, FailureKind
+from gentianwall.core.state import Call, CallPhase, Service
+from gentianwall.routing.ejection import note_failure, note_success
+from gentianwall.routing.servers import Server, note_answer, note_shed
+
+FIRST_ERROR_STATUS = 500
+
+
+@attrs.frozen
+class Verdict:
+    """What an answer says of its server.
+
+    Attributes:
+        is_shed: Whether the server refused the call for load, unrun.
+        is_ejected: Whether the server was ejected just now.
+    """
+
+    is_shed: bool
+    is_ejected: bool
+
+
+def begin(call: Call, server: Server, now_ms: float) -> None:
+    """Counts a call at a server."""
+    call.phase = CallPhase.DISPATCHED
+    call.attempt += 1
+    call.server = server.notice.key.server
+    call.incarnation = server.notice.incarnation
+    call.tried += (call.server,)
+    call.dispatched_ms = now_ms
+    call.factor = server.queue_factor(now_ms)
+    call.is_maybe_run_before = call.is_maybe_run
+    call.is_maybe_run = True
+    server.outstanding += 1
+
+
+def _end(service: Service | None, call: Call) -> Server | None:
+    """Takes a call off its server, if that is still the same one."""
+    if service is None:
+        return None
+    server = service.pool.servers.get(call.server)
+    if server is None or server.notice.incarnation != call.incarnation:
+        return None
+    server.outstanding -= 1
+    return server
+
+
+def judge_answer(
+    service: Service | None, call: Call, event: AttemptAnswered
+) -> Verdict:
+    """Learns from a whole answer, good or not."""
+    is_shed = event.status == 503 and event.retry_after_ms is not None
+    server = _end(service, call)
+    if server is None or service is None:
+        return Verdict(is_shed, False)
+    if is_shed:
+        note_shed(server)
+        is_ejected = note_failure(server, service.pool.live(), event.at_ms)
+        return Verdict(True, is_ejected)
+    if event.status >= FIRST_ERROR_STATUS:
+        is_ejected = note_failure(server, service.pool.live(), event.at_ms)
+        return Verdict(False, is_ejected)
+    latency_ms = event.at_ms - call.dispatched_ms
+    note_answer(server, latency_ms, call.factor, event.report, event.at_ms)
+    note_success(server)
+    service.pool.note_time(latency_ms / call.factor)
+    return Verdict(False, False)
+
+
+def note_failed(
+    service: Service | None, call: Call, kind: FailureKind, now_ms: float
+) -> bool:
+    """Learns from a failed attempt; returns whether it ejected the server.
+
+    A silent connection or a large answer says nothing against the server.
+    """
+    server = _end(service, call)
+    if server is None or service is None:
+        return False
+    if kind in (FailureKind.SILENT, FailureKind.TOO_LARGE):
+        return False
+    return note_failure(server, service.pool.live(), now_ms)
+
+
+def note_cancelled(service: Service | None, call: Call, now_ms: float) -> None:
+    """Learns that a server took at least this long."""
+    server = _end(service, call)
+    if server is None:
+        return
+    taken_ms = (now_ms - call.dispatched_ms) / call.factor
+    server.service_ms = max(server.service_ms, taken_ms)
--- /dev/null
+++ b/gentianwall/core/calls.py
@@ -0,0 +1,431 @@
+"""The life of a call: admitted, queued, dispatched, retried, answered."""
+
+from __future__ import annotations
+
+import heapq
+
+from gentianwall.admission.prices import tier_of
+from gentianwall.admission.queue import start_target_ms
+from gentianwall.core import attempts, claiming
+from gentianwall.core.effects import (
+    AnswerCaller,
+    CancelAttempt,
+    CloseConnections,
+    Dispatch,
+    EntryEffect,
+    Record,
+    RefuseCaller,
+)
+from gentianwall.core.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    CallArrived,
+    CallerGone,
+    FailureKind,
+)
+from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.core.state import Call, CallPhase, EntryState, Service
+from gentianwall.membership.messages import ServerKey
+from gentianwall.routing.policies import NoServer
+from gentianwall.timeline import EventKind
+from gentianwall.utils.uuid7 import uuid7_time_ms
+
+NOT_READY_RETRY_MS = 500.0
+NO_SERVER_RETRY_MS = 1000.0
+MAX_ATTEMPTS = 3
+MAX_CRASHES = 2
+RETRIED_STATUSES = (502, 503, 504)
+
+
+def on_arrived(
+    state: EntryState, event: CallArrived, effects: list[EntryEffect]
+) -> None:
+    """Admits a call or refuses it at once."""
+    refusal = _refuse_unknown(state, event)
+    if refusal is not None:
+        _tell_refusal(event.call_id, event.request_id, refusal, effects)
+        return
+    service = state.services[event.service]
+    call = _make_call(state, service, event)
+    refusal = _refuse_hopeless(service, call, event)
+    if refusal is not None:
+        _tell_refusal(event.call_id, event.request_id, refusal, effects)
+        return
+    state.calls[call.call_id] = call
+    heapq.heappush(state.deadlines, (call.deadline_ms, call.call_id))
+    service.retries.earn()
+    if call.claim is not None:
+        claiming.start(state, call, event, effects)
+    else:
+        enqueue(state, call, event.at_ms, effects)
+
+
+def _refuse_unknown(state: EntryState, event: CallArrived) -> Refusal | None:
+    """Refuses what no service could answer."""
+    if not state.is_config_known:
+        return Refusal(RefusalReason.NOT_READY, Executed.NO, NOT_READY_RETRY_MS)
+    if event.service not in state.services:
+        return Refusal(
+            RefusalReason.UNKNOWN_SERVICE, Executed.NO, detail=event.service
+        )
+    if event.fingerprint in state.quarantines:
+        assert state.declaration is not None
+        return Refusal(
+            RefusalReason.QUARANTINED,
+            Executed.NO,
+            state.declaration.quarantine_ms,
+        )
+    return None
+
+
+def _make_call(state: EntryState, service: Service, event: CallArrived) -> Call:
+    settings = service.settings
+    wait_ms = event.max_wait_ms or settings.default_max_wait_ms
+    assert state.declaration is not None
+    tier = tier_of(state.declaration.tiers, wait_ms)
+    is_idempotent = event.method in settings.idempotent_methods
+    call = Call(
+        call_id=event.call_id,
+        request_id=event.request_id,
+        service=event.service,
+        caller=event.caller,
+        fingerprint=event.fingerprint,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms + wait_ms,
+        start_target_ms=start_target_ms(
+            event.at_ms, min(wait_ms, tier.max_wait_ms)
+        ),
+        tier=tier.name,
+        price=tier.price,
+        is_idempotent=is_idempotent,
+        is_nested=event.is_nested,
+        wall_offset_ms=event.wall_ms - event.at_ms,
+    )
+    if event.idempotency_key and not is_idempotent:
+        claiming.bind(state, call, event)
+    return call
+
+
+def _refuse_hopeless(
+    service: Service, call: Call, event: CallArrived
+) -> Refusal | None:
+    """Refuses what this service cannot answer in time."""
+    settings = service.settings
+    needs_time = settings.timed_keys_only and call.claim is not None
+    if needs_time and uuid7_time_ms(event.idempotency_key) is None:
+        return Refusal(RefusalReason.KEY_NOT_TIMED, Executed.NO)
+    if not service.pool.live():
+        return Refusal(RefusalReason.NO_SERVER, Executed.NO, NO_SERVER_RETRY_MS)
+    wait_ms = expected_wait_ms(service, call, event.at_ms)
+    if len(service.waiting) >= settings.max_queued_calls and wait_ms > 0:
+        return Refusal(RefusalReason.QUEUE_FULL, Executed.NO, wait_ms)
+    finish_ms = event.at_ms + wait_ms + service.pool.usual_ms
+    if wait_ms > 0 and finish_ms > call.deadline_ms:
+        return Refusal(RefusalReason.OVERLOADED, Executed.NO, wait_ms)
+    return None
+
+
+def expected_wait_ms(service: Service, call: Call, now_ms: float) -> float:
+    """Returns how long a call would wait for a slot."""
+    pool = service.pool
+    if not service.waiting and any(s.has_room(now_ms) for s in pool.live()):
+        return 0.0
+    ahead = service.waiting.ahead_of(call.start_target_ms) + 1
+    return ahead * pool.usual_ms / pool.slots(now_ms)
+
+
+def enqueue(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Puts a call into the queue and starts what can start."""
+    service = state.services.get(call.service)
+    if service is None:
+        refuse(state, call, RefusalReason.UNKNOWN_SERVICE, now_ms, effects)
+        return
+    call.phase = CallPhase.QUEUED
+    service.waiting.put(call.start_target_ms, call.call_id)
+    start_service(state, service, now_ms, effects)
+
+
+def start_waiting(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Starts what can start, over all services."""
+    for service in state.services.values():
+        if service.waiting:
+            start_service(state, service, now_ms, effects)
+
+
+def start_service(
+    state: EntryState,
+    service: Service,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Starts waiting calls of a service while servers have room."""
+    while service.waiting:
+        call = state.calls[service.waiting.first()]
+        server = service.pool.pick(call.tried, now_ms, state.rng)
+        if isinstance(server, NoServer):
+            if server.is_any_live:
+                return
+            service.waiting.pop()
+            reason = RefusalReason.NO_SERVER
+            if call.tried:
+                reason = RefusalReason.SERVER_REFUSED
+            refuse(state, call, reason, now_ms, effects)
+            continue
+        service.waiting.pop()
+        attempts.begin(call, server, now_ms)
+        effects.append(
+            Dispatch(
+                call_id=call.call_id,
+                attempt=call.attempt,
+                notice=server.notice,
+                deadline_ms=call.deadline_ms,
+                silence_ms=service.settings.connection_silence_ms,
+                answer_limit_bytes=service.settings.answer_limit_bytes,
+            )
+        )
+
+
+def on_answered(
+    state: EntryState, event: AttemptAnswered, effects: list[EntryEffect]
+) -> None:
+    """Passes a whole answer on, or tries again where that is safe."""
+    call = _call_of_attempt(state, event.call_id, event.attempt)
+    if call is None:
+        return
+    service = state.services.get(call.service)
+    verdict = attempts.judge_answer(service, call, event)
+    if verdict.is_ejected:
+        effects.append(Record(EventKind.SERVER_EJECTED, call.server))
+    if verdict.is_shed:
+        call.is_maybe_run = call.is_maybe_run_before
+        retry_after_ms = event.retry_after_ms or 0.0
+        _try_again(
+            state,
+            call,
+            RefusalReason.SERVER_REFUSED,
+            event.at_ms,
+            effects,
+            retry_after_ms,
+        )
+    elif (
+        event.status in RETRIED_STATUSES
+        and call.is_idempotent
+        and _may_retry(state, call, event.at_ms)
+    ):
+        _retry(state, call, f"status {event.status}", event.at_ms, effects)
+    else:
+        _answer(state, call, event, effects)
+    if service is not None:
+        start_service(state, service, event.at_ms, effects)
+
+
+def _answer(
+    state: EntryState,
+    call: Call,
+    event: AttemptAnswered,
+    effects: list[EntryEffect],
+) -> None:
+    price = call.price if event.status < 500 else 0.0
+    effects.append(AnswerCaller(call.call_id, call.attempt, call.tier, price))
+    effects.append(
+        Record(
+            EventKind.CALL_ANSWERED,
+            call.server,
+            f"status {event.status}",
+            call.request_id,
+        )
+    )
+    if call.claim is not None and event.outcome is not None:
+        claiming.record_outcome(state, call, event, effects)
+    del state.calls[call.call_id]
+
+
+def on_failed(
+    state: EntryState, event: AttemptFailed, effects: list[EntryEffect]
+) -> None:
+    """Tries again where that is safe, or tells what is known."""
+    call = _call_of_attempt(state, event.call_id, event.attempt)
+    if call is None:
+        return
+    service = state.services.get(call.service)
+    if attempts.note_failed(service, call, event.kind, event.at_ms):
+        effects.append(Record(EventKind.SERVER_EJECTED, call.server))
+    match event.kind:
+        case FailureKind.NOT_CONNECTED | FailureKind.NOT_SENT:
+            call.is_maybe_run = call.is_maybe_run_before
+            reason = RefusalReason.SERVER_REFUSED
+            _try_again(state, call, reason, event.at_ms, effects)
+        case FailureKind.LOST | FailureKind.SHORT:
+            call.crashed += (call.server,)
+            reason = RefusalReason.SERVER_LOST
+            _try_again(state, call, reason, event.at_ms, effects)
+        case FailureKind.SILENT:
+            key = ServerKey(call.service, call.server)
+            effects.append(CloseConnections(key, event.at_ms))
+            effects.append(
+                Record(
+                    EventKind.CONNECTIONS_CLOSED,
+                    call.server,
+                    "silent",
+                    call.request_id,
+                )
+            )
+            reason = RefusalReason.SERVER_SILENT
+            _try_again(state, call, reason, event.at_ms, effects)
+        case FailureKind.TOO_LARGE:
+            reason = RefusalReason.ANSWER_TOO_LARGE
+            refuse(state, call, reason, event.at_ms, effects, Executed.YES)
+    if service is not None:
+        start_service(state, service, event.at_ms, effects)
+
+
+def _may_retry(state: EntryState, call: Call, now_ms: float) -> bool:
+    service = state.services.get(call.service)
+    if service is None or call.is_nested:
+        return False
+    if call.is_maybe_run and not call.is_idempotent:
+        return False
+    if call.attempt >= MAX_ATTEMPTS or len(call.crashed) >= MAX_CRASHES:
+        return False
+    if now_ms + service.pool.usual_ms > call.deadline_ms:
+        return False
+    return service.retries.spend()
+
+
+def _try_again(
+    state: EntryState,
+    call: Call,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[EntryEffect],
+    retry_after_ms: float = 0.0,
+) -> None:
+    if _may_retry(state, call, now_ms):
+        _retry(state, call, reason.value, now_ms, effects)
+        return
+    if call.crashed:
+        claiming.report_crashes(state, call, now_ms, effects)
+    refuse(state, call, reason, now_ms, effects, retry_after_ms=retry_after_ms)
+
+
+def _retry(
+    state: EntryState,
+    call: Call,
+    detail: str,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    effects.append(
+        Record(EventKind.CALL_RETRIED, call.server, detail, call.request_id)
+    )
+    enqueue(state, call, now_ms, effects)
+
+
+def refuse(
+    state: EntryState,
+    call: Call,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[EntryEffect],
+    executed: Executed | None = None,
+    retry_after_ms: float = 0.0,
+) -> None:
+    """Ends a call with a refusal; an unused claim is given back first."""
+    if executed is None:
+        executed = Executed.UNKNOWN if call.is_maybe_run else Executed.NO
+    if executed is Executed.NO and call.claim is not None:
+        claiming.release(state, call, now_ms, effects)
+    service = state.services.get(call.service)
+    if retry_after_ms <= 0 and executed is not Executed.YES:
+        usual_ms = service.pool.usual_ms if service else 0.0
+        retry_after_ms = max(usual_ms, 1.0)
+    state.calls.pop(call.call_id, None)
+    refusal = Refusal(reason, executed, retry_after_ms)
+    _tell_refusal(call.call_id, call.request_id, refusal, effects)
+
+
+def _tell_refusal(
+    call_id: int,
+    request_id: str,
+    refusal: Refusal,
+    effects: list[EntryEffect],
+) -> None:
+    effects.append(RefuseCaller(call_id, refusal))
+    effects.append(
+        Record(
+            EventKind.CALL_REFUSED,
+            refusal.reason.value,
+            f"executed {refusal.executed.value}",
+            request_id,
+        )
+    )
+
+
+def on_caller_gone(
+    state: EntryState, event: CallerGone, effects: list[EntryEffect]
+) -> None:
+    """Cancels a call that no one waits for."""
+    call = state.calls.get(event.call_id)
+    if call is None:
+        return
+    _stop(state, call, event.at_ms, effects)
+    if not call.is_maybe_run and call.claim is not None:
+        claiming.release(state, call, event.at_ms, effects)
+    del state.calls[call.call_id]
+
+
+def _stop(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Takes a call out of the queue or off its server."""
+    service = state.services.get(call.service)
+    if call.phase is CallPhase.QUEUED and service is not None:
+        service.waiting.remove(call.start_target_ms, call.call_id)
+    if call.phase is CallPhase.DISPATCHED:
+        attempts.note_cancelled(service, call, now_ms)
+        effects.append(CancelAttempt(call.call_id, call.attempt))
+        if service is not None:
+            start_service(state, service, now_ms, effects)
+
+
+def expire_deadlines(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Refuses the calls whose callers no longer wait."""
+    while state.deadlines and state.deadlines[0][0] <= now_ms:
+        _, call_id = heapq.heappop(state.deadlines)
+        call = state.calls.get(call_id)
+        if call is None:
+            continue
+        reason = RefusalReason.DEADLINE
+        if call.phase is CallPhase.CLAIMING:
+            reason = RefusalReason.CLAIM_UNAVAILABLE
+        _stop(state, call, now_ms, effects)
+        refuse(state, call, reason, now_ms, effects)
+
+
+def refuse_waiting(
+    state: EntryState,
+    service: Service,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Refuses the calls that wait for a service no longer declared."""
+    while service.waiting:
+        call = state.calls[service.waiting.pop()]
+        reason = RefusalReason.UNKNOWN_SERVICE
+        refuse(state, call, reason, now_ms, effects)
+
+
+def _call_of_attempt(
+    state: EntryState, call_id: int, attempt: int
+) -> Call | None:
+    """Returns the call if this attempt is still its present one."""
+    call = state.calls.get(call_id)
+    if call is None or call.phase is not CallPhase.DISPATCHED:
+        return None
+    return call if call.attempt == attempt else None
--- /dev/null
+++ b/gentianwall/core/claiming.py
@@ -0,0 +1,167 @@
+"""Claims: a keyed, non-idempotent request is recorded before it is sent."""
+
+from __future__ import annotations
+
+from gentianwall.claims.commands import (
+    ClaimGranted,
+    ClaimHeld,
+    ClaimKey,
+    ClaimMismatch,
+    ClaimOutOfWindow,
+    ClaimsFull,
+    Command,
+    CommandResult,
+    RecordClaim,
+    RecordOutcome,
+    ReleaseClaim,
+    ReportCrash,
+)
+from gentianwall.control.messages import CommandReply
+from gentianwall.core import calls
+from gentianwall.core.effects import (
+    AnswerRecorded,
+    EntryEffect,
+    SendMessage,
+)
+from gentianwall.core.events import AttemptAnswered, CallArrived
+from gentianwall.core.refusals import Executed, RefusalReason
+from gentianwall.core.state import Call, CallPhase, EntryState
+
+BACKGROUND_DEADLINE_MS = 30_000.0
+HELD_RETRY_MS = 1000.0
+OWN_PREFIX = "own-"
+
+
+def is_own_request(request_id: str) -> bool:
+    """Whether a control request belongs to a call, not to an operator."""
+    return request_id.startswith(OWN_PREFIX)
+
+
+def bind(state: EntryState, call: Call, event: CallArrived) -> None:
+    """Gives a call its claim and the token of its one dispatch."""
+    call.claim = ClaimKey(event.service, event.caller, event.idempotency_key)
+    call.token = f"{state.boot_id}-{event.call_id}"
+
+
+def start(
+    state: EntryState,
+    call: Call,
+    event: CallArrived,
+    effects: list[EntryEffect],
+) -> None:
+    """Asks for the claim; the call waits for it."""
+    assert call.claim is not None
+    call.phase = CallPhase.CLAIMING
+    command = RecordClaim(
+        call.claim, call.fingerprint, call.token, event.wall_ms
+    )
+    request_id = f"{OWN_PREFIX}claim-{call.call_id}"
+    _send(state, request_id, command, call.deadline_ms, event.at_ms, effects)
+
+
+def on_result(
+    state: EntryState,
+    reply: CommandReply,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Goes on with a call whose claim was decided."""
+    kind, _, number = reply.request_id[len(OWN_PREFIX) :].partition("-")
+    if kind != "claim":
+        return
+    call = state.calls.get(int(number))
+    if call is None or call.phase is not CallPhase.CLAIMING:
+        return
+    _decide(state, call, reply.result, now_ms, effects)
+
+
+def _decide(
+    state: EntryState,
+    call: Call,
+    result: CommandResult,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    def refuse(
+        reason: RefusalReason, executed: Executed, retry_after_ms: float = 0
+    ) -> None:
+        call.claim = None  # It is another's, or was never taken.
+        calls.refuse(
+            state, call, reason, now_ms, effects, executed, retry_after_ms
+        )
+
+    match result:
+        case ClaimGranted():
+            calls.enqueue(state, call, now_ms, effects)
+        case ClaimHeld(outcome=None):
+            refuse(RefusalReason.CLAIM_HELD, Executed.UNKNOWN, HELD_RETRY_MS)
+        case ClaimHeld(outcome=outcome):
+            effects.append(AnswerRecorded(call.call_id, outcome))
+            del state.calls[call.call_id]
+        case ClaimMismatch():
+            refuse(RefusalReason.CLAIM_MISMATCH, Executed.NO)
+        case ClaimOutOfWindow():
+            refuse(RefusalReason.CLAIM_OUT_OF_WINDOW, Executed.UNKNOWN)
+        case ClaimsFull(retry_after_ms=retry_after_ms):
+            refuse(RefusalReason.CLAIM_UNAVAILABLE, Executed.NO, retry_after_ms)
+
+
+def record_outcome(
+    state: EntryState,
+    call: Call,
+    event: AttemptAnswered,
+    effects: list[EntryEffect],
+) -> None:
+    """Stores the end of a claimed call, repeated until it is kept."""
+    assert call.claim is not None
+    assert event.outcome is not None
+    at_ms = int(event.at_ms + call.wall_offset_ms)
+    command = RecordOutcome(call.claim, call.token, event.outcome, at_ms)
+    _send_later(state, call, "outcome", command, event.at_ms, effects)
+
+
+def release(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Gives back a claim that was not used."""
+    assert call.claim is not None
+    at_ms = int(now_ms + call.wall_offset_ms)
+    state.control.finish(f"{OWN_PREFIX}claim-{call.call_id}")
+    command = ReleaseClaim(call.claim, call.token, at_ms)
+    _send_later(state, call, "release", command, now_ms, effects)
+
+
+def report_crashes(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Tells all entries which servers a request may have crashed."""
+    at_ms = int(now_ms + call.wall_offset_ms)
+    for number, server in enumerate(call.crashed):
+        command = ReportCrash(call.service, call.fingerprint, server, at_ms)
+        name = f"crash{number}"
+        _send_later(state, call, name, command, now_ms, effects)
+
+
+def _send_later(
+    state: EntryState,
+    call: Call,
+    name: str,
+    command: Command,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    request_id = f"{OWN_PREFIX}{name}-{call.call_id}"
+    deadline_ms = now_ms + BACKGROUND_DEADLINE_MS
+    _send(state, request_id, command, deadline_ms, now_ms, effects)
+
+
+def _send(
+    state: EntryState,
+    request_id: str,
+    command: Command,
+    deadline_ms: float,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    send = state.control.command(request_id, command, deadline_ms, now_ms)
+    effects.append(SendMessage(send.receiver, send.message))
--- /dev/null
+++ b/gentianwall/core/configuration.py
@@ -0,0 +1,109 @@
+"""The declaration in force at an entry; it never goes back."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianwall.admission.budget import (
+    RetryBudget,
+    probe_interval_ms,
+)
+from gentianwall.config.declaration import Declaration, parse_declaration
+from gentianwall.config.schema import ConfigErrors
+from gentianwall.control.messages import ConfigNotice, ConfigPoll
+from gentianwall.core import calls
+from gentianwall.core.effects import EntryEffect, Record, SendMessage
+from gentianwall.core.events import MessageArrived
+from gentianwall.core.state import EntryState, Service
+from gentianwall.routing.pool import ServerPool
+from gentianwall.timeline import EventKind
+
+POLL_MS = 500.0
+UNKNOWN_POLL_MS = 100.0
+
+
+def poll_due(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Tells the control instances what is held, so that they send news."""
+    if now_ms < state.poll_due_ms:
+        return
+    interval_ms = POLL_MS if state.is_config_known else UNKNOWN_POLL_MS
+    state.poll_due_ms = now_ms + interval_ms
+    poll = ConfigPoll(state.version, state.quarantine_version, state.is_ready)
+    for replica in state.control.replicas:
+        effects.append(SendMessage(replica, poll))
+
+
+def on_notice(
+    state: EntryState,
+    event: MessageArrived,
+    notice: ConfigNotice,
+    effects: list[EntryEffect],
+) -> None:
+    """Takes over a newer declaration; an older one is passed over."""
+    state.control.note_leader(event.sender)
+    if notice.version < state.version:
+        return
+    if notice.version > state.version:
+        if notice.text is None:
+            return
+        declaration = parse_declaration(notice.text)
+        if isinstance(declaration, ConfigErrors):
+            return
+        put_in_force(state, declaration, event.at_ms, effects)
+        state.version = notice.version
+        effects.append(
+            Record(EventKind.CONFIG_IN_FORCE, f"version {notice.version}")
+        )
+        # The sooner the leader hears of it, the sooner `apply` returns.
+        state.poll_due_ms = event.at_ms
+        poll_due(state, event.at_ms, effects)
+    state.term = max(state.term, notice.term)
+    state.is_config_known = True
+    _take_quarantines(state, notice)
+
+
+def _take_quarantines(state: EntryState, notice: ConfigNotice) -> None:
+    if notice.quarantines is None:
+        return
+    if notice.quarantine_version >= state.quarantine_version:
+        state.quarantines = frozenset(notice.quarantines)
+        state.quarantine_version = notice.quarantine_version
+
+
+def put_in_force(
+    state: EntryState,
+    declaration: Declaration,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Changes the services to what is declared; calls in flight go on."""
+    state.declaration = declaration
+    entries = len(state.peers) + 1
+    measuring = declaration.measuring
+    state.probes = attrs.evolve(
+        state.probes,
+        interval_ms=probe_interval_ms(
+            measuring.probe_cost_ms, measuring.budget_ratio, entries
+        ),
+    )
+    for name in list(state.services):
+        if name not in declaration.services:
+            service = state.services.pop(name)
+            calls.refuse_waiting(state, service, now_ms, effects)
+    for name, settings in declaration.services.items():
+        service = state.services.get(name)
+        if service is not None:
+            service.settings = settings
+            service.retries.ratio = settings.retry_budget_ratio
+            continue
+        service = Service(
+            name=name,
+            settings=settings,
+            pool=ServerPool(usual_ms=settings.expected_service_ms),
+            retries=RetryBudget(settings.retry_budget_ratio),
+        )
+        state.services[name] = service
+        for notice in state.directory.of_service(name):
+            service.pool.put(notice, now_ms)
--- /dev/null
+++ b/gentianwall/core/control.py
@@ -0,0 +1,262 @@
+"""The reducer of a control instance: the replica and its callers."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianwall.claims.commands import ApplyDeclaration, DeclarationAccepted
+from gentianwall.control.messages import (
+    CommandRefused,
+    CommandReply,
+    CommandRequest,
+    ConfigNotice,
+    ConfigPoll,
+    EntryStatus,
+    StatusReply,
+    StatusRequest,
+    VersionStatus,
+)
+from gentianwall.core.effects import Record, SendMessage
+from gentianwall.core.events import MessageArrived, Tick
+from gentianwall.replication.effects import (
+    CommandApplied,
+    LeadershipChanged,
+    MembersChanged,
+    ProposalDropped,
+    ReplicationEffect,
+    SendToReplica,
+    StorageEffect,
+    StoreEntries,
+    StoreSnapshot,
+    StoreTerm,
+)
+from gentianwall.replication.replica import (
+    Proposed,
+    ReplicaMessage,
+    ReplicaTick,
+    reduce_replica,
+)
+from gentianwall.replication.state import ReplicaState, Role
+from gentianwall.timeline import EventKind
+
+HISTORY_ITEMS = 50
+
+ControlEvent = MessageArrived | Tick
+ControlEffect = StorageEffect | SendMessage | Record
+
+
+@attrs.frozen
+class Waiter:
+    """Who waits for a proposal."""
+
+    sender: str
+    request_id: str
+
+
+@attrs.define
+class HeardEntry:
+    """What an entry last said it holds."""
+
+    version: int
+    quarantine_version: int
+    is_ready: bool
+    at_ms: float
+
+
+@attrs.define
+class ControlState:
+    """A control instance.
+
+    Attributes:
+        replica: Its replica of the log.
+        entries: Names of all entries in the settings.
+        waiters: Who waits, by log index.
+        heard: What entries hold, by name.
+        is_disk_full: Whether new commands are refused for lack of room.
+    """
+
+    replica: ReplicaState
+    entries: tuple[str, ...]
+    waiters: dict[int, Waiter] = attrs.field(factory=dict)
+    heard: dict[str, HeardEntry] = attrs.field(factory=dict)
+    is_disk_full: bool = False
+
+
+def reduce_control(
+    state: ControlState, event: ControlEvent
+) -> list[ControlEffect]:
+    """Changes the state by one event.
+
+    Returns:
+        Effects in order. All storage effects of a list must be synced before
+        any of its messages is sent.
+    """
+    effects: list[ControlEffect] = []
+    match event:
+        case Tick():
+            tick = ReplicaTick(event.at_ms)
+            _carry(state, reduce_replica(state.replica, tick), event, effects)
+        case MessageArrived(message=CommandRequest()):
+            _on_command(state, event, event.message, effects)
+        case MessageArrived(message=ConfigPoll()):
+            _on_poll(state, event, event.message, effects)
+        case MessageArrived(message=StatusRequest()):
+            _on_status(state, event, event.message, effects)
+        case MessageArrived():
+            message = ReplicaMessage(event.at_ms, event.sender, event.message)
+            replica_effects = reduce_replica(state.replica, message)
+            _carry(state, replica_effects, event, effects)
+    return effects
+
+
+def _on_command(
+    state: ControlState,
+    event: MessageArrived,
+    request: CommandRequest,
+    effects: list[ControlEffect],
+) -> None:
+    replica = state.replica
+    if replica.role is not Role.LEADER or state.is_disk_full:
+        leader = "" if replica.role is Role.LEADER else replica.leader
+        is_full = replica.role is Role.LEADER and state.is_disk_full
+        refused = CommandRefused(request.request_id, leader, is_full)
+        effects.append(SendMessage(event.sender, refused))
+        return
+    # The leader's own clock rules, so that no entry can move the log's time.
+    command = attrs.evolve(request.command, at_ms=event.wall_ms)
+    index = replica.log.last_index + 1
+    state.waiters[index] = Waiter(event.sender, request.request_id)
+    proposed = Proposed(event.at_ms, command)
+    _carry(state, reduce_replica(replica, proposed), event, effects)
+
+
+def _carry(
+    state: ControlState,
+    replica_effects: list[ReplicationEffect],
+    event: ControlEvent,
+    effects: list[ControlEffect],
+) -> None:
+    """Turns the replica's effects into those of the process."""
+    for effect in replica_effects:
+        match effect:
+            case StoreTerm() | StoreEntries() | StoreSnapshot():
+                effects.append(effect)
+            case SendToReplica():
+                effects.append(SendMessage(effect.replica, effect.message))
+            case CommandApplied():
+                _on_applied(state, effect, event, effects)
+            case ProposalDropped():
+                state.waiters.pop(effect.index, None)
+            case LeadershipChanged():
+                _on_leader(state, effect, effects)
+            case MembersChanged():
+                names = " ".join(effect.members)
+                effects.append(Record(EventKind.MEMBERS_CHANGED, names))
+
+
+def _on_leader(
+    state: ControlState,
+    change: LeadershipChanged,
+    effects: list[ControlEffect],
+) -> None:
+    if not change.is_self:
+        state.waiters.clear()
+    name = change.leader or "none"
+    detail = f"term {change.term}"
+    effects.append(Record(EventKind.LEADER_CHANGED, name, detail))
+
+
+def _on_applied(
+    state: ControlState,
+    applied: CommandApplied,
+    event: ControlEvent,
+    effects: list[ControlEffect],
+) -> None:
+    waiter = state.waiters.pop(applied.index, None)
+    if waiter is not None:
+        reply = CommandReply(waiter.request_id, applied.result)
+        effects.append(SendMessage(waiter.sender, reply))
+    is_new_version = isinstance(
+        applied.command, ApplyDeclaration
+    ) and isinstance(applied.result, DeclarationAccepted)
+    if is_new_version and state.replica.can_read(event.at_ms):
+        for name in state.entries:
+            heard = state.heard.get(name)
+            effects.append(SendMessage(name, _notice(state, heard)))
+
+
+def _notice(state: ControlState, heard: HeardEntry | None) -> ConfigNotice:
+    """Makes a notice with what the entry does not hold yet."""
+    register = state.replica.register
+    has_text = heard is not None and heard.version >= register.version
+    has_list = (
+        heard is not None
+        and heard.quarantine_version >= register.quarantine_version
+    )
+    return ConfigNotice(
+        term=state.replica.term,
+        version=register.version,
+        text=None if has_text else register.text,
+        quarantine_version=register.quarantine_version,
+        quarantines=None if has_list else tuple(register.quarantines),
+    )
+
+
+def _on_poll(
+    state: ControlState,
+    event: MessageArrived,
+    poll: ConfigPoll,
+    effects: list[ControlEffect],
+) -> None:
+    heard = HeardEntry(
+        poll.version, poll.quarantine_version, poll.is_ready, event.at_ms
+    )
+    state.heard[event.sender] = heard
+    if not state.replica.can_read(event.at_ms):
+        return
+    if state.replica.register.version == 0:
+        return
+    effects.append(SendMessage(event.sender, _notice(state, heard)))
+
+
+def _on_status(
+    state: ControlState,
+    event: MessageArrived,
+    request: StatusRequest,
+    effects: list[ControlEffect],
+) -> None:
+    replica = state.replica
+    if not replica.can_read(event.at_ms):
+        leader = "" if replica.role is Role.LEADER else replica.leader
+        refused = CommandRefused(request.request_id, leader, False)
+        effects.append(SendMessage(event.sender, refused))
+        return
+    register = replica.register
+    reply = StatusReply(
+        request_id=request.request_id,
+        leader=replica.name,
+        term=replica.term,
+        version=register.version,
+        text=register.text,
+        commit_index=replica.commit_index,
+        members=tuple(m.replica for m in replica.applied_members),
+        entries=tuple(
+            _entry_status(state, name, event.at_ms) for name in state.entries
+        ),
+        history=tuple(
+            VersionStatus(d.version, d.change_id, d.operator, d.at_ms)
+            for d in register.declarations[-HISTORY_ITEMS:]
+        ),
+        quarantines=tuple(register.quarantines),
+        claims=len(register.claims),
+    )
+    effects.append(SendMessage(event.sender, reply))
+
+
+def _entry_status(state: ControlState, name: str, now_ms: float) -> EntryStatus:
+    heard = state.heard.get(name)
+    if heard is None:
+        return EntryStatus(name, 0, False, -1.0)
+    return EntryStatus(
+        name, heard.version, heard.is_ready, now_ms - heard.at_ms
+    )
--- /dev/null
+++ b/gentianwall/core/membership.py
@@ -0,0 +1,232 @@
+"""Servers that come and go, at this entry and at its peers."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianwall.core.effects import (
+    AcceptAnnouncement,
+    EntryEffect,
+    ForgetServer,
+    ProbeServer,
+    Record,
+    RejectAnnouncement,
+    SendMessage,
+)
+from gentianwall.core.events import (
+    MessageArrived,
+    ProbeEnded,
+    ServerAnnounced,
+)
+from gentianwall.core.state import EntryState
+from gentianwall.membership.directory import ConflictingNotice, StaleNotice
+from gentianwall.membership.messages import (
+    DirectoryReply,
+    DirectoryRequest,
+    NoticeSpread,
+    Renewal,
+    RenewalSpread,
+    ServerNotice,
+)
+from gentianwall.routing.servers import note_answer
+from gentianwall.timeline import EventKind
+
+DEFAULT_LEASE_MS = 2500.0
+RENEWALS_MS = 250.0
+DIRECTORY_ASK_MS = 200.0
+DIRECTORY_WAIT_MS = 1000.0
+PROBES_MS = 100.0
+
+
+def lease_ms(state: EntryState, service: str) -> float:
+    """Returns the lease of the servers of a service."""
+    known = state.services.get(service)
+    return float(known.settings.server_lease_ms) if known else DEFAULT_LEASE_MS
+
+
+def on_announced(
+    state: EntryState, event: ServerAnnounced, effects: list[EntryEffect]
+) -> None:
+    """Takes a server's own announcement and passes it on."""
+    notice = event.notice
+    lease = lease_ms(state, notice.key.service)
+    taken = state.directory.take(notice, lease, event.at_ms)
+    match taken:
+        case StaleNotice(incarnation=known, state=server_state):
+            reason = f"incarnation {known} is {server_state}"
+            effects.append(RejectAnnouncement(known, reason))
+            return
+        case ConflictingNotice(incarnation=known):
+            reason = "a new address needs a higher incarnation"
+            effects.append(RejectAnnouncement(known, reason))
+            return
+    is_declared = notice.key.service in state.services
+    effects.append(AcceptAnnouncement(lease, is_declared))
+    if taken is True:
+        _apply(state, notice, event.at_ms, effects)
+        spread = NoticeSpread((notice,), (lease,))
+        for peer in state.peers:
+            effects.append(SendMessage(peer, spread))
+    else:
+        state.renewals[notice.key] = Renewal(
+            notice.key, notice.incarnation, event.at_ms + lease
+        )
+
+
+def _apply(
+    state: EntryState,
+    notice: ServerNotice,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Brings the pool of the service in line with a new notice."""
+    service = state.services.get(notice.key.service)
+    name = f"{notice.key.service}/{notice.key.server}"
+    detail = f"incarnation {notice.incarnation}"
+    match notice.state:
+        case "up":
+            effects.append(Record(EventKind.SERVER_JOINED, name, detail))
+        case "draining":
+            effects.append(Record(EventKind.SERVER_DRAINING, name, detail))
+        case "left":
+            effects.append(Record(EventKind.SERVER_LEFT, name, detail))
+    if notice.state == "left":
+        effects.append(ForgetServer(notice.key))
+        if service is not None:
+            service.pool.remove(notice.key.server)
+    elif service is not None:
+        service.pool.put(notice, now_ms)
+
+
+def on_spread(
+    state: EntryState, event: MessageArrived, effects: list[EntryEffect]
+) -> None:
+    """Takes what a peer passes on, less the time it was under way."""
+    delay_ms = state.delays.delay_ms(
+        event.sender, event.boot_id, event.sent_ms, event.at_ms
+    )
+    match event.message:
+        case NoticeSpread(notices, leases) | DirectoryReply(notices, leases):
+            for notice, lease in zip(notices, leases, strict=True):
+                left_ms = lease - delay_ms
+                taken = state.directory.take(notice, left_ms, event.at_ms)
+                if taken is True:
+                    _apply(state, notice, event.at_ms, effects)
+        case RenewalSpread(renewals):
+            _renew(state, event, renewals, delay_ms, effects)
+    if isinstance(event.message, DirectoryReply):
+        state.is_directory_known = True
+
+
+def _renew(
+    state: EntryState,
+    event: MessageArrived,
+    renewals: tuple[Renewal, ...],
+    delay_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    is_known = True
+    for renewal in renewals:
+        left_ms = renewal.lease_ms - delay_ms
+        if not state.directory.renew(renewal, left_ms, event.at_ms):
+            is_known = False
+    if not is_known and event.at_ms >= state.directory_due_ms:
+        state.directory_due_ms = event.at_ms + DIRECTORY_ASK_MS
+        effects.append(SendMessage(event.sender, DirectoryRequest()))
+
+
+def on_directory_request(
+    state: EntryState, event: MessageArrived, effects: list[EntryEffect]
+) -> None:
+    """Sends all notices, those of servers that left included."""
+    records = list(state.directory.records.values())
+    reply = DirectoryReply(
+        tuple(record.notice for record in records),
+        tuple(record.lease_end_ms - event.at_ms for record in records),
+    )
+    effects.append(SendMessage(event.sender, reply))
+
+
+def on_tick(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Ends leases, passes heartbeats on and probes silent servers."""
+    for notice in state.directory.expire(now_ms):
+        _lapse(state, notice, effects)
+    _spread_renewals(state, now_ms, effects)
+    if not state.is_directory_known:
+        _learn_directory(state, now_ms, effects)
+    _probe_silent(state, now_ms, effects)
+
+
+def _lapse(
+    state: EntryState, notice: ServerNotice, effects: list[EntryEffect]
+) -> None:
+    name = f"{notice.key.service}/{notice.key.server}"
+    effects.append(Record(EventKind.SERVER_LAPSED, name))
+    effects.append(ForgetServer(notice.key))
+    service = state.services.get(notice.key.service)
+    if service is not None:
+        service.pool.remove(notice.key.server)
+
+
+def _spread_renewals(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    if not state.renewals or now_ms < state.renewals_due_ms:
+        return
+    state.renewals_due_ms = now_ms + RENEWALS_MS
+    renewals = tuple(
+        attrs.evolve(renewal, lease_ms=renewal.lease_ms - now_ms)
+        for renewal in state.renewals.values()
+    )
+    state.renewals.clear()
+    spread = RenewalSpread(renewals)
+    for peer in state.peers:
+        effects.append(SendMessage(peer, spread))
+
+
+def _learn_directory(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Asks the peers; gives up waiting when none of them answers."""
+    is_alone = not state.peers
+    if is_alone or now_ms >= state.started_ms + DIRECTORY_WAIT_MS:
+        state.is_directory_known = True
+        return
+    if now_ms >= state.directory_due_ms:
+        state.directory_due_ms = now_ms + DIRECTORY_ASK_MS
+        for peer in state.peers:
+            effects.append(SendMessage(peer, DirectoryRequest()))
+
+
+def _probe_silent(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    if state.declaration is None or now_ms < state.probes_due_ms:
+        return
+    state.probes_due_ms = now_ms + PROBES_MS
+    silence_ms = state.declaration.measuring.silence_ms
+    for service in state.services.values():
+        for server in service.pool.live():
+            if now_ms < server.answered_ms + silence_ms:
+                continue
+            if server.outstanding == 0 and state.probes.spend(
+                server.notice.key, now_ms
+            ):
+                effects.append(ProbeServer(server.notice))
+
+
+def on_probe_ended(state: EntryState, event: ProbeEnded) -> None:
+    """Learns from a probe as from an answer of a call alone."""
+    service = state.services.get(event.key.service)
+    if service is None:
+        return
+    server = service.pool.servers.get(event.key.server)
+    if server is None:
+        return
+    if event.is_answered:
+        # A probe is not a call: only its report is taken over.
+        note_answer(server, server.service_ms, 1.0, event.report, event.at_ms)
+    else:
+        server.failures += 1
--- /dev/null
+++ b/gentianwall/core/refusals.py
@@ -0,0 +1,84 @@
+"""Refusals: why a call got no answer of a server, and when to come back."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class RefusalReason(enum.Enum):
+    """Why a call was refused; the value is the title for callers."""
+
+    NOT_READY = "not ready"
+    UNKNOWN_SERVICE = "unknown service"
+    NO_SERVER = "no live server"
+    OVERLOADED = "the wait cannot be met"
+    QUEUE_FULL = "too many calls wait"
+    DEADLINE = "the deadline passed"
+    SERVER_REFUSED = "every server refused"
+    SERVER_LOST = "the server was lost"
+    SERVER_SILENT = "the connection went silent"
+    ANSWER_TOO_LARGE = "the answer is too large"
+    REQUEST_TOO_LARGE = "the request is too large"
+    QUARANTINED = "the request crashed servers"
+    CLAIM_UNAVAILABLE = "no quorum to record the key"
+    CLAIM_HELD = "the request runs or ran, its end is unknown"
+    CLAIM_MISMATCH = "the key was used with another request"
+    CLAIM_OUT_OF_WINDOW = "the key's time is outside the retention"
+    KEY_NOT_TIMED = "the key must be a UUID of version 7"
+    BAD_REQUEST = "bad request"
+    LOOP = "the request came back"
+
+
+class Executed(enum.Enum):
+    """Whether a server may have run the request."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+STATUS = {
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.NO_SERVER: 503,
+    RefusalReason.OVERLOADED: 503,
+    RefusalReason.QUEUE_FULL: 503,
+    RefusalReason.DEADLINE: 504,
+    RefusalReason.SERVER_REFUSED: 503,
+    RefusalReason.SERVER_LOST: 502,
+    RefusalReason.SERVER_SILENT: 504,
+    RefusalReason.ANSWER_TOO_LARGE: 502,
+    RefusalReason.REQUEST_TOO_LARGE: 413,
+    RefusalReason.QUARANTINED: 422,
+    RefusalReason.CLAIM_UNAVAILABLE: 503,
+    RefusalReason.CLAIM_HELD: 409,
+    RefusalReason.CLAIM_MISMATCH: 422,
+    RefusalReason.CLAIM_OUT_OF_WINDOW: 422,
+    RefusalReason.KEY_NOT_TIMED: 400,
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.LOOP: 508,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """The final word on a call that got no answer.
+
+    Attributes:
+        reason: Why.
+        executed: Whether it may have been run.
+        retry_after_ms: When to come back, or 0 when that would not help.
+        detail: More in words.
+    """
+
+    reason: RefusalReason
+    executed: Executed
+    retry_after_ms: float = 0.0
+    detail: str = ""
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return STATUS[self.reason]
--- /dev/null
+++ b/gentianwall/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/gentianwall/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, servers, the platform and operators."""
--- /dev/null
+++ b/gentianwall/http/reports.py
@@ -0,0 +1,78 @@
+"""Load reports in answers: the ORCA header `endpoint-load-metrics`.
+
+Both forms are read: `TEXT a=0.5, b=3` and `JSON {...}`.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+
+from gentianwall.routing.servers import LoadReport
+
+IN_FLIGHT_NAMES = (
+    "named_metrics.requests_in_flight",
+    "named_metrics.inflight",
+    "requests_in_flight",
+)
+UTILIZATION_NAMES = ("application_utilization", "cpu_utilization")
+
+
+def parse_report(value: str) -> LoadReport | None:
+    """Reads a load report.
+
+    Returns:
+        The report, or None when it is absurd or says nothing of load.
+    """
+    form, _, rest = value.strip().partition(" ")
+    match form.upper():
+        case "TEXT":
+            numbers = _parse_text(rest)
+        case "JSON":
+            numbers = _parse_json(rest)
+        case _:
+            numbers = _parse_text(value)
+    in_flight = _first(numbers, IN_FLIGHT_NAMES)
+    utilization = _first(numbers, UTILIZATION_NAMES)
+    if in_flight < 0 and utilization < 0:
+        return None
+    return LoadReport(in_flight, max(0.0, utilization))
+
+
+def _first(numbers: dict[str, float], names: tuple[str, ...]) -> float:
+    for name in names:
+        number = numbers.get(name)
+        if number is not None and math.isfinite(number) and number >= 0:
+            return number
+    return -1.0
+
+
+def _parse_text(text: str) -> dict[str, float]:
+    numbers = {}
+    for item in text.split(","):
+        name, equals, number = item.partition("=")
+        if not equals:
+            continue
+        try:
+            numbers[name.strip()] = float(number)
+        except ValueError:
+            continue
+    return numbers
+
+
+def _parse_json(text: str) -> dict[str, float]:
+    try:
+        content = json.loads(text)
+    except ValueError:
+        return {}
+    numbers: dict[str, float] = {}
+    if not isinstance(content, dict):
+        return numbers
+    for name, value in content.items():
+        if isinstance(value, int | float):
+            numbers[name] = float(value)
+        elif isinstance(value, dict):
+            for inner, number in value.items():
+                if isinstance(number, int | float):
+                    numbers[f"{name}.{inner}"] = float(number)
+    return numbers
--- /dev/null
+++ b/gentianwall/links/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances."""
--- /dev/null
+++ b/gentianwall/links/sockets.py
@@ -0,0 +1,192 @@
+"""Links over ZeroMQ, driven by the twisted reactor.
+
+Each process binds one PULL socket and connects one PUSH socket to each other
+process. Messages may be lost; what must arrive is repeated by its part.
+ZeroMQ's own heartbeats find a link that went silent, drop it and dial again.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import uuid
+from collections.abc import Callable, Iterator
+
+import zmq
+import zmq.auth
+from twisted.internet.interfaces import IReadDescriptor
+from zmq.auth.thread import ThreadAuthenticator
+from zope.interface import implementer
+
+from gentianwall import codec
+from gentianwall.config.settings import Settings
+from gentianwall.links.keys import KeyPair, load_keys
+from gentianwall.links.messages import PROTOCOL_VERSION, Envelope, Message
+from gentianwall.logs import get_logger
+from gentianwall.timeline import Timeline
+from gentianwall.timers import monotonic_ms, wall_ms
+
+log = get_logger("links")
+
+SEND_QUEUE_MESSAGES = 10_000
+MAX_MESSAGES_PER_TURN = 512
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+
+
+@implementer(IReadDescriptor)
+class Links:
+    """All links of one process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        reactor,
+        timeline: Timeline,
+        receive: Callable[[list[Envelope]], None],
+    ):
+        self.settings = settings
+        self.boot_id = uuid.uuid4().hex[:12]
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.malformed = 0
+        self._reactor = reactor
+        self._timeline = timeline
+        self._receive = receive
+        self._context = zmq.Context()
+        self._authenticator: ThreadAuthenticator | None = None
+        self._keys: KeyPair | None = None
+        self._pull: zmq.Socket | None = None
+        self._push: dict[str, zmq.Socket] = {}
+
+    def open(self) -> None:
+        """Binds and connects."""
+        folder = self.settings.links.key_folder
+        if folder:
+            self._keys = load_keys(folder, self.settings.instance)
+            self._authenticator = ThreadAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve(domain="*", location=folder)
+        self._pull = self._context.socket(zmq.PULL)
+        self._set_options(self._pull)
+        if self._keys is not None:
+            self._pull.curve_publickey = self._keys.public
+            self._pull.curve_secretkey = self._keys.secret
+            self._pull.curve_server = True
+        self._pull.bind(f"tcp://{self.settings.own.link_address}")
+        for instance in self.settings.instances:
+            if instance.name != self.settings.instance:
+                self._push[instance.name] = self._connect(
+                    instance.name, instance.link_address
+                )
+        self._reactor.addReader(self)
+        self._reactor.callLater(0, self.doRead)
+
+    def close(self) -> None:
+        """Closes all sockets; messages not yet sent are dropped."""
+        self._reactor.removeReader(self)
+        for socket in self._push.values():
+            socket.close(linger=0)
+        if self._pull is not None:
+            self._pull.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.term()
+
+    def send(self, receiver: str, message: Message) -> None:
+        """Sends a message, or drops it when the link is down or full."""
+        socket = self._push.get(receiver)
+        if socket is None:
+            return
+        envelope = Envelope(
+            PROTOCOL_VERSION,
+            self.settings.instance,
+            self.boot_id,
+            monotonic_ms(),
+            self._timeline.now_ms(wall_ms()),
+            message,
+        )
+        data = codec.pack(envelope, Envelope)
+        try:
+            socket.send(data, zmq.NOBLOCK)
+            self.sent_bytes += len(data)
+        except zmq.Again:
+            log.debug("No link to %s. Message dropped.", receiver)
+
+    def fileno(self) -> int:
+        """The descriptor that signals incoming messages."""
+        return self._pull.fileno()
+
+    def doRead(self) -> None:
+        """Takes what has arrived; the descriptor signals edges only."""
+        if self._pull.closed:
+            return
+        envelopes = []
+        for _ in range(MAX_MESSAGES_PER_TURN):
+            try:
+                data = self._pull.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                break
+            self._unpack(data, envelopes)
+        else:
+            self._reactor.callLater(0, self.doRead)
+        if envelopes:
+            self._receive(envelopes)
+
+    def connectionLost(self, reason) -> None:
+        """The reactor gave the descriptor up."""
+
+    def logPrefix(self) -> str:
+        """Name in the reactor's own messages."""
+        return "links"
+
+    def _unpack(self, data: bytes, envelopes: list[Envelope]) -> None:
+        self.received_bytes += len(data)
+        envelope = codec.unpack(data, Envelope)
+        if isinstance(envelope, codec.Malformed):
+            self.malformed += 1
+            log.warning("Malformed message dropped. %s", envelope.reason)
+        elif envelope.protocol != PROTOCOL_VERSION:
+            self.malformed += 1
+            log.warning("Protocol %d is not spoken here.", envelope.protocol)
+        else:
+            envelopes.append(envelope)
+
+    def _connect(self, name: str, address: str) -> zmq.Socket:
+        socket = self._context.socket(zmq.PUSH)
+        self._set_options(socket)
+        # Without a live link, messages are dropped instead of growing old.
+        socket.immediate = True
+        socket.sndhwm = SEND_QUEUE_MESSAGES
+        socket.reconnect_ivl = RECONNECT_MIN_MS
+        socket.reconnect_ivl_max = RECONNECT_MAX_MS
+        if self._keys is not None:
+            peer = load_keys(self.settings.links.key_folder, name, False)
+            socket.curve_publickey = self._keys.public
+            socket.curve_secretkey = self._keys.secret
+            socket.curve_serverkey = peer.public
+        socket.connect(f"tcp://{address}")
+        return socket
+
+    def _set_options(self, socket: zmq.Socket) -> None:
+        socket.linger = 0
+        socket.heartbeat_ivl = self.settings.links.heartbeat_ms
+        socket.heartbeat_timeout = self.settings.links.silence_ms
+        socket.heartbeat_ttl = self.settings.links.silence_ms
+        socket.connect_timeout = self.settings.links.silence_ms
+        socket.handshake_ivl = self.settings.links.silence_ms
+
+
+@contextlib.contextmanager
+def open_links(
+    settings: Settings,
+    reactor,
+    timeline: Timeline,
+    receive: Callable[[list[Envelope]], None],
+) -> Iterator[Links]:
+    """Opens the links of a process and closes them at the end."""
+    links = Links(settings, reactor, timeline, receive)
+    links.open()
+    try:
+        yield links
+    finally:
+        links.close()
--- /dev/null
+++ b/gentianwall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which servers are there."""
--- /dev/null
+++ b/gentianwall/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control instances."""
--- /dev/null
+++ b/gentianwall/replication/appending.py
@@ -0,0 +1,287 @@
+"""Replicating entries, committing them and applying them."""
+
+from __future__ import annotations
+
+from gentianwall.claims.commands import ChangeMembers
+from gentianwall.claims.image import decode_register, encode_register
+from gentianwall.claims.register import apply_command
+from gentianwall.replication import election
+from gentianwall.replication.effects import (
+    CommandApplied,
+    MembersChanged,
+    ReplicationEffect,
+    SendToReplica,
+    StoreEntries,
+    StoreSnapshot,
+)
+from gentianwall.replication.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Member,
+    Snapshot,
+    SnapshotRequest,
+)
+from gentianwall.replication.state import Progress, ReplicaState, Role
+
+MAX_ENTRIES_PER_APPEND = 256
+
+
+def note_members(state: ReplicaState, entries: list[LogEntry]) -> None:
+    """Takes over the last membership among new entries, if any."""
+    for entry in entries:
+        if isinstance(entry.command, ChangeMembers):
+            state.members = _members_of(entry.command)
+            state.members_index = entry.index
+
+
+def _members_of(command: ChangeMembers) -> tuple[Member, ...]:
+    return tuple(Member(name, disk) for name, disk in command.members)
+
+
+def _cut_log(state: ReplicaState, index: int) -> None:
+    state.log.cut_from(index)
+    if state.members_index >= index:
+        state.members = state.applied_members
+        state.members_index = state.log.base_index
+        note_members(state, state.log.entries)
+
+
+def send_to_all(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> None:
+    """Sends each follower what it lacks, or a heartbeat."""
+    for name, progress in state.progress.items():
+        _send(state, name, progress, now_ms, effects)
+
+
+def send_due(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> None:
+    """Sends to the followers whose heartbeat is due."""
+    for name, progress in state.progress.items():
+        if now_ms >= progress.sent_ms + state.timing.heartbeat_ms:
+            _send(state, name, progress, now_ms, effects)
+
+
+def _send(
+    state: ReplicaState,
+    name: str,
+    progress: Progress,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    progress.sent_ms = now_ms
+    prev_index = progress.next_index - 1
+    prev_term = state.log.term_at(prev_index)
+    if prev_term is None:
+        assert state.snapshot is not None
+        request = SnapshotRequest(state.term, state.snapshot, now_ms)
+        progress.next_index = state.snapshot.index + 1
+        effects.append(SendToReplica(name, request))
+        return
+    entries = state.log.after(prev_index, MAX_ENTRIES_PER_APPEND)
+    progress.next_index += len(entries)
+    request = AppendRequest(
+        term=state.term,
+        prev_index=prev_index,
+        prev_term=prev_term,
+        entries=entries,
+        commit_index=state.commit_index,
+        sent_ms=now_ms,
+    )
+    effects.append(SendToReplica(name, request))
+
+
+def on_append_request(
+    state: ReplicaState,
+    sender: str,
+    request: AppendRequest,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    """Takes entries from the leader; the reply goes out once they are kept."""
+    if request.term < state.term:
+        _reply(state, sender, False, 0, request.sent_ms, effects)
+        return
+    _heed_leader(state, sender, request.term, now_ms, effects)
+    if request.prev_index < state.log.base_index:
+        # What a snapshot covers is committed, so it cannot differ.
+        hint = state.log.base_index
+        is_covered = request.prev_index + len(request.entries) <= hint
+        entries = [] if is_covered else list(request.entries)
+        entries = [entry for entry in entries if entry.index > hint]
+        last_index = max(hint, request.prev_index + len(request.entries))
+    elif state.log.term_at(request.prev_index) != request.prev_term:
+        hint = min(request.prev_index - 1, state.log.last_index)
+        _reply(state, sender, False, hint, request.sent_ms, effects)
+        return
+    else:
+        entries = list(request.entries)
+        last_index = request.prev_index + len(request.entries)
+    _store_new(state, entries, effects)
+    _commit_to(state, min(request.commit_index, last_index), effects)
+    _reply(state, sender, True, last_index, request.sent_ms, effects)
+
+
+def _heed_leader(
+    state: ReplicaState,
+    leader: str,
+    term: int,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    if (
+        term > state.term
+        or state.leader != leader
+        or (state.role is not Role.FOLLOWER)
+    ):
+        election.follow(state, term, leader, now_ms, effects)
+    state.last_contact_ms = now_ms
+    election.draw_election_due(state, now_ms)
+
+
+def _store_new(
+    state: ReplicaState,
+    entries: list[LogEntry],
+    effects: list[ReplicationEffect],
+) -> None:
+    new = [e for e in entries if state.log.term_at(e.index) != e.term]
+    if not new:
+        return
+    if new[0].index <= state.log.last_index:
+        _cut_log(state, new[0].index)
+    state.log.entries.extend(new)
+    note_members(state, new)
+    effects.append(StoreEntries(tuple(new)))
+
+
+def _reply(
+    state: ReplicaState,
+    leader: str,
+    is_success: bool,
+    match_index: int,
+    sent_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    reply = AppendReply(
+        state.term, is_success, match_index, state.disk_id, sent_ms
+    )
+    effects.append(SendToReplica(leader, reply))
+
+
+def on_append_reply(
+    state: ReplicaState,
+    sender: str,
+    reply: AppendReply,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    """Learns what a follower's disk holds and commits what a quorum has."""
+    if reply.term > state.term:
+        election.follow(state, reply.term, "", now_ms, effects)
+        return
+    progress = state.progress.get(sender)
+    if (
+        state.role is not Role.LEADER
+        or reply.term != state.term
+        or progress is None
+        or progress.disk_id != reply.disk_id
+    ):
+        return
+    progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+    if reply.is_success:
+        progress.match_index = max(progress.match_index, reply.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+    else:
+        progress.next_index = max(1, reply.match_index + 1)
+    election.renew_lease(state, now_ms)
+    advance_commit(state, effects)
+    if progress.next_index <= state.log.last_index:
+        _send(state, sender, progress, now_ms, effects)
+
+
+def advance_commit(
+    state: ReplicaState, effects: list[ReplicationEffect]
+) -> None:
+    """Commits what a majority of the members' disks hold in this term."""
+    held = []
+    for member in state.members:
+        if member.replica == state.name:
+            held.append(state.log.last_index)
+            continue
+        progress = state.progress_of(member)
+        held.append(progress.match_index if progress else 0)
+    held.sort(reverse=True)
+    index = held[state.quorum - 1]
+    if state.log.term_at(index) == state.term:
+        _commit_to(state, index, effects)
+
+
+def _commit_to(
+    state: ReplicaState, index: int, effects: list[ReplicationEffect]
+) -> None:
+    state.commit_index = max(state.commit_index, index)
+    while state.applied_index < state.commit_index:
+        _apply_next(state, effects)
+    kept = state.applied_index - state.log.base_index
+    if kept >= state.timing.snapshot_entries:
+        _take_snapshot(state, effects)
+
+
+def _apply_next(state: ReplicaState, effects: list[ReplicationEffect]) -> None:
+    entry = state.log.entry(state.applied_index + 1)
+    state.applied_index = entry.index
+    if isinstance(entry.command, ChangeMembers):
+        state.applied_members = _members_of(entry.command)
+        names = tuple(name for name, _ in entry.command.members)
+        effects.append(MembersChanged(names))
+    result = apply_command(state.register, entry.command)
+    state.proposals.discard(entry.index)
+    effects.append(CommandApplied(entry.index, entry.command, result))
+
+
+def _take_snapshot(
+    state: ReplicaState, effects: list[ReplicationEffect]
+) -> None:
+    index = state.applied_index
+    term = state.log.term_at(index)
+    assert term is not None
+    state.snapshot = Snapshot(
+        index, term, state.applied_members, encode_register(state.register)
+    )
+    state.log.drop_to(index, term)
+    effects.append(StoreSnapshot(state.snapshot))
+
+
+def on_snapshot_request(
+    state: ReplicaState,
+    sender: str,
+    request: SnapshotRequest,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    """Replaces this replica's state by the leader's snapshot."""
+    if request.term < state.term:
+        _reply(state, sender, False, 0, request.sent_ms, effects)
+        return
+    _heed_leader(state, sender, request.term, now_ms, effects)
+    if request.snapshot.index > state.commit_index:
+        install_snapshot(state, request.snapshot)
+        effects.append(StoreSnapshot(request.snapshot))
+    match_index = max(request.snapshot.index, state.commit_index)
+    _reply(state, sender, True, match_index, request.sent_ms, effects)
+
+
+def install_snapshot(state: ReplicaState, snapshot: Snapshot) -> None:
+    """Makes a snapshot the whole state, with an empty log after it."""
+    state.snapshot = snapshot
+    state.register = decode_register(snapshot.state)
+    state.log.entries.clear()
+    state.log.base_index = snapshot.index
+    state.log.base_term = snapshot.term
+    state.commit_index = snapshot.index
+    state.applied_index = snapshot.index
+    state.members = snapshot.members
+    state.applied_members = snapshot.members
+    state.members_index = snapshot.index
--- /dev/null
+++ b/gentianwall/replication/election.py
@@ -0,0 +1,232 @@
+"""Elections: trial votes, votes, and stepping down without a quorum."""
+
+from __future__ import annotations
+
+from gentianwall.replication.effects import (
+    LeadershipChanged,
+    ProposalDropped,
+    ReplicationEffect,
+    SendToReplica,
+    StoreTerm,
+)
+from gentianwall.replication.messages import (
+    Member,
+    VoteReply,
+    VoteRequest,
+)
+from gentianwall.replication.state import Progress, ReplicaState, Role
+
+
+def draw_election_due(state: ReplicaState, now_ms: float) -> None:
+    """Sets the next election to one to two timeouts from now."""
+    timeout_ms = state.timing.election_timeout_ms
+    state.election_due_ms = now_ms + timeout_ms * (1.0 + state.rng.random())
+
+
+def follow(
+    state: ReplicaState,
+    term: int,
+    leader: str,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    """Becomes a follower in a term, of a leader or of none yet."""
+    if term > state.term:
+        state.term = term
+        state.voted_for = ""
+        effects.append(StoreTerm(term, ""))
+    was_leader = state.role is Role.LEADER
+    is_news = was_leader or leader != state.leader
+    if was_leader:
+        drop_proposals(state, effects)
+        state.progress.clear()
+    state.role = Role.FOLLOWER
+    state.votes.clear()
+    state.leader = leader
+    if was_leader:
+        draw_election_due(state, now_ms)
+    if is_news:
+        effects.append(LeadershipChanged(state.term, leader, False))
+
+
+def drop_proposals(
+    state: ReplicaState, effects: list[ReplicationEffect]
+) -> None:
+    """Tells that the fate of open proposals is not known here."""
+    for index in sorted(state.proposals):
+        effects.append(ProposalDropped(index))
+    state.proposals.clear()
+
+
+def start_trial(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> bool:
+    """Asks whether an election could be won, without a new term.
+
+    Returns:
+        Whether this replica leads at once, as the only member.
+    """
+    draw_election_due(state, now_ms)
+    state.role = Role.TRIAL
+    state.leader = ""
+    return _count_vote(state, state.name, now_ms, effects)
+
+
+def _start_election(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> bool:
+    draw_election_due(state, now_ms)
+    state.role = Role.CANDIDATE
+    state.term += 1
+    state.voted_for = state.name
+    effects.append(StoreTerm(state.term, state.name))
+    return _count_vote(state, state.name, now_ms, effects)
+
+
+def _count_vote(
+    state: ReplicaState,
+    voter: str,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> bool:
+    if voter == state.name:
+        state.votes = {voter}
+        _ask_for_votes(state, effects)
+    else:
+        state.votes.add(voter)
+    if len(state.votes) < state.quorum:
+        return False
+    if state.role is Role.TRIAL:
+        return _start_election(state, now_ms, effects)
+    _lead(state, now_ms, effects)
+    return True
+
+
+def _ask_for_votes(
+    state: ReplicaState, effects: list[ReplicationEffect]
+) -> None:
+    is_trial = state.role is Role.TRIAL
+    request = VoteRequest(
+        term=state.term + 1 if is_trial else state.term,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        is_trial=is_trial,
+    )
+    for member in state.members:
+        if member.replica != state.name:
+            effects.append(SendToReplica(member.replica, request))
+
+
+def on_vote_request(
+    state: ReplicaState,
+    sender: str,
+    request: VoteRequest,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> None:
+    """Answers a request for a vote or a trial vote."""
+    is_granted = _grants(state, sender, request, now_ms)
+    if is_granted and not request.is_trial:
+        if request.term > state.term:
+            follow(state, request.term, "", now_ms, effects)
+        state.voted_for = sender
+        effects.append(StoreTerm(state.term, sender))
+        draw_election_due(state, now_ms)
+    term = state.term
+    if request.is_trial and is_granted:
+        term = request.term
+    reply = VoteReply(term, is_granted, request.is_trial, state.disk_id)
+    effects.append(SendToReplica(sender, reply))
+
+
+def _grants(
+    state: ReplicaState, sender: str, request: VoteRequest, now_ms: float
+) -> bool:
+    if request.term < state.term:
+        return False
+    # A leader that was heard lately may hold a lease on this promise.
+    timeout_ms = state.timing.election_timeout_ms
+    if now_ms < state.last_contact_ms + timeout_ms:
+        return False
+    if state.role is Role.LEADER:
+        return False
+    is_free = request.term > state.term or state.voted_for in ("", sender)
+    own = (state.log.last_term, state.log.last_index)
+    is_current = (request.last_term, request.last_index) >= own
+    return is_free and is_current
+
+
+def on_vote_reply(
+    state: ReplicaState,
+    sender: str,
+    reply: VoteReply,
+    now_ms: float,
+    effects: list[ReplicationEffect],
+) -> bool:
+    """Counts a vote; only a member's present disk counts.
+
+    Returns:
+        Whether this replica has just become the leader.
+    """
+    if not reply.is_granted:
+        if reply.term > state.term:
+            follow(state, reply.term, "", now_ms, effects)
+        return False
+    wanted = Role.TRIAL if reply.is_trial else Role.CANDIDATE
+    term = state.term + 1 if reply.is_trial else state.term
+    if state.role is not wanted or reply.term != term:
+        return False
+    if Member(sender, reply.disk_id) not in state.members:
+        return False
+    return _count_vote(state, sender, now_ms, effects)
+
+
+def _lead(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> None:
+    state.role = Role.LEADER
+    state.leader = state.name
+    state.votes.clear()
+    state.lead_since_ms = now_ms
+    state.lease_anchor_ms = float("-inf")
+    state.progress = {
+        member.replica: Progress(member.disk_id, state.log.last_index + 1)
+        for member in state.members
+        if member.replica != state.name
+    }
+    effects.append(LeadershipChanged(state.term, state.name, True))
+
+
+def renew_lease(state: ReplicaState, now_ms: float) -> None:
+    """Moves the lease to the latest time a quorum answered for.
+
+    Only answers to heartbeats count: a vote makes no promise to this leader.
+    """
+    echoes_ms = []
+    for member in state.members:
+        if member.replica == state.name:
+            echoes_ms.append(now_ms)
+            continue
+        progress = state.progress_of(member)
+        if progress is not None:
+            echoes_ms.append(progress.acked_ms)
+    echoes_ms.sort(reverse=True)
+    if len(echoes_ms) >= state.quorum:
+        anchor_ms = echoes_ms[state.quorum - 1]
+        state.lease_anchor_ms = max(state.lease_anchor_ms, anchor_ms)
+
+
+def check_quorum(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> bool:
+    """Steps down when no quorum has answered for an election timeout.
+
+    Returns:
+        Whether this replica still leads.
+    """
+    renew_lease(state, now_ms)
+    anchor_ms = max(state.lease_anchor_ms, state.lead_since_ms)
+    if now_ms <= anchor_ms + state.timing.election_timeout_ms:
+        return True
+    follow(state, state.term, "", now_ms, effects)
+    return False
--- /dev/null
+++ b/gentianwall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which server gets the next call."""
--- /dev/null
+++ b/gentianwall/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of the reducers: sockets, files and clocks around them."""
--- /dev/null
+++ b/gentianwall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a control instance keeps on its disk."""
--- /dev/null
+++ b/gentianwall/storage/journal.py
@@ -0,0 +1,280 @@
+"""The journal: one file with a snapshot, the term and the log after it.
+
+A frame is one synced batch of records: magic, length, CRC-32 of the payload
+and CRC-32 of the header, then the records packed together. Since a frame is
+written only after the one before it was synced, a torn frame can only be the
+last one. A frame that ends early
+or in zeros is cut; one of full length with a wrong checksum was damaged and
+stops the replica, because it may hold records that were acknowledged.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+import struct
+import uuid
+import zlib
+from collections.abc import Iterator
+
+import attrs
+
+from gentianwall import codec
+from gentianwall.claims.image import encode_register
+from gentianwall.claims.register import RegisterState
+from gentianwall.replication.effects import (
+    StorageEffect,
+    StoreEntries,
+    StoreSnapshot,
+    StoreTerm,
+)
+from gentianwall.replication.messages import Member, Snapshot
+from gentianwall.replication.restore import Recovered
+
+MAGIC = b"GWJ1"
+FRAME = struct.Struct(">4sII")
+HEADER_CHECK = struct.Struct(">I")
+HEADER_BYTES = FRAME.size + HEADER_CHECK.size
+FREE_SPACE_RESERVE_BYTES = 64 * 1024 * 1024
+
+
+@attrs.frozen
+class DiskIdentity:
+    """First record of every journal."""
+
+    disk_id: str
+
+
+JournalRecord = DiskIdentity | StoreTerm | StoreEntries | StoreSnapshot
+codec.register_union(JournalRecord)
+
+
+@attrs.frozen
+class JournalDamaged:
+    """The journal cannot be trusted.
+
+    Attributes:
+        file: The damaged file.
+        offset: Byte offset of the first damaged frame.
+        advice: What the operator can do.
+    """
+
+    file: str
+    offset: int
+    advice: str = (
+        "move the data folder away and start again: the replica joins with "
+        "an empty disk once the others admit it"
+    )
+
+    def __str__(self) -> str:
+        return f"{self.file} is damaged at byte {self.offset}; {self.advice}"
+
+
+@attrs.frozen
+class JournalNotEmpty:
+    """A cluster was founded here before."""
+
+    folder: str
+
+    def __str__(self) -> str:
+        return f"{self.folder} already holds state; a cluster is founded once"
+
+
+class Journal:
+    """Keeps the journal of one data folder.
+
+    The newest file counts. A snapshot starts a new file, which takes its
+    name only once it is synced, so that a crash leaves either file whole.
+    """
+
+    def __init__(self, folder: str):
+        self._folder = pathlib.Path(folder)
+        self._number = 0
+        self._fd = -1
+        self.size_bytes = 0
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+
+    def has_space(self) -> bool:
+        """Whether the disk still has room beyond the reserve."""
+        stat = os.statvfs(self._folder)
+        return stat.f_bavail * stat.f_frsize > FREE_SPACE_RESERVE_BYTES
+
+    def recover(self) -> Recovered | JournalDamaged:
+        """Reads the state back, or gives an empty disk a new identity."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        files = self._files()
+        for leftover in self._folder.glob("journal-*.new"):
+            leftover.unlink()
+        if not files:
+            recovered = Recovered(disk_id=uuid.uuid4().hex)
+            self._start_file(recovered)
+            return recovered
+        self._number, path = files[-1]
+        return self._read(path)
+
+    def found(self, replica: str) -> Recovered | JournalNotEmpty:
+        """Founds a cluster of one member; the others join it."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        if self._files():
+            return JournalNotEmpty(str(self._folder))
+        disk_id = uuid.uuid4().hex
+        recovered = Recovered(
+            disk_id=disk_id,
+            term=1,
+            snapshot=Snapshot(
+                index=1,
+                term=1,
+                members=(Member(replica, disk_id),),
+                state=encode_register(RegisterState()),
+            ),
+        )
+        self._start_file(recovered)
+        return recovered
+
+    def store(self, effects: list[StorageEffect], kept: Recovered) -> None:
+        """Writes and syncs one batch.
+
+        Args:
+            effects: What to keep, in order.
+            kept: The whole state after the batch, for a new file.
+
+        Raises:
+            OSError: The disk is full or failing; nothing may be sent.
+        """
+        if not effects:
+            return
+        if any(isinstance(e, StoreSnapshot) for e in effects):
+            self._start_file(kept)
+            return
+        self._write(self._fd, list(effects))
+
+    def _files(self) -> list[tuple[int, pathlib.Path]]:
+        found = []
+        for path in self._folder.glob("journal-*"):
+            match = re.fullmatch(r"journal-(\d+)", path.name)
+            if match:
+                found.append((int(match.group(1)), path))
+        return sorted(found)
+
+    def _start_file(self, kept: Recovered) -> None:
+        old = self._files()
+        self._number += 1
+        path = self._folder / f"journal-{self._number:08d}"
+        new = path.with_suffix(".new")
+        fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        self.close()
+        self._fd = fd
+        self.size_bytes = 0
+        self._write(fd, _records_of(kept))
+        os.rename(new, path)
+        self._sync_folder()
+        for _, stale in old:
+            stale.unlink()
+
+    def _write(self, fd: int, records: list[JournalRecord]) -> None:
+        payload = codec.pack(records, list[JournalRecord])
+        header = FRAME.pack(MAGIC, len(payload), zlib.crc32(payload))
+        frame = header + HEADER_CHECK.pack(zlib.crc32(header)) + payload
+        view = memoryview(frame)
+        while view:
+            view = view[os.write(fd, view) :]
+        os.fsync(fd)
+        self.size_bytes += len(frame)
+
+    def _sync_folder(self) -> None:
+        fd = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def _read(self, path: pathlib.Path) -> Recovered | JournalDamaged:
+        data = path.read_bytes()
+        recovered: Recovered | None = None
+        end = 0
+        for offset, payload in _frames(data):
+            if payload is None:
+                return JournalDamaged(str(path), offset)
+            records = codec.unpack(payload, list[JournalRecord])
+            if isinstance(records, codec.Malformed):
+                return JournalDamaged(str(path), offset)
+            for record in records:
+                recovered = _replay(recovered, record)
+            end = offset + HEADER_BYTES + len(payload)
+        if recovered is None:
+            return JournalDamaged(str(path), 0)
+        self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+        if end < len(data):
+            os.ftruncate(self._fd, end)
+            os.fsync(self._fd)
+        self.size_bytes = end
+        return recovered
+
+
+def _frames(data: bytes) -> Iterator[tuple[int, bytes | None]]:
+    """Yields offset and payload of each frame; None marks damage.
+
+    Stops without a mark before a torn tail.
+    """
+    offset = 0
+    while offset < len(data):
+        start = offset + HEADER_BYTES
+        if start > len(data):
+            return
+        magic, length, checksum = FRAME.unpack_from(data, offset)
+        (header_check,) = HEADER_CHECK.unpack_from(data, offset + FRAME.size)
+        header = data[offset : offset + FRAME.size]
+        if magic != MAGIC or zlib.crc32(header) != header_check:
+            if data.count(0, offset) < len(data) - offset:
+                yield offset, None
+            return
+        payload = data[start : start + length]
+        if len(payload) < length:
+            return
+        if zlib.crc32(payload) != checksum:
+            yield offset, None
+            return
+        yield offset, payload
+        offset = start + length
+
+
+def _replay(
+    recovered: Recovered | None, record: JournalRecord
+) -> Recovered | None:
+    match record:
+        case DiskIdentity():
+            return Recovered(disk_id=record.disk_id)
+        case _ if recovered is None:
+            return None
+        case StoreTerm():
+            recovered.term = record.term
+            recovered.voted_for = record.voted_for
+        case StoreSnapshot():
+            recovered.snapshot = record.snapshot
+            recovered.entries.clear()
+        case StoreEntries():
+            _replay_entries(recovered, record)
+    return recovered
+
+
+def _replay_entries(recovered: Recovered, record: StoreEntries) -> None:
+    first = record.entries[0].index
+    while recovered.entries and recovered.entries[-1].index >= first:
+        recovered.entries.pop()
+    recovered.entries.extend(record.entries)
+
+
+def _records_of(kept: Recovered) -> list[JournalRecord]:
+    records: list[JournalRecord] = [DiskIdentity(kept.disk_id)]
+    records.append(StoreTerm(kept.term, kept.voted_for))
+    if kept.snapshot is not None:
+        records.append(StoreSnapshot(kept.snapshot))
+    if kept.entries:
+        records.append(StoreEntries(tuple(kept.entries)))
+    return records
--- /dev/null
+++ b/gentianwall/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a subject of their own."""
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts real processes for tests and measurements, on loopback only."""
--- /dev/null
+++ b/harness/cluster.py
@@ -0,0 +1,279 @@
+"""A system of real processes on loopback, in a folder of its own."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+
+import attrs
+import tomli_w
+
+from gentianwall.commands import apply as applying
+from gentianwall.ctl.client import OperatorClient, Reply
+
+ROOT = pathlib.Path(__file__).parent.parent
+DECLARATION = (ROOT / "harness" / "declaration.toml").read_text()
+READY_S = 20.0
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def executed(self) -> str:
+        """The header that tells whether a server may have run it."""
+        return self.headers.get("gentianwall-executed", "")
+
+
+def free_port() -> int:
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 15.0,
+) -> Answer:
+    """Sends one request on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        content = response.read()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, found, content)
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what: str, limit_s: float = READY_S) -> None:
+    """Waits until a condition holds, or fails with what was awaited."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            if condition():
+                return
+        time.sleep(0.02)
+    raise AssertionError(f"not within {limit_s} s: {what}")
+
+
+class Cluster:
+    """Entries, control instances and servers as processes."""
+
+    def __init__(self, entries: int, controls: int):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gentianwall-"))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.commands: dict[str, list[str]] = {}
+        self.instances = [
+            self._instance(f"entry-{n}", "entry") for n in range(entries)
+        ] + [self._instance(f"control-{n}", "control") for n in range(controls)]
+        for instance in self.instances:
+            settings = {
+                "instance": instance["name"],
+                "data_folder": f"data-{instance['name']}",
+                "instances": self.instances,
+            }
+            path = self.folder / f"{instance['name']}.toml"
+            path.write_text(tomli_w.dumps(settings))
+
+    def _instance(self, name: str, role: str) -> dict:
+        instance = {
+            "name": name,
+            "role": role,
+            "failure_domain": f"domain-{name[-1]}",
+            "link_address": f"127.0.0.1:{free_port()}",
+            "operators_address": f"127.0.0.1:{free_port()}",
+        }
+        if role == "entry":
+            instance["callers_address"] = f"127.0.0.1:{free_port()}"
+        return instance
+
+    def names(self, role: str) -> list[str]:
+        """Returns the names of all instances with a role."""
+        return [i["name"] for i in self.instances if i["role"] == role]
+
+    def address(self, name: str, kind: str = "callers_address") -> str:
+        """Returns an address of an instance."""
+        found = next(i for i in self.instances if i["name"] == name)
+        return found[kind]
+
+    def client(self) -> OperatorClient:
+        """Returns a client of all entries' operators' pages."""
+        addresses = [
+            self.address(name, "operators_address")
+            for name in self.names("entry")
+        ]
+        return OperatorClient(tuple(addresses))
+
+    def start(self, declaration: str = DECLARATION) -> None:
+        """Founds the cluster, starts everything and applies a declaration."""
+        first = self.names("control")[0]
+        command = [sys.executable, "-m", "gentianwall", "found"]
+        command += ["--settings", str(self.folder / f"{first}.toml")]
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+        for instance in self.instances:
+            self.start_instance(instance["name"])
+        wait_until(
+            lambda: self.members() == set(self.names("control")),
+            "all control instances are members",
+        )
+        result = applying.apply(
+            self.client(), declaration, "harness", 0, "", READY_S
+        )
+        assert result.code == 0, result
+        wait_until(self.is_ready, "all entries are ready")
+
+    def members(self) -> set[str]:
+        """Returns the members that the leader tells."""
+        status = self.status()
+        return set(status["members"]) if status else set()
+
+    def status(self) -> dict | None:
+        """Returns the status, or None while no leader answers."""
+        reply = self.client().get("/v1/status")
+        is_good = isinstance(reply, Reply) and reply.status == 200
+        return reply.content if is_good else None
+
+    def leader(self) -> str:
+        """Returns the leading control instance; waits for one."""
+        found: list[str] = []
+
+        def known() -> bool:
+            status = self.status()
+            if status:
+                found.append(status["leader"])
+            return bool(found)
+
+        wait_until(known, "a leader answers")
+        return found[-1]
+
+    def is_ready(self) -> bool:
+        """Whether every running entry is ready."""
+        return all(
+            call(self.address(name), "GET", "/readyz").status == 200
+            for name in self.names("entry")
+            if self.is_running(name)
+        )
+
+    def start_instance(self, name: str) -> None:
+        """Starts an instance, again after it ended."""
+        settings = str(self.folder / f"{name}.toml")
+        command = ["-m", "gentianwall", "--settings", settings]
+        self._start(name, command)
+
+    def start_server(self, name: str, service: str, *options: str) -> None:
+        """Starts a stand-in server that announces itself at all entries."""
+        entries = [self.address(n) for n in self.names("entry")]
+        command = [str(ROOT / "examples" / "standin_server.py")]
+        command += ["--name", name, "--service", service]
+        command += ["--entries", ",".join(entries)]
+        command += ["--log-path", str(self.folder / "executions.log")]
+        self._start(name, [*command, *options])
+
+    def restart_server(self, name: str) -> None:
+        """Starts a server again with the same options."""
+        self._start(name, self.commands[name])
+
+    def _start(self, name: str, command: list[str]) -> None:
+        self.commands[name] = command
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *command],
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process was started and has not ended."""
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one of our own processes."""
+        os.kill(self.processes[name].pid, number)
+
+    def kill(self, name: str) -> None:
+        """Ends a process without warning."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def wipe(self, name: str) -> None:
+        """Empties the data folder of a control instance that was killed."""
+        shutil.rmtree(self.folder / f"data-{name}")
+
+    def executions(self) -> dict[str, int]:
+        """Counts executions at all servers, by method, path and key."""
+        counts: dict[str, int] = {}
+        path = self.folder / "executions.log"
+        if path.exists():
+            for line in path.read_text().splitlines():
+                name = line.split("\t")[1]
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def servers_known(self, entry: str, service: str) -> set[str]:
+        """Returns the servers of a service that an entry would use."""
+        address = self.address(entry, "operators_address")
+        content = json.loads(call(address, "GET", "/v1/servers").body)
+        return {
+            s["server"]
+            for s in content["servers"]
+            if s["service"] == service and s["state"] == "up"
+        }
+
+    def wait_for_servers(self, service: str, names: set[str]) -> None:
+        """Waits until every entry knows exactly these servers."""
+        wait_until(
+            lambda: all(
+                self.servers_known(entry, service) == names
+                for entry in self.names("entry")
+                if self.is_running(entry)
+            ),
+            f"all entries know {sorted(names)} of {service}",
+        )
+
+    def close(self) -> None:
+        """Ends all processes and removes the folder."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+@contextlib.contextmanager
+def open_cluster(
+    entries: int, controls: int, declaration: str = DECLARATION
+) -> Iterator[Cluster]:
+    """Starts a system and ends it with the context."""
+    cluster = Cluster(entries, controls)
+    try:
+        cluster.start(declaration)
+        yield cluster
+    finally:
+        cluster.close()
