--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and long runs; nothing here decides a test."""
--- a/gentianwall/core/membership.py
+++ b/gentianwall/core/membership.py
@@ -48,7 +48,7 @@
     state: EntryState, event: ServerAnnounced, effects: list[EntryEffect]
 ) -> None:
     """Takes a server's own announcement and passes it on."""
-    notice = event.notice
+    notice = _resolve(state, event.notice)
     lease = lease_ms(state, notice.key.service)
     taken = state.directory.take(notice, lease, event.at_ms)
     match taken:
@@ -73,6 +73,14 @@
         )
 
 
+def _resolve(state: EntryState, notice: ServerNotice) -> ServerNotice:
+    """Lets a server that names no incarnation leave under the known one."""
+    record = state.directory.records.get(notice.key)
+    if notice.incarnation >= 0 or record is None:
+        return notice
+    return attrs.evolve(record.notice, state=notice.state)
+
+
 def _apply(
     state: EntryState,
     notice: ServerNotice,
--- a/gentianwall/membership/delay.py
+++ b/gentianwall/membership/delay.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-DRIFT_RATIO = 0.0005
+DRIFT_RATIO = 0.0001
 
 
 @attrs.define
--- /dev/null
+++ b/harness/entries.py
@@ -0,0 +1,396 @@
+"""Several pure entries, one control instance and fake servers.
+
+Messages are lost, doubled and delayed; servers shed, crash, stall and answer
+late; entries are killed. Executions are counted at the servers.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+
+import attrs
+
+from gentianwall.claims.commands import ApplyDeclaration, Outcome
+from gentianwall.claims.image import encode_register
+from gentianwall.claims.register import RegisterState
+from gentianwall.control.client import ControlClient
+from gentianwall.core.control import ControlState, reduce_control
+from gentianwall.core.effects import (
+    AnswerCaller,
+    AnswerRecorded,
+    CancelAttempt,
+    Dispatch,
+    EntryEffect,
+    RefuseCaller,
+    SendMessage,
+)
+from gentianwall.core.entry import reduce_entry
+from gentianwall.core.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    CallArrived,
+    EntryEvent,
+    FailureKind,
+    MessageArrived,
+    ServerAnnounced,
+    Tick,
+)
+from gentianwall.core.refusals import Executed
+from gentianwall.core.state import EntryState
+from gentianwall.membership.messages import ServerKey, ServerNotice
+from gentianwall.replication.messages import Member, Snapshot
+from gentianwall.replication.replica import Proposed, reduce_replica
+from gentianwall.replication.restore import Recovered, restore_replica
+from gentianwall.replication.state import Timing
+
+SERVICE = "order-desk"
+DECLARATION = f"""
+claim_retention_ms = 60000
+[[tiers]]
+name = "only"
+max_wait_ms = 500
+price = 1
+[services.{SERVICE}]
+default_max_wait_ms = 500
+expected_service_ms = 5
+retry_budget_ratio = 1.0
+"""
+WALL_OFFSET_MS = 1_700_000_000_000
+TICK_MS = 10.0
+
+
+class PromiseError(AssertionError):
+    """A promise to a caller was broken."""
+
+
+@attrs.define
+class Sent:
+    """A request of a caller and what became of it."""
+
+    request_id: str
+    key: str
+    is_idempotent: bool
+    finals: int = 0
+    executed: Executed | None = None
+
+
+class EntryWorld:
+    """Entries, control, servers and callers in virtual time."""
+
+    def __init__(self, entries: int, servers: int, seed: int):
+        self.rng = random.Random(seed)
+        self.now_ms = 1000.0
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.is_control_cut = False
+        self.servers = [f"s{n}" for n in range(servers)]
+        self.modes = dict.fromkeys(self.servers, "good")
+        self.names = [f"e{n}" for n in range(entries)]
+        self.entries: dict[str, EntryState] = {}
+        self.boots = itertools.count()
+        self.call_ids = itertools.count(1)
+        self.sent: dict[tuple[str, int], Sent] = {}
+        self.by_key: collections.Counter = collections.Counter()
+        self.by_request: collections.Counter = collections.Counter()
+        self.cancelled: set[tuple[str, int, int]] = set()
+        self._agenda: list = []
+        self._order = itertools.count()
+        self._start_control()
+        for name in self.names:
+            self.start_entry(name)
+        self.run(1500)
+
+    def _start_control(self) -> None:
+        snapshot = Snapshot(
+            1, 1, (Member("c0", "d"),), encode_register(RegisterState())
+        )
+        replica = restore_replica(
+            Recovered("d", 1, "", snapshot), "c0", (), Timing(), 1, 0.0
+        )
+        self.control = ControlState(replica, tuple(self.names))
+        reduce_control(self.control, Tick(self.now_ms))
+        declaration = ApplyDeclaration("c", 0, DECLARATION, "o", 1)
+        reduce_replica(replica, Proposed(self.now_ms, declaration))
+
+    def start_entry(self, name: str) -> None:
+        """Starts an entry, or kills it and starts it again."""
+        boot_id = f"b{next(self.boots)}"
+        self.entries[name] = EntryState(
+            name=name,
+            failure_domain="",
+            peers=tuple(n for n in self.names if n != name),
+            boot_id=boot_id,
+            rng=random.Random(self.rng.getrandbits(32)),
+            control=ControlClient(("c0",)),
+            started_ms=self.now_ms,
+        )
+
+    # What callers do.
+
+    def send(self, name: str, key: str, is_idempotent: bool = False) -> None:
+        """Sends a request through an entry."""
+        state = self.entries[name]
+        call_id = next(self.call_ids)
+        request_id = f"{state.boot_id}-{call_id}"
+        self.sent[(state.boot_id, call_id)] = Sent(
+            request_id, key, is_idempotent
+        )
+        event = CallArrived(
+            at_ms=self.now_ms,
+            wall_ms=self.wall_ms,
+            call_id=call_id,
+            request_id=request_id,
+            service=SERVICE,
+            method="GET" if is_idempotent else "POST",
+            caller="ann",
+            max_wait_ms=None,
+            idempotency_key="" if is_idempotent else key,
+            fingerprint=key,
+            is_nested=False,
+        )
+        self._entry_event(name, event)
+
+    @property
+    def wall_ms(self) -> int:
+        """The wall clock."""
+        return int(WALL_OFFSET_MS + self.now_ms)
+
+    # Time.
+
+    def run(self, time_ms: float) -> None:
+        """Lets time pass."""
+        end_ms = self.now_ms + time_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            while self._agenda and self._agenda[0][0] <= self.now_ms:
+                _, _, action = heapq.heappop(self._agenda)
+                action()
+            for name in self.names:
+                self._entry_event(name, Tick(self.now_ms))
+                self._announce(name)
+            self._perform_control(
+                reduce_control(self.control, Tick(self.now_ms))
+            )
+
+    def later(self, delay_ms: float, action) -> None:
+        """Does something later."""
+        item = (self.now_ms + delay_ms, next(self._order), action)
+        heapq.heappush(self._agenda, item)
+
+    def _announce(self, name: str) -> None:
+        if self.rng.random() > 0.2:
+            return
+        for server in self.servers:
+            notice = ServerNotice(
+                ServerKey(SERVICE, server), "127.0.0.1", 1, 2, "", 1, "up"
+            )
+            event = ServerAnnounced(self.now_ms, notice)
+            self._entry_event(name, event)
+
+    # Carrying out effects.
+
+    def _entry_event(self, name: str, event: EntryEvent) -> None:
+        state = self.entries[name]
+        for effect in reduce_entry(state, event):
+            self._perform(name, state, effect)
+
+    def _perform(
+        self, name: str, state: EntryState, effect: EntryEffect
+    ) -> None:
+        match effect:
+            case Dispatch():
+                self._dispatch(name, state.boot_id, effect)
+            case CancelAttempt():
+                key = (state.boot_id, effect.call_id, effect.attempt)
+                self.cancelled.add(key)
+            case AnswerCaller() | AnswerRecorded():
+                self._finish(state, effect.call_id, Executed.YES)
+            case RefuseCaller():
+                self._finish(state, effect.call_id, effect.refusal.executed)
+            case SendMessage():
+                self._send(name, state.boot_id, effect)
+
+    def _finish(
+        self, state: EntryState, call_id: int, executed: Executed
+    ) -> None:
+        sent = self.sent[(state.boot_id, call_id)]
+        sent.finals += 1
+        sent.executed = executed
+        if sent.finals > 1:
+            raise PromiseError(f"{sent.request_id} was answered twice")
+
+    def _send(self, sender: str, boot_id: str, effect: SendMessage) -> None:
+        copies = 2 if self.rng.random() < self.doubling else 1
+        for _ in range(copies):
+            if self.rng.random() < self.loss:
+                continue
+            delay_ms = self.rng.choice([1, 1, 2, 30, 200])
+            sent_ms = self.now_ms
+
+            def arrive(sent_ms=sent_ms) -> None:
+                self._arrive(sender, boot_id, sent_ms, effect)
+
+            self.later(delay_ms, arrive)
+
+    def _arrive(
+        self, sender: str, boot_id: str, sent_ms: float, effect: SendMessage
+    ) -> None:
+        event = MessageArrived(
+            self.now_ms,
+            self.wall_ms,
+            sender,
+            boot_id,
+            sent_ms,
+            effect.message,
+        )
+        if effect.receiver in self.entries:
+            self._entry_event(effect.receiver, event)
+        elif not self.is_control_cut:
+            self._perform_control(reduce_control(self.control, event))
+
+    def _perform_control(self, effects) -> None:
+        for effect in effects:
+            if isinstance(effect, SendMessage) and not self.is_control_cut:
+                self._send("c0", "boot", effect)
+
+    # Servers.
+
+    def _dispatch(self, name: str, boot_id: str, effect: Dispatch) -> None:
+        server = effect.notice.key.server
+        mode = self.modes[server]
+        if mode == "mixed":
+            mode = self.rng.choice(["good", "shed", "crash", "slow"])
+
+        def report(kind: FailureKind | None, status: int, is_shed: bool):
+            self._report(name, boot_id, effect, kind, status, is_shed)
+
+        delay_ms = self.rng.choice([1.0, 5.0, 20.0])
+        match mode:
+            case "refusing":
+                self.later(
+                    1.0, lambda: report(FailureKind.NOT_CONNECTED, 0, False)
+                )
+            case "shed":
+                self.later(delay_ms, lambda: report(None, 503, True))
+            case "crash":
+                self._execute(boot_id, effect, delay_ms)
+                self.later(
+                    delay_ms + 1, lambda: report(FailureKind.LOST, 0, False)
+                )
+            case "silent":
+                if self.rng.random() < 0.5:
+                    self._execute(boot_id, effect, delay_ms)
+                self.later(150.0, lambda: report(FailureKind.SILENT, 0, False))
+            case "slow":
+                self._execute(boot_id, effect, 700.0)
+                self.later(710.0, lambda: report(None, 200, False))
+            case _:
+                self._execute(boot_id, effect, delay_ms)
+                self.later(delay_ms + 1, lambda: report(None, 200, False))
+
+    def _execute(self, boot_id: str, effect: Dispatch, delay_ms: float) -> None:
+        sent = self.sent[(boot_id, effect.call_id)]
+
+        def run() -> None:
+            self.by_request[sent.request_id] += 1
+            if not sent.is_idempotent:
+                self.by_key[sent.key] += 1
+
+        self.later(delay_ms, run)
+
+    def _report(
+        self,
+        name: str,
+        boot_id: str,
+        effect: Dispatch,
+        kind: FailureKind | None,
+        status: int,
+        is_shed: bool,
+    ) -> None:
+        key = (boot_id, effect.call_id, effect.attempt)
+        if self.entries[name].boot_id != boot_id or key in self.cancelled:
+            return
+        if kind is not None:
+            event = AttemptFailed(
+                self.now_ms, effect.call_id, effect.attempt, kind
+            )
+        else:
+            event = AttemptAnswered(
+                at_ms=self.now_ms,
+                call_id=effect.call_id,
+                attempt=effect.attempt,
+                status=status,
+                retry_after_ms=100.0 if is_shed else None,
+                report=None,
+                outcome=Outcome(status, "", b"ok", "", True),
+            )
+        self._entry_event(name, event)
+
+    # What must hold.
+
+    def check(self) -> None:
+        """Checks every promise made so far; time must have run out."""
+        twice = [key for key, runs in self.by_key.items() if runs > 1]
+        if twice:
+            raise PromiseError(f"keys that ran twice: {twice}")
+        for sent in self.sent.values():
+            runs = self.by_request[sent.request_id]
+            if sent.executed is Executed.NO and runs > 0:
+                raise PromiseError(f"{sent.request_id} ran after a no")
+
+    def check_quiet(self) -> None:
+        """Checks that nothing is left over once all calls have ended."""
+        for state in self.entries.values():
+            for sent in self.sent.items():
+                (boot_id, call_id), call = sent
+                if boot_id == state.boot_id and call.finals != 1:
+                    raise PromiseError(f"call {call_id} has no final answer")
+            if state.calls:
+                raise PromiseError(f"{state.name} keeps {len(state.calls)}")
+            for service in state.services.values():
+                for server in service.pool.servers.values():
+                    if server.outstanding != 0:
+                        raise PromiseError(f"{server} keeps a slot")
+
+
+def random_step(world: EntryWorld) -> None:
+    """Does one random thing to a world."""
+    rng = world.rng
+    match rng.randrange(8):
+        case 0:
+            world.modes[rng.choice(world.servers)] = rng.choice(
+                ["good", "mixed", "refusing", "shed", "crash", "silent"]
+            )
+        case 1:
+            world.start_entry(rng.choice(world.names))
+        case 2:
+            world.is_control_cut = rng.random() < 0.5
+        case 3:
+            world.loss = rng.choice([0.0, 0.2])
+            world.doubling = rng.choice([0.0, 0.3])
+        case 4:
+            for server in world.servers:
+                world.modes[server] = "good"
+        case _:
+            pass
+    for _ in range(rng.randrange(6)):
+        key = f"k{rng.randrange(4)}-{int(world.now_ms) // 3000}"
+        world.send(rng.choice(world.names), key, rng.random() < 0.3)
+        world.run(rng.choice([0, 0, 10, 60]))
+    world.run(rng.choice([10, 50, 300]))
+
+
+def run_schedule(world: EntryWorld, steps: int) -> None:
+    """Runs a random schedule, lets it end and checks all promises."""
+    for _ in range(steps):
+        random_step(world)
+    world.is_control_cut = False
+    world.loss = 0.0
+    for server in world.servers:
+        world.modes[server] = "good"
+    world.run(3000)
+    world.check()
+    world.check_quiet()
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,152 @@
+"""The journal keeps what was synced and refuses what was damaged."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianwall.claims.commands import Noop
+from gentianwall.claims.image import encode_register
+from gentianwall.claims.register import RegisterState
+from gentianwall.replication.effects import (
+    StoreEntries,
+    StoreSnapshot,
+    StoreTerm,
+)
+from gentianwall.replication.messages import LogEntry, Snapshot
+from gentianwall.replication.restore import Recovered
+from gentianwall.storage.journal import (
+    Journal,
+    JournalDamaged,
+    JournalNotEmpty,
+)
+
+
+def _entry(index, term=1):
+    return LogEntry(index, term, Noop())
+
+
+@pytest.fixture
+def journal(tmp_path):
+    journal = Journal(str(tmp_path / "data"))
+    journal.recover()
+    yield journal
+    journal.close()
+
+
+def _file(tmp_path) -> pathlib.Path:
+    return next((tmp_path / "data").glob("journal-*"))
+
+
+def _reopen(tmp_path):
+    return Journal(str(tmp_path / "data")).recover()
+
+
+def _write(journal, count):
+    for index in range(1, count + 1):
+        journal.store([StoreEntries((_entry(index),))], Recovered("d"))
+
+
+def test_what_was_stored_comes_back(journal, tmp_path):
+    journal.store([StoreTerm(3, "r1")], Recovered("d"))
+    _write(journal, 5)
+    journal.store([StoreEntries((_entry(4, 2),))], Recovered("d"))
+    found = _reopen(tmp_path)
+    assert (found.term, found.voted_for) == (3, "r1")
+    assert [(e.index, e.term) for e in found.entries] == [
+        (1, 1),
+        (2, 1),
+        (3, 1),
+        (4, 2),
+    ]
+
+
+def test_the_disk_keeps_its_identity(journal, tmp_path):
+    assert _reopen(tmp_path).disk_id == _reopen(tmp_path).disk_id
+
+
+@given(cut=st.integers(1, 90))
+def test_a_torn_tail_is_cut(cut, tmp_path_factory):
+    tmp_path = tmp_path_factory.mktemp("torn")
+    journal = Journal(str(tmp_path / "data"))
+    journal.recover()
+    _write(journal, 3)
+    whole = journal.size_bytes
+    _write_one(journal, 4)
+    journal.close()
+    last_bytes = journal.size_bytes - whole
+    path = _file(tmp_path)
+    os.truncate(path, journal.size_bytes - min(cut, last_bytes))
+    found = _reopen(tmp_path)
+    assert len(found.entries) == 3
+    assert path.stat().st_size == whole
+
+
+def _write_one(journal, index):
+    journal.store([StoreEntries((_entry(index),))], Recovered("d"))
+
+
+def test_a_tail_of_zeros_is_cut(journal, tmp_path):
+    _write(journal, 3)
+    with open(_file(tmp_path), "ab") as file:
+        file.write(bytes(500))
+    assert len(_reopen(tmp_path).entries) == 3
+
+
+@given(place=st.integers(0, 10_000), bit=st.integers(0, 7))
+def test_a_flipped_bit_is_never_passed_over(place, bit, tmp_path_factory):
+    tmp_path = tmp_path_factory.mktemp("flip")
+    journal = Journal(str(tmp_path / "data"))
+    journal.recover()
+    _write(journal, 6)
+    journal.close()
+    path = _file(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[place % len(data)] ^= 1 << bit
+    path.write_bytes(data)
+    found = _reopen(tmp_path)
+    assert isinstance(found, JournalDamaged)
+    assert str(path) in str(found)
+
+
+def test_a_snapshot_replaces_the_entries_before_it(journal, tmp_path):
+    _write(journal, 9)
+    snapshot = Snapshot(8, 1, (), encode_register(RegisterState()))
+    kept = Recovered("d", 1, "", snapshot, [_entry(9)])
+    journal.store([StoreSnapshot(snapshot)], kept)
+    _write_one(journal, 10)
+    found = _reopen(tmp_path)
+    assert found.snapshot == snapshot
+    assert [e.index for e in found.entries] == [9, 10]
+    assert len(list((tmp_path / "data").iterdir())) == 1
+
+
+def test_a_crash_while_a_new_file_is_written_keeps_the_old(journal, tmp_path):
+    _write(journal, 2)
+    (tmp_path / "data" / "journal-00000002.new").write_bytes(b"half")
+    assert len(_reopen(tmp_path).entries) == 2
+
+
+def test_a_failing_disk_raises_and_loses_nothing(
+    journal, tmp_path, monkeypatch
+):
+    _write(journal, 3)
+
+    def full(fd, data):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(OSError):
+        _write_one(journal, 4)
+    monkeypatch.undo()
+    assert len(_reopen(tmp_path).entries) == 3
+
+
+def test_a_cluster_is_founded_once(tmp_path):
+    folder = str(tmp_path / "data")
+    assert not isinstance(Journal(folder).found("r"), JournalNotEmpty)
+    assert isinstance(Journal(folder).found("r"), JournalNotEmpty)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,197 @@
+"""Servers come and go; announcements are lost, doubled, late and stale."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gentianwall.control.client import ControlClient
+from gentianwall.core.effects import (
+    AcceptAnnouncement,
+    RejectAnnouncement,
+    SendMessage,
+)
+from gentianwall.core.entry import reduce_entry
+from gentianwall.core.events import MessageArrived, ServerAnnounced, Tick
+from gentianwall.core.membership import DEFAULT_LEASE_MS
+from gentianwall.core.state import EntryState
+from gentianwall.membership import delay, directory
+from gentianwall.membership.messages import ServerKey, ServerNotice
+
+KEY = ServerKey("s", "a")
+TICK_MS = 50.0
+QUICK_MS = 1.0
+
+
+def _notice(incarnation, state="up", port=1):
+    return ServerNotice(KEY, "127.0.0.1", port, 2, "", incarnation, state)
+
+
+class Group:
+    """Entries that pass notices on, over a network that misbehaves."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now_ms = 1000.0
+        self.late_share = 0.0
+        self.loss = 0.0
+        self.names = ["e0", "e1", "e2"]
+        self.entries = {name: self._entry(name) for name in self.names}
+        self.packets = []
+        self.heartbeat_ms = {}
+        self.run(2000)
+
+    def _entry(self, name):
+        return EntryState(
+            name=name,
+            failure_domain="",
+            peers=tuple(n for n in self.names if n != name),
+            boot_id="b",
+            rng=random.Random(1),
+            control=ControlClient(("c",)),
+            started_ms=self.now_ms,
+        )
+
+    def announce(self, name, notice):
+        if notice.state == "up":
+            self.heartbeat_ms[notice.incarnation] = self.now_ms
+        return self._event(name, ServerAnnounced(self.now_ms, notice))
+
+    def _event(self, name, event):
+        effects = reduce_entry(self.entries[name], event)
+        for effect in effects:
+            if isinstance(effect, SendMessage) and effect.receiver != "c":
+                self._send(name, effect)
+        return effects
+
+    def _send(self, sender, effect):
+        if self.rng.random() < self.loss:
+            return
+        for _ in range(self.rng.choice([1, 1, 2])):
+            is_late = self.rng.random() < self.late_share
+            late_ms = self.rng.choice([100, 3000, 20_000]) if is_late else 0
+            arrive_ms = self.now_ms + QUICK_MS + late_ms
+            packet = (arrive_ms, self.rng.random(), sender, self.now_ms)
+            self.packets.append((*packet, effect))
+
+    def run(self, time_ms):
+        end_ms = self.now_ms + time_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            due = sorted(p for p in self.packets if p[0] <= self.now_ms)
+            self.packets = [p for p in self.packets if p[0] > self.now_ms]
+            for arrive_ms, _, sender, sent_ms, effect in due:
+                event = MessageArrived(
+                    arrive_ms, 0, sender, "b", sent_ms, effect.message
+                )
+                self._event(effect.receiver, event)
+            for name in self.names:
+                self._event(name, Tick(self.now_ms))
+            self.check()
+
+    def check(self):
+        for name, state in self.entries.items():
+            record = state.directory.records.get(KEY)
+            if record is None or record.notice.state != "up":
+                continue
+            heard_ms = self.heartbeat_ms[record.notice.incarnation]
+            most_ms = heard_ms + DEFAULT_LEASE_MS + 2 * TICK_MS
+            assert record.lease_end_ms <= most_ms, f"{name} revived it"
+
+    def known(self):
+        return {
+            name: record.notice.incarnation
+            for name, state in self.entries.items()
+            if (record := state.directory.records.get(KEY))
+            and record.notice.state == "up"
+        }
+
+
+def _run_schedule(seed):
+    group = Group(seed)
+    rng = group.rng
+    incarnation = 1
+    for _ in range(25):
+        name = rng.choice(group.names)
+        match rng.randrange(6):
+            case 0:
+                incarnation += 1
+            case 1:
+                group.announce(name, _notice(incarnation, "left"))
+            case 2:
+                group.late_share = rng.choice([0.0, 0.5])
+                group.loss = rng.choice([0.0, 0.3])
+            case _:
+                group.announce(name, _notice(incarnation))
+        group.run(rng.choice([50, 500, 1500]))
+    group.run(25_000)
+    assert not group.known(), "a server that fell silent is still known"
+    group.late_share = group.loss = 0.0
+    for _ in range(8):
+        group.announce(rng.choice(group.names), _notice(incarnation + 1))
+        group.run(800)
+    assert set(group.known()) == set(group.names), "a live server is missing"
+
+
+@given(seed=st.integers(0, 2**32))
+@settings(max_examples=40)
+def test_the_dead_stay_dead_and_the_live_are_known(seed):
+    _run_schedule(seed)
+
+
+def _delay_ignored(monkeypatch):
+    monkeypatch.setattr(delay.DelayEstimator, "delay_ms", lambda *args: 0.0)
+
+
+def _old_incarnation_taken(monkeypatch):
+    monkeypatch.setattr(directory, "_rank", lambda notice: (0, 0))
+
+
+@pytest.mark.parametrize("mutate", [_delay_ignored, _old_incarnation_taken])
+def test_a_broken_directory_is_caught(mutate, monkeypatch):
+    mutate(monkeypatch)
+    with pytest.raises(AssertionError):
+        for seed in range(40):
+            _run_schedule(seed)
+
+
+def test_a_server_that_left_is_not_revived_by_its_own_incarnation():
+    group = Group(1)
+    group.announce("e0", _notice(5))
+    group.announce("e0", _notice(5, "left"))
+    (effect,) = group.announce("e0", _notice(5))
+    assert isinstance(effect, RejectAnnouncement)
+    effects = group.announce("e0", _notice(6))
+    assert any(isinstance(e, AcceptAnnouncement) for e in effects)
+
+
+def test_a_new_address_needs_a_new_incarnation():
+    group = Group(1)
+    group.announce("e0", _notice(5, port=1))
+    (effect,) = group.announce("e0", _notice(5, port=2))
+    assert isinstance(effect, RejectAnnouncement)
+    group.announce("e0", _notice(6, port=2))
+    group.run(100)
+    records = [s.directory.records[KEY] for s in group.entries.values()]
+    assert {r.notice.port for r in records} == {2}
+
+
+def test_leaving_without_an_incarnation_ends_the_known_one():
+    group = Group(1)
+    group.announce("e0", _notice(5))
+    effects = group.announce("e0", _notice(-1, "left"))
+    assert any(isinstance(e, AcceptAnnouncement) for e in effects)
+    group.run(100)
+    assert not group.known()
+
+
+def test_draining_is_not_undone_by_a_late_heartbeat():
+    group = Group(1)
+    group.announce("e0", _notice(5))
+    group.announce("e1", _notice(5, "draining"))
+    group.run(100)
+    (effect,) = group.announce("e0", _notice(5))
+    assert isinstance(effect, RejectAnnouncement)
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,223 @@
+"""The replicated log keeps its promises while everything fails."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+)
+
+from gentianwall.claims.commands import Noop
+from gentianwall.replication import election
+from gentianwall.replication.messages import AppendReply, LogEntry
+from gentianwall.replication.replica import (
+    Proposed,
+    ReplicaMessage,
+    reduce_replica,
+)
+from gentianwall.replication.state import ReplicaState, Role
+from harness import replicas
+from harness.replicas import InvariantError, ReplicaWorld, run_schedule
+
+MUTATION_SEEDS = 400
+
+
+class ReplicaMachine(RuleBasedStateMachine):
+    """Hypothesis drives the replicas step by step."""
+
+    @initialize(size=st.sampled_from([3, 5]), seed=st.integers(0, 2**32))
+    def found(self, size, seed):
+        self.world = ReplicaWorld(size, seed)
+        self.world.settle(2000)
+
+    def _name(self, number):
+        return self.world.names[number % len(self.world.names)]
+
+    @rule(time=st.sampled_from([10, 50, 200, 700]))
+    def settle(self, time):
+        self.world.settle(time)
+
+    @rule(number=st.integers(0, 4))
+    def propose(self, number):
+        self.world.propose(self._name(number))
+
+    @rule(one=st.integers(0, 4), other=st.integers(0, 4))
+    def cut_link(self, one, other):
+        link = frozenset((self._name(one), self._name(other)))
+        self.world.cut_links ^= {link}
+
+    @rule(numbers=st.sets(st.integers(0, 4), max_size=2))
+    def cut(self, numbers):
+        self.world.cut = {self._name(n) for n in numbers}
+
+    @rule(number=st.integers(0, 4), thaw=st.booleans())
+    def freeze(self, number, thaw):
+        if thaw:
+            self.world.thaw(self._name(number))
+        else:
+            self.world.freeze(self._name(number))
+
+    @rule(number=st.integers(0, 4))
+    def crash(self, number):
+        self.world.crash(self._name(number))
+
+    @rule(number=st.integers(0, 4))
+    def start(self, number):
+        self.world.start(self._name(number))
+
+    @rule(
+        number=st.integers(0, 4),
+        point=st.sampled_from(["before store", "after store"]),
+    )
+    def crash_at(self, number, point):
+        self.world.crash_at(self._name(number), point)
+
+    @rule(number=st.integers(0, 4))
+    def wipe(self, number):
+        self.world.wipe(self._name(number))
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.2]), doubling=st.sampled_from([0.0, 0.2])
+    )
+    def network(self, loss, doubling):
+        self.world.loss = loss
+        self.world.doubling = doubling
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.check_progress()
+
+
+TestReplicaMachine = ReplicaMachine.TestCase
+TestReplicaMachine.settings = settings(max_examples=25, stateful_step_count=40)
+
+
+@given(seed=st.integers(0, 2**32), size=st.sampled_from([3, 5]))
+@settings(max_examples=30)
+def test_random_schedules_keep_every_invariant(seed, size):
+    run_schedule(ReplicaWorld(size, seed), 40)
+
+
+def _lease_forgotten(monkeypatch, world):
+    monkeypatch.setattr(
+        ReplicaState, "has_lease", lambda self, now: self.role is Role.LEADER
+    )
+
+
+def _votes_not_synced(monkeypatch, world):
+    world.unsynced = {"StoreTerm"}
+
+
+def _entries_not_synced(monkeypatch, world):
+    world.unsynced = {"StoreEntries"}
+
+
+def _empty_disk_trusted(monkeypatch, world):
+    monkeypatch.setattr(
+        world,
+        "new_disk_id",
+        lambda name: world.machines[name].disk.disk_id,
+    )
+    monkeypatch.setattr(world, "_all_disks_good", lambda: True)
+
+
+def _votes_while_leader_is_heard(monkeypatch, world):
+    def grants(state, sender, request, now_ms):
+        if request.term < state.term or state.role is Role.LEADER:
+            return False
+        is_free = request.term > state.term or state.voted_for in (
+            "",
+            sender,
+        )
+        own = (state.log.last_term, state.log.last_index)
+        return is_free and (request.last_term, request.last_index) >= own
+
+    monkeypatch.setattr(election, "_grants", grants)
+
+
+def _outdated_candidates_elected(monkeypatch, world):
+    def grants(state, sender, request, now_ms):
+        if request.term < state.term or state.role is Role.LEADER:
+            return False
+        return request.term > state.term or state.voted_for in ("", sender)
+
+    monkeypatch.setattr(election, "_grants", grants)
+
+
+def _vote_of_new_disk_counted(monkeypatch, world):
+    counted = election.on_vote_reply
+
+    def on_vote_reply(state, sender, reply, now_ms, effects):
+        disks = {m.replica: m.disk_id for m in state.members}
+        trusted = attrs.evolve(reply, disk_id=disks.get(sender, ""))
+        return counted(state, sender, trusted, now_ms, effects)
+
+    monkeypatch.setattr(election, "on_vote_reply", on_vote_reply)
+
+
+def _restart_forgets_the_promise(monkeypatch, world):
+    start = world.start
+
+    def forgetful(name):
+        start(name)
+        world.machines[name].state.last_contact_ms = float("-inf")
+
+    monkeypatch.setattr(world, "start", forgetful)
+
+
+MUTATIONS = [
+    _lease_forgotten,
+    _votes_not_synced,
+    _entries_not_synced,
+    _empty_disk_trusted,
+    _votes_while_leader_is_heard,
+    _outdated_candidates_elected,
+    _vote_of_new_disk_counted,
+    _restart_forgets_the_promise,
+]
+
+
+@pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda m: m.__name__)
+def test_a_broken_core_is_caught(mutate, monkeypatch):
+    for seed in range(MUTATION_SEEDS):
+        world = ReplicaWorld(3, seed)
+        with monkeypatch.context() as patch:
+            mutate(patch, world)
+            try:
+                run_schedule(world, 40)
+            except InvariantError:
+                return
+    pytest.fail(f"no seed below {MUTATION_SEEDS} catches it")
+
+
+def test_the_schedule_that_catches_mutations_passes_unbroken():
+    for seed in range(20):
+        run_schedule(ReplicaWorld(3, seed), 40)
+    assert replicas.TIMING.lease_ms < replicas.TIMING.election_timeout_ms
+
+
+def test_an_entry_of_an_older_term_is_not_committed_by_counting():
+    """Figure 8 of the Raft paper: only an own entry may carry it along."""
+    world = ReplicaWorld(3, 1)
+    world.settle(3000)
+    leader = next(
+        m.state for m in world.machines.values() if m.state.role is Role.LEADER
+    )
+    follower = next(iter(leader.progress))
+    old = LogEntry(leader.log.last_index + 1, leader.term, Noop())
+    leader.log.entries.append(old)
+    leader.term += 1
+    before = leader.commit_index
+    disk_id = leader.progress[follower].disk_id
+    reply = AppendReply(leader.term, True, old.index, disk_id, world.now_ms)
+    reduce_replica(leader, ReplicaMessage(world.now_ms, follower, reply))
+    assert leader.commit_index == before
+    reduce_replica(leader, Proposed(world.now_ms, Noop()))
+    reply = attrs.evolve(reply, match_index=old.index + 1)
+    reduce_replica(leader, ReplicaMessage(world.now_ms, follower, reply))
+    assert leader.commit_index == old.index + 1
