Prove at-most-once, control, servers, shutdown and links with processes

Cause: the promises were proved on the pure cores only. Change: features with real processes, kill -9, SIGSTOP, wiped disks, a relay that swallows bytes, and a linearizability checker for concurrent operators.

Found and mended: (1) after a silent connection the only server was avoided as tried, though a new connection to it works: it may be tried again; (2) a quarantine reached the other entries only with their next poll (500 ms), so that a resend through another entry crashed a third server (flaky: once in two runs): quarantines are pushed at commit, and the entry that saw both crashes refuses at once. Ruled out: a too short silence bound as the cause of (1). Conclusion: a request that legitimately stays silent for longer than connection_silence_ms is cut; the setting has to exceed the longest answer.

--- a/examples/standin_server.py
+++ b/examples/standin_server.py
@@ -179,6 +179,7 @@
     parser.add_argument("--service", default="die-ledger")
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--announced-port", type=int, default=0)
     parser.add_argument("--failure-domain", default="local")
     parser.add_argument("--entries", default="127.0.0.1:8080")
     parser.add_argument("--heartbeat-ms", type=float, default=600)
@@ -188,7 +189,8 @@
     site = server.Site(StandIn(options.name, options.slots, options.log_path))
     site.noisy = False
     listener = reactor.listenTCP(options.port, site, interface="127.0.0.1")
-    announcer = Announcer(options, listener.getHost().port)
+    port = options.announced_port or listener.getHost().port
+    announcer = Announcer(options, port)
     signal.signal(signal.SIGTERM, announcer.leave)
     signal.signal(signal.SIGINT, announcer.leave)
     reactor.callLater(0, announcer.repeat)
--- a/features/environment.py
+++ b/features/environment.py
@@ -25,7 +25,9 @@
     sizes = [t for t in feature.tags if t.startswith("size.")]
     size = sizes[0].removeprefix("size.") if sizes else DEFAULT_SIZE
     entries, _, controls = size.partition("x")
-    context.cluster = Cluster(int(entries), int(controls))
+    has_relays = "relays" in feature.tags
+    context.cluster = Cluster(int(entries), int(controls), has_relays)
+    context.relays = []
     try:
         context.cluster.start()
     except BaseException:
@@ -42,3 +44,5 @@
 def after_feature(context, feature):
     """Ends the system."""
     context.cluster.close()
+    for relay in context.relays:
+        relay.close()
--- /dev/null
+++ b/features/steps/control.py
@@ -0,0 +1,179 @@
+"""Steps of what befalls control instances."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+
+from behave import step, then, when
+
+from harness.cluster import wait_until
+
+
+def _followers(context):
+    cluster = context.cluster
+    leader = cluster.leader()
+    return [n for n in cluster.names("control") if n != leader]
+
+
+@when("two operators apply different changes to the present version at once")
+def step_two(context):
+    base = context.cluster.status()["version"]
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        sent = [
+            pool.submit(context.cluster.apply, 100 + n, base, f"race-{n}")
+            for n in range(2)
+        ]
+        context.results = [future.result() for future in sent]
+
+
+@then("one change is in force and the other names it as the winner")
+def step_one_wins(context):
+    codes = sorted(result.code for result in context.results)
+    assert codes == [0, 3], context.results
+    won = next(r for r in context.results if r.code == 0)
+    lost = next(r for r in context.results if r.code == 3)
+    assert won.change_id in lost.message
+    assert context.cluster.status()["version"] == won.version
+
+
+@when('an operator applies a change with id "{change_id}"')
+def step_apply_id(context, change_id):
+    context.base = context.cluster.status()["version"]
+    context.result = context.cluster.apply(77, context.base, change_id)
+    context.first = context.result
+
+
+@when('the operator applies the change with id "{change_id}" again')
+def step_apply_again(context, change_id):
+    context.result = context.cluster.apply(77, context.base, change_id)
+
+
+@then("both results are the same version")
+def step_same_version(context):
+    assert context.result.version == context.first.version > 0
+    assert context.result.code == context.first.code == 0
+
+
+@when("the leading control instance is frozen")
+def step_freeze(context):
+    context.frozen = context.cluster.leader()
+    context.cluster.signal(context.frozen, signal.SIGSTOP)
+
+
+@when("an operator applies a change through the others")
+def step_apply_others(context):
+    context.result = context.cluster.apply(price=55)
+    assert context.result.code == 0, context.result
+
+
+@when("the frozen control instance goes on")
+def step_thaw(context):
+    context.cluster.signal(context.frozen, signal.SIGCONT)
+
+
+@then("every entry still holds the newer version")
+def step_holds(context):
+    for _ in range(20):
+        status = context.cluster.status()
+        if status is None:
+            continue
+        held = {e["version"] for e in status["entries"]}
+        assert held == {context.result.version}, status
+        assert status["leader"] != context.frozen
+
+
+@then("the instance that was frozen follows the new leader")
+def step_follows(context):
+    wait_until(
+        lambda: (
+            context.cluster.replica(context.frozen)["role"] == "follower"
+            and context.cluster.replica(context.frozen)["version"]
+            == context.result.version
+        ),
+        "the former leader follows and is up to date",
+    )
+
+
+@when("{count:d} changes are applied")
+def step_many(context, count):
+    context.changes = []
+    for number in range(count):
+        result = context.cluster.apply(1000 + number)
+        assert result.code == 0, result
+        context.changes.append(result.change_id)
+
+
+@when("a following control instance loses its disk and is started again")
+def step_lose(context):
+    context.lost = _followers(context)[0]
+    _replace_disk(context.cluster, context.lost)
+
+
+def _replace_disk(cluster, name):
+    cluster.kill(name)
+    cluster.wipe(name)
+    cluster.start_instance(name)
+
+
+@step("it is reported as repaired")
+def step_repaired(context):
+    cluster = context.cluster
+
+    def is_repaired():
+        disk = cluster.replica(context.lost)["disk_id"]
+        status = cluster.status()
+        return bool(status) and f"{context.lost}/{disk}" in status["disks"]
+
+    wait_until(is_repaired, f"{context.lost} is repaired")
+
+
+@when("another control instance loses its disk for good")
+def step_lose_other(context):
+    cluster = context.cluster
+    other = next(n for n in cluster.names("control") if n != context.lost)
+    cluster.kill(other)
+    cluster.wipe(other)
+    context.lost = other
+
+
+@then("all {count:d} changes are in the history")
+def step_history(context, count):
+    wait_until(lambda: context.cluster.status() is not None, "a leader")
+    known = [h["change_id"] for h in context.cluster.status()["history"]]
+    assert [c for c in known if c in context.changes] == context.changes
+
+
+@then("an operator can apply a change")
+def step_can_apply(context):
+    assert context.cluster.apply(price=8).code == 0
+
+
+@when("the lost one is started with an empty disk")
+def step_start_lost(context):
+    context.cluster.start_instance(context.lost)
+
+
+@when("every process is killed and started again")
+def step_restart_all(context):
+    cluster = context.cluster
+    names = [i["name"] for i in cluster.instances]
+    for name in names:
+        cluster.kill(name)
+    for name in names:
+        cluster.start_instance(name)
+
+
+@then("the entries hold the last version")
+def step_last(context):
+    cluster = context.cluster
+    wait_until(cluster.is_ready, "all entries are ready")
+    status = cluster.status()
+    assert status["history"][-1]["change_id"] == context.changes[-1]
+    wait_until(
+        lambda: (
+            {e["version"] for e in cluster.status()["entries"]}
+            == {status["version"]}
+        ),
+        "all entries hold it",
+    )
--- /dev/null
+++ b/features/steps/history.py
@@ -0,0 +1,151 @@
+"""Steps of concurrent operators under failures."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+
+from behave import then, when
+
+from gentianwall.commands.apply import ExitCode, apply
+from gentianwall.ctl.client import Reply
+from harness.cluster import DECLARATION
+from harness.history import Kind, Operation, find_violations
+
+FROZEN_S = 1.5
+PAUSE_S = 0.8
+WAIT_S = 4.0
+KINDS = {
+    ExitCode.IN_FORCE: Kind.ACCEPTED,
+    ExitCode.NOT_CONFIRMED: Kind.ACCEPTED,
+    ExitCode.CONFLICT: Kind.CONFLICT,
+    ExitCode.UNKNOWN: Kind.UNKNOWN,
+}
+
+
+class Run:
+    """A history in the making."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.history = []
+        self.is_over = False
+
+    def operate(self, number):
+        """Applies one change after the other, and repeats unknown ones."""
+        count = 0
+        while not self.is_over:
+            count += 1
+            base = self._read()
+            if base is None:
+                continue
+            change_id = f"operator-{number}-{count}"
+            text = DECLARATION + f"# {change_id}\n"
+            for _ in range(3):
+                if not self._apply(text, base, change_id):
+                    break
+
+    def _apply(self, text, base, change_id):
+        start_s = time.monotonic()
+        result = apply(
+            self.cluster.client(), text, "x", base, change_id, WAIT_S
+        )
+        kind = KINDS.get(result.code)
+        assert kind is not None, result
+        self.history.append(
+            Operation(
+                kind,
+                start_s,
+                time.monotonic(),
+                result.version,
+                base,
+                change_id,
+            )
+        )
+        return kind is Kind.UNKNOWN
+
+    def _read(self):
+        start_s = time.monotonic()
+        reply = self.cluster.client().get("/v1/status")
+        if not isinstance(reply, Reply) or reply.status != 200:
+            return None
+        version = reply.content["version"]
+        self.history.append(
+            Operation(Kind.READ, start_s, time.monotonic(), version)
+        )
+        return version
+
+    def read(self, number):
+        """Reads without end."""
+        while not self.is_over:
+            self._read()
+
+    def fail(self, seconds):
+        """Kills, freezes or silences the leader, again and again."""
+        rng = random.Random(7)
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            time.sleep(PAUSE_S)
+            status = self.cluster.status()
+            if status is None:
+                continue
+            leader = status["leader"]
+            match rng.randrange(3):
+                case 0:
+                    self.cluster.kill(leader)
+                    self.cluster.start_instance(leader)
+                case 1:
+                    self.cluster.signal(leader, signal.SIGSTOP)
+                    time.sleep(FROZEN_S)
+                    self.cluster.signal(leader, signal.SIGCONT)
+                case 2:
+                    self.cluster.relays[leader].silence()
+        self.is_over = True
+
+
+@when(
+    "{operators:d} operators and {readers:d} readers work for {seconds:d} "
+    "seconds while leaders fail"
+)
+def step_run(context, operators, readers, seconds):
+    run = Run(context.cluster)
+    threads = [
+        threading.Thread(target=run.operate, args=(n,))
+        for n in range(operators)
+    ]
+    threads += [
+        threading.Thread(target=run.read, args=(n,)) for n in range(readers)
+    ]
+    for thread in threads:
+        thread.start()
+    run.fail(seconds)
+    for thread in threads:
+        thread.join()
+    context.history = run.history
+
+
+@then("the history is linearizable")
+def step_linearizable(context):
+    violations = find_violations(context.history)
+    assert not violations, violations[:10]
+
+
+@then("at least {count:d} changes were accepted")
+def step_count(context, count):
+    accepted = {
+        op.change_id for op in context.history if op.kind is Kind.ACCEPTED
+    }
+    assert len(accepted) >= count, len(accepted)
+
+
+@then("every accepted change stands in the history of the system once")
+def step_in_history(context):
+    context.cluster.leader()
+    kept = context.cluster.status()["history"]
+    versions = {h["version"]: h["change_id"] for h in kept}
+    for operation in context.history:
+        is_kept = operation.version in versions
+        if operation.kind is Kind.ACCEPTED and is_kept:
+            assert versions[operation.version] == operation.change_id
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -6,8 +6,7 @@
 
 from behave import then, when
 
-from gentianwall.commands import apply as applying
-from harness.cluster import DECLARATION, call, wait_until
+from harness.cluster import call, wait_until
 
 UNREADY_S = 1.5
 
@@ -65,10 +64,7 @@
 
 @when("an operator applies a changed declaration")
 def step_apply(context):
-    text = DECLARATION.replace("price = 5", "price = 6")
-    context.result = applying.apply(
-        context.cluster.client(), text, "ann", None, "", 10.0
-    )
+    context.result = context.cluster.apply(price=6)
 
 
 @then("the exit code is {code:d}")
--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,186 @@
+"""Steps of orders that may not be repeated."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+import threading
+
+from behave import given, then, when
+
+from harness.cluster import Answer, call, wait_until
+
+ORDERS = "/order-desk/orders"
+
+
+def _post(context, number, key, query="", body=b"order") -> Answer:
+    cluster = context.cluster
+    address = cluster.address(cluster.names("entry")[number])
+    headers = {"Idempotency-Key": key, "Gentianwall-Max-Wait-Ms": "3000"}
+    return call(address, "POST", ORDERS + query, body, headers)
+
+
+def _runs(context, key) -> int:
+    return context.cluster.executions().get(f"POST /orders {key}", 0)
+
+
+@given('{count:d} servers of "{service}" are known')
+def step_servers(context, count, service):
+    names = {f"{service}-{n}" for n in range(count)}
+    for name in names:
+        if not context.cluster.is_running(name):
+            if name in context.cluster.commands:
+                context.cluster.restart_server(name)
+            else:
+                context.cluster.start_server(name, service)
+    context.cluster.wait_for_servers(service, names)
+
+
+@when('an order with key "{key}" is sent through entry {number:d}')
+def step_order(context, key, number):
+    context.first = getattr(context, "order", None)
+    context.order = _post(context, number, key)
+
+
+@when('another order with key "{key}" is sent through entry {number:d}')
+def step_other(context, key, number):
+    context.order = _post(context, number, key, body=b"another")
+
+
+@when(
+    'an order with key "{key}" that takes {time:d} ms is sent through '
+    "entry {number:d}"
+)
+def step_slow(context, key, time, number):
+    def send():
+        try:
+            context.order = _post(context, number, key, f"?sleep_ms={time}")
+        except OSError:
+            context.order = None
+
+    context.sending = threading.Thread(target=send)
+    context.sending.start()
+    if number != 0:
+        context.sending.join()
+
+
+@when("entry {number:d} is killed after {time:d} ms")
+def step_kill_entry(context, number, time):
+    context.sending.join(time / 1000)
+    context.cluster.kill(context.cluster.names("entry")[number])
+    context.sending.join()
+
+
+@then("entry {number:d} is started again")
+def step_start_entry(context, number):
+    context.cluster.start_instance(context.cluster.names("entry")[number])
+    wait_until(context.cluster.is_ready, "the entry is ready again")
+
+
+@when(
+    'an order with key "{key}" that crashes "{server}" is sent until it is met'
+)
+def step_crash(context, key, server):
+    for attempt in range(100):
+        context.key = f"{key}-{attempt}"
+        context.query = f"?crash={server}"
+        context.order = _post(context, 0, context.key, context.query)
+        if context.order.status != 200:
+            return
+    raise AssertionError(f"{server} was never met")
+
+
+@then('a resend of it has status {status:d} and executed "{executed}"')
+def step_resend(context, status, executed):
+    answer = _post(context, 1, context.key, context.query)
+    assert (answer.status, answer.executed) == (status, executed), answer
+
+
+@then("its key ran {count:d} times")
+def step_its_runs(context, count):
+    step_runs(context, context.key, count)
+
+
+@when("the leading control instance is killed")
+def step_kill_leader(context):
+    context.cluster.kill(context.cluster.leader())
+
+
+@when("two control instances are killed")
+def step_kill_two(context):
+    for name in context.cluster.names("control")[:2]:
+        context.cluster.kill(name)
+
+
+@then("all control instances are running again")
+def step_controls_again(context):
+    cluster = context.cluster
+    for name in cluster.names("control"):
+        if not cluster.is_running(name):
+            cluster.start_instance(name)
+    cluster.leader()
+    wait_until(
+        lambda: all(
+            cluster.replica(n)["leader"] for n in cluster.names("control")
+        ),
+        "every control instance knows the leader",
+    )
+
+
+@when(
+    "{count:d} orders with keys of their own are each sent {times:d} times "
+    "at once"
+)
+def step_race(context, count, times):
+    def send(key, number):
+        try:
+            return key, _post(context, number % 3, key, "?sleep_ms=20")
+        except OSError:
+            return key, None
+
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        leader = context.cluster.leader()
+        sent = [
+            pool.submit(send, f"race-{n}", n + time)
+            for n in range(count)
+            for time in range(times)
+        ]
+        context.cluster.kill(leader)
+        context.race = [future.result() for future in sent]
+
+
+@then("no key ran more than once")
+def step_no_key_twice(context):
+    twice = {
+        name: runs
+        for name, runs in context.cluster.executions().items()
+        if name.startswith("POST /orders ") and runs > 1
+    }
+    assert not twice, twice
+
+
+@then("every key that was answered with status {status:d} ran once")
+def step_answered_ran(context, status):
+    for key, answer in context.race:
+        if answer is not None and answer.status == status:
+            assert _runs(context, key) == 1, key
+
+
+@then('the order has status {status:d} and executed "{executed}"')
+def step_status(context, status, executed):
+    order = context.order
+    assert (order.status, order.executed) == (status, executed), order
+
+
+@then("the same server is named in both answers")
+def step_same(context):
+    names = [
+        json.loads(order.body)["server"]
+        for order in (context.first, context.order)
+    ]
+    assert names[0] == names[1]
+
+
+@then('key "{key}" ran {count:d} times')
+def step_runs(context, key, count):
+    assert _runs(context, key) == count, context.cluster.executions()
--- /dev/null
+++ b/features/steps/servers.py
@@ -0,0 +1,178 @@
+"""Steps of servers."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import time
+
+from behave import given, step, then, when
+
+from harness.cluster import call, free_port, wait_until
+from harness.relay import Relay
+
+
+def _addresses(context):
+    cluster = context.cluster
+    return [cluster.address(name) for name in cluster.names("entry")]
+
+
+@step("{count:d} calls through all entries are answered")
+def step_calls(context, count):
+    addresses = _addresses(context)
+    for number in range(count):
+        address = addresses[number % len(addresses)]
+        answer = call(address, "GET", f"/die-ledger/dies/{number}")
+        assert answer.status == 200, answer
+
+
+@when('the server "{name}" is told to end')
+def step_end(context, name):
+    context.cluster.signal(name, signal.SIGTERM)
+    context.cluster.processes[name].wait()
+
+
+@when('the server "{name}" is killed')
+def step_kill(context, name):
+    context.cluster.kill(name)
+
+
+@then('all entries know {count:d} servers of "{service}"')
+def step_know(context, count, service):
+    cluster = context.cluster
+    wait_until(
+        lambda: all(
+            len(cluster.servers_known(entry, service)) == count
+            for entry in cluster.names("entry")
+        ),
+        f"{count} servers are known",
+    )
+
+
+@when('the server "{name}" is killed and started at another port')
+def step_move(context, name):
+    context.cluster.kill(name)
+    context.cluster.commands[name] += ["--port", str(free_port())]
+    context.cluster.restart_server(name)
+    context.cluster.wait_for_servers(
+        "die-ledger", {f"die-ledger-{n}" for n in range(3)}
+    )
+
+
+@then('{count:d} calls that "{name}" sheds are answered')
+def step_shed(context, count, name):
+    addresses = _addresses(context)
+    for number in range(count):
+        path = f"/die-ledger/x{number}?shed={name}"
+        answer = call(addresses[number % len(addresses)], "GET", path)
+        assert answer.status == 200, answer
+
+
+@then("the request is reported as quarantined by every entry")
+def step_reported(context):
+    def is_reported():
+        status = context.cluster.status()
+        version = status["quarantine_version"]
+        held = {e["quarantine_version"] for e in status["entries"]}
+        return len(status["quarantines"]) == 1 and held == {version}
+
+    wait_until(is_reported, "the request is quarantined")
+
+
+@then("every entry refuses GET {path} with {status:d}")
+def step_quarantined(context, path, status):
+    for address in _addresses(context):
+        answer = call(address, "GET", path)
+        assert answer.status == status, answer
+
+
+@then('{count:d} server of "{service}" is still running')
+def step_running(context, count, service):
+    names = [f"{service}-{n}" for n in range(3)]
+    running = [n for n in names if context.cluster.is_running(n)]
+    assert len(running) == count, running
+
+
+@when("the operator releases the quarantine")
+def step_release(context):
+    client = context.cluster.client()
+    for fingerprint in context.cluster.status()["quarantines"]:
+        reply = client.post("/v1/quarantine/release", fingerprint.encode(), {})
+        assert reply.status == 200, reply
+
+
+@then("no request is quarantined")
+def step_no_quarantine(context):
+    assert context.cluster.status()["quarantines"] == []
+
+
+@given('a server of "{service}" behind a relay')
+def step_relay(context, service):
+    relay = Relay(free_port())
+    context.relays.append(relay)
+    context.relay = relay
+    options = ["--port", str(relay.target_port)]
+    options += ["--announced-port", str(relay.port)]
+    context.cluster.start_server("relayed", service, *options)
+    context.cluster.wait_for_servers(service, {"relayed"})
+
+
+@when('{count:d} calls to "{service}" were answered')
+def step_some_calls(context, count, service):
+    for _ in range(count):
+        step_repeatable(context, service)
+
+
+@step("all present connections of the relay go silent")
+def step_silence(context):
+    assert context.relay.silence() > 0
+
+
+@step('a repeatable call to "{service}" is answered')
+def step_repeatable(context, service):
+    answer = call(_addresses(context)[0], "GET", f"/{service}/x")
+    assert answer.status == 200, answer
+
+
+@then('the server of "{service}" is not ejected')
+def step_not_ejected(context, service):
+    address = context.cluster.address("entry-0", "operators_address")
+    servers = json.loads(call(address, "GET", "/v1/servers").body)["servers"]
+    found = [s for s in servers if s["service"] == service]
+    assert len(found) == 1 and not found[0]["is_ejected"], found
+
+
+@when('an order without a key is sent to "{service}"')
+def step_keyless(context, service):
+    path = f"/{service}/keyless"
+    context.answer = call(_addresses(context)[0], "POST", path, b"x")
+
+
+@then("the order without a key ran at most once")
+def step_keyless_runs(context):
+    assert context.cluster.executions().get("POST /keyless ", 0) <= 1
+
+
+@when("a caller hangs up on a call that takes {time_ms:d} ms")
+def step_hang_up(context, time_ms):
+    host, _, port = _addresses(context)[0].partition(":")
+    with socket.create_connection((host, int(port))) as link:
+        path = f"/die-ledger/slow?sleep_ms={time_ms}".encode()
+        link.sendall(b"GET " + path + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+        time.sleep(0.3)
+        assert _outstanding(context) == 1
+
+
+def _outstanding(context):
+    total = 0
+    for name in context.cluster.names("entry"):
+        address = context.cluster.address(name, "operators_address")
+        content = json.loads(call(address, "GET", "/v1/servers").body)
+        total += sum(s["outstanding"] for s in content["servers"])
+    return total
+
+
+@then("no call is outstanding at any entry")
+def step_none_outstanding(context):
+    wait_until(lambda: _outstanding(context) == 0, "the call is cancelled", 1.0)
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -79,6 +79,7 @@
 
     name: str
     version: int
+    quarantine_version: int
     is_ready: bool
     heard_ms_ago: float
 
@@ -95,7 +96,24 @@
 
 @attrs.frozen
 class StatusReply:
-    """The state of the system under the leader's lease."""
+    """The state of the system under the leader's lease.
+
+    Attributes:
+        request_id: The request.
+        leader: Who answers.
+        term: Its term.
+        version: The version in force.
+        text: The declaration in force.
+        commit_index: The last committed entry.
+        members: Names of the voting replicas.
+        disks: The same as NAME/DISK-ID; a replaced disk is repaired once it
+            stands here.
+        entries: All entries of the settings.
+        history: The last accepted changes.
+        quarantines: Refused fingerprints.
+        quarantine_version: Version of them, to compare with the entries'.
+        claims: How many claims are held.
+    """
 
     request_id: str
     leader: str
@@ -104,9 +122,11 @@
     text: str
     commit_index: int
     members: tuple[str, ...]
+    disks: tuple[str, ...]
     entries: tuple[EntryStatus, ...]
     history: tuple[VersionStatus, ...]
     quarantines: tuple[str, ...]
+    quarantine_version: int
     claims: int
 
 
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -274,6 +274,8 @@
                     call.request_id,
                 )
             )
+            # The server is not to blame: a new connection may serve.
+            call.tried = call.tried[:-1]
             reason = RefusalReason.SERVER_SILENT
             _try_again(state, call, reason, event.at_ms, effects)
         case FailureKind.TOO_LARGE:
--- a/gentianwall/core/claiming.py
+++ b/gentianwall/core/claiming.py
@@ -16,6 +16,7 @@
     ReleaseClaim,
     ReportCrash,
 )
+from gentianwall.claims.register import CRASHES_TO_QUARANTINE
 from gentianwall.control.messages import CommandReply
 from gentianwall.core import calls
 from gentianwall.core.effects import (
@@ -136,6 +137,9 @@
 ) -> None:
     """Tells all entries which servers a request may have crashed."""
     at_ms = int(now_ms + call.wall_offset_ms)
+    if len(set(call.crashed)) >= CRASHES_TO_QUARANTINE:
+        # The other entries hear of it once it is committed.
+        state.quarantines |= {call.fingerprint}
     for number, server in enumerate(call.crashed):
         command = ReportCrash(call.service, call.fingerprint, server, at_ms)
         name = f"crash{number}"
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from gentianwall.claims.commands import ApplyDeclaration, DeclarationAccepted
 from gentianwall.control.messages import (
     CommandRefused,
     CommandReply,
@@ -72,6 +71,7 @@
         entries: Names of all entries in the settings.
         waiters: Who waits, by log index.
         heard: What entries hold, by name.
+        pushed: Versions of configuration and quarantines last pushed.
         is_disk_full: Whether new commands are refused for lack of room.
     """
 
@@ -79,6 +79,7 @@
     entries: tuple[str, ...]
     waiters: dict[int, Waiter] = attrs.field(factory=dict)
     heard: dict[str, HeardEntry] = attrs.field(factory=dict)
+    pushed: tuple[int, int] = (0, 0)
     is_disk_full: bool = False
 
 
@@ -176,13 +177,23 @@
     if waiter is not None:
         reply = CommandReply(waiter.request_id, applied.result)
         effects.append(SendMessage(waiter.sender, reply))
-    is_new_version = isinstance(
-        applied.command, ApplyDeclaration
-    ) and isinstance(applied.result, DeclarationAccepted)
-    if is_new_version and state.replica.can_read(event.at_ms):
-        for name in state.entries:
-            heard = state.heard.get(name)
-            effects.append(SendMessage(name, _notice(state, heard)))
+    _push_news(state, event.at_ms, effects)
+
+
+def _push_news(
+    state: ControlState, now_ms: float, effects: list[ControlEffect]
+) -> None:
+    """Tells the entries what changed, without waiting for their polls."""
+    register = state.replica.register
+    news = (register.version, register.quarantine_version)
+    if news == state.pushed or not state.replica.can_read(now_ms):
+        return
+    state.pushed = news
+    if register.version == 0:
+        return
+    for name in state.entries:
+        notice = _notice(state, state.heard.get(name))
+        effects.append(SendMessage(name, notice))
 
 
 def _notice(state: ControlState, heard: HeardEntry | None) -> ConfigNotice:
@@ -240,6 +251,9 @@
         text=register.text,
         commit_index=replica.commit_index,
         members=tuple(m.replica for m in replica.applied_members),
+        disks=tuple(
+            f"{m.replica}/{m.disk_id}" for m in replica.applied_members
+        ),
         entries=tuple(
             _entry_status(state, name, event.at_ms) for name in state.entries
         ),
@@ -248,6 +262,7 @@
             for d in register.declarations[-HISTORY_ITEMS:]
         ),
         quarantines=tuple(register.quarantines),
+        quarantine_version=register.quarantine_version,
         claims=len(register.claims),
     )
     effects.append(SendMessage(event.sender, reply))
@@ -256,7 +271,11 @@
 def _entry_status(state: ControlState, name: str, now_ms: float) -> EntryStatus:
     heard = state.heard.get(name)
     if heard is None:
-        return EntryStatus(name, 0, False, -1.0)
+        return EntryStatus(name, 0, 0, False, -1.0)
     return EntryStatus(
-        name, heard.version, heard.is_ready, now_ms - heard.at_ms
+        name,
+        heard.version,
+        heard.quarantine_version,
+        heard.is_ready,
+        now_ms - heard.at_ms,
     )
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -227,6 +227,7 @@
         replica = self._runtime.state.replica
         content = {
             "name": replica.name,
+            "disk_id": replica.disk_id,
             "role": replica.role.value,
             "term": replica.term,
             "leader": replica.leader,
--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -21,6 +21,7 @@
 
 from gentianwall.commands import apply as applying
 from gentianwall.ctl.client import OperatorClient, Reply
+from harness.relay import Relay
 
 ROOT = pathlib.Path(__file__).parent.parent
 DECLARATION = (ROOT / "harness" / "declaration.toml").read_text()
@@ -82,22 +83,38 @@
 class Cluster:
     """Entries, control instances and servers as processes."""
 
-    def __init__(self, entries: int, controls: int):
+    def __init__(self, entries: int, controls: int, has_relays: bool = False):
+        self.relays: dict[str, Relay] = {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gentianwall-"))
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.instances = [
             self._instance(f"entry-{n}", "entry") for n in range(entries)
         ] + [self._instance(f"control-{n}", "control") for n in range(controls)]
+        if has_relays:
+            self.relays = {
+                i["name"]: Relay(int(i["link_address"].split(":")[1]))
+                for i in self.instances
+            }
         for instance in self.instances:
             settings = {
                 "instance": instance["name"],
                 "data_folder": f"data-{instance['name']}",
-                "instances": self.instances,
+                "instances": [
+                    self._as_seen_by(instance["name"], other)
+                    for other in self.instances
+                ],
             }
             path = self.folder / f"{instance['name']}.toml"
             path.write_text(tomli_w.dumps(settings))
 
+    def _as_seen_by(self, name: str, other: dict) -> dict:
+        """Returns an instance as another reaches it, through its relay."""
+        relay = self.relays.get(other["name"])
+        if relay is None or other["name"] == name:
+            return other
+        return other | {"link_address": f"127.0.0.1:{relay.port}"}
+
     def _instance(self, name: str, role: str) -> dict:
         instance = {
             "name": name,
@@ -156,6 +173,20 @@
         is_good = isinstance(reply, Reply) and reply.status == 200
         return reply.content if is_good else None
 
+    def replica(self, name: str) -> dict:
+        """Returns what a control instance says of its replica."""
+        address = self.address(name, "operators_address")
+        return json.loads(call(address, "GET", "/v1/replica").body)
+
+    def apply(
+        self, price: int, base: int | None = None, change_id: str = ""
+    ) -> applying.ApplyResult:
+        """Applies a declaration with another price."""
+        text = DECLARATION.replace("price = 5", f"price = {price}")
+        return applying.apply(
+            self.client(), text, "harness", base, change_id, READY_S
+        )
+
     def leader(self) -> str:
         """Returns the leading control instance; waits for one."""
         found: list[str] = []
@@ -263,6 +294,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for relay in self.relays.values():
+            relay.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,38 @@
+"""The history checker finds what it is there to find."""
+
+from __future__ import annotations
+
+import pytest
+
+from harness.history import Kind, Operation, find_violations
+
+GOOD = [
+    Operation(Kind.ACCEPTED, 0, 1, 1, 0, "a"),
+    Operation(Kind.READ, 2, 3, 1),
+    Operation(Kind.ACCEPTED, 4, 8, 2, 1, "b"),
+    Operation(Kind.CONFLICT, 5, 9, 2, 1, "c"),
+    Operation(Kind.READ, 4.5, 8.5, 1),
+    Operation(Kind.UNKNOWN, 9, 10, 0, 2, "d"),
+    Operation(Kind.ACCEPTED, 9, 12, 3, 2, "d"),
+    Operation(Kind.ACCEPTED, 13, 14, 3, 2, "d"),
+]
+
+
+def test_a_good_history_has_no_violation():
+    assert find_violations(GOOD) == []
+
+
+@pytest.mark.parametrize(
+    ("added", "words"),
+    [
+        (Operation(Kind.READ, 20, 21, 2), "read saw version 2"),
+        (Operation(Kind.ACCEPTED, 20, 21, 3, 2, "e"), "accepted twice"),
+        (Operation(Kind.ACCEPTED, 20, 21, 4, 3, "b"), "applied twice"),
+        (Operation(Kind.ACCEPTED, 20, 21, 5, 3, "f"), "over base 3"),
+        (Operation(Kind.CONFLICT, 20, 21, 3, 3, "g"), "the same version"),
+        (Operation(Kind.CONFLICT, 20, 21, 2, 1, "h"), "conflict saw"),
+    ],
+)
+def test_a_broken_history_is_caught(added, words):
+    violations = find_violations([*GOOD, added])
+    assert any(words in violation for violation in violations), violations
