--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import gc
 import pathlib
 import signal
 
@@ -32,6 +33,7 @@
 UNREADY_MS = 1500.0
 DRAIN_LIMIT_MS = 60_000.0
 DRAIN_CHECK_MS = 20.0
+GC_ALLOCATIONS = 500
 
 
 @attrs.frozen
@@ -120,6 +122,11 @@
                         )
                     )
             _end_on_signals(entries, timers)
+            # What is loaded by now stays. The rest is collected often and in
+            # small parts, since a large part stalls calls for tens of ms.
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(GC_ALLOCATIONS)
             reactor.run(installSignalHandlers=False)
     except (ControlFailedError, KeyFileError, TokenFileError) as error:
         log.error("%s.", error)
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -1,53 +1,135 @@
-"""Metrics of one process, rendered by aioprometheus."""
+"""Metrics of one process, rendered by aioprometheus.
+
+A call only adds to plain numbers; they become collectors when someone asks,
+since a labelled collector costs several microseconds each time.
+"""
 
 from __future__ import annotations
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+import bisect
+
+import attrs
+from aioprometheus import Counter, Gauge, Registry, render
 
 LATENCY_BUCKETS_S = [
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0,
     5.0, 10.0,
 ]  # fmt: skip
+MAX_CHARGED = 10_000
+MAX_SERVICES = 1000
+OTHER_CALLERS = "(others)"
+OTHER_SERVICES = "(others)"
+ANSWERS = "gentianwall_answers_total"
+REFUSALS = "gentianwall_refusals_total"
+ATTEMPTS = "gentianwall_attempts_total"
+PROBES = "gentianwall_probes_total"
+CHARGES = "gentianwall_charges_total"
+SECONDS = "gentianwall_call_seconds_bucket"
+STATE = "gentianwall_state"
+
+
+@attrs.define
+class ServiceNumbers:
+    """What is counted for one service.
+
+    Attributes:
+        answers: Answered calls by tier.
+        refusals: Refused calls by reason.
+        attempts: Attempts at servers.
+        probes: Probes sent to servers.
+        seconds: Calls by the first bucket that holds their time.
+        seconds_sum: Sum of the times.
+    """
+
+    answers: dict[str, int] = attrs.field(factory=dict)
+    refusals: dict[str, int] = attrs.field(factory=dict)
+    attempts: int = 0
+    probes: int = 0
+    seconds: list[int] = attrs.field(
+        factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1)
+    )
+    seconds_sum: float = 0.0
+
+
+@attrs.frozen
+class ChargeKey:
+    """Who paid, and for which tier."""
+
+    caller: str
+    tier: str
 
 
 class Metrics:
     """Everything that a process counts."""
 
     def __init__(self):
-        self.registry = Registry()
-        registry = self.registry
-        self.answers = Counter(
-            "gentianwall_answers_total", "Answered calls.", registry=registry
-        )
-        self.refusals = Counter(
-            "gentianwall_refusals_total", "Refused calls.", registry=registry
-        )
-        self.charges = Counter(
-            "gentianwall_charges_total",
-            "Charged, by caller and tier.",
-            registry=registry,
-        )
-        self.attempts = Counter(
-            "gentianwall_attempts_total",
-            "Attempts at servers.",
-            registry=registry,
-        )
-        self.probes = Counter(
-            "gentianwall_probes_total",
-            "Probes sent to servers.",
-            registry=registry,
-        )
-        self.seconds = Histogram(
-            "gentianwall_call_seconds",
-            "Time from a call's arrival to its answer.",
-            registry=registry,
-            buckets=LATENCY_BUCKETS_S,
-        )
-        self.gauges = Gauge(
-            "gentianwall_state", "What the process holds.", registry=registry
-        )
+        self.services: dict[str, ServiceNumbers] = {}
+        self.charges: dict[ChargeKey, float] = {}
+        self.gauges: dict[str, float] = {}
+
+    def service(self, name: str) -> ServiceNumbers:
+        """Returns the numbers of a service."""
+        numbers = self.services.get(name)
+        if numbers is None:
+            numbers = self.services[name] = ServiceNumbers()
+        return numbers
+
+    def note_answer(
+        self, service: str, tier: str, caller: str, price: float, taken_s: float
+    ) -> None:
+        """Counts an answered call and what it costs its caller."""
+        numbers = self.service(service)
+        numbers.answers[tier] = numbers.answers.get(tier, 0) + 1
+        numbers.seconds[bisect.bisect_left(LATENCY_BUCKETS_S, taken_s)] += 1
+        numbers.seconds_sum += taken_s
+        if price > 0:
+            key = ChargeKey(caller, tier)
+            if key not in self.charges and len(self.charges) >= MAX_CHARGED:
+                key = ChargeKey(OTHER_CALLERS, tier)
+            self.charges[key] = self.charges.get(key, 0.0) + price
+
+    def note_refusal(self, service: str, reason: str) -> None:
+        """Counts a refused call; unknown services share one line."""
+        if service not in self.services and len(self.services) >= MAX_SERVICES:
+            service = OTHER_SERVICES
+        refusals = self.service(service).refusals
+        refusals[reason] = refusals.get(reason, 0) + 1
 
     def text(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
-        content, _ = render(self.registry, ["text/plain"])
+        content, _ = render(self._registry(), ["text/plain"])
         return content
+
+    def _registry(self) -> Registry:
+        registry = Registry()
+        answers = Counter(ANSWERS, "Answered calls.", registry=registry)
+        refusals = Counter(REFUSALS, "Refused calls.", registry=registry)
+        attempts = Counter(ATTEMPTS, "Attempts.", registry=registry)
+        probes = Counter(PROBES, "Probes.", registry=registry)
+        seconds = Counter(
+            SECONDS, "Answered calls by time, cumulative.", registry=registry
+        )
+        for name, numbers in self.services.items():
+            for tier, count in numbers.answers.items():
+                answers.set({"service": name, "tier": tier}, count)
+            for reason, count in numbers.refusals.items():
+                refusals.set({"service": name, "reason": reason}, count)
+            attempts.set({"service": name}, numbers.attempts)
+            probes.set({"service": name}, numbers.probes)
+            _set_buckets(seconds, name, numbers)
+        charges = Counter(CHARGES, "Charged.", registry=registry)
+        for key, price in self.charges.items():
+            labels = {"caller": key.caller, "tier": key.tier}
+            charges.set(labels, price)
+        gauges = Gauge(STATE, "What the process holds.", registry=registry)
+        for name, value in self.gauges.items():
+            gauges.set({"of": name}, value)
+        return registry
+
+
+def _set_buckets(seconds: Counter, name: str, numbers: ServiceNumbers) -> None:
+    total = 0
+    bounds = [*map(str, LATENCY_BUCKETS_S), "+Inf"]
+    for bound, count in zip(bounds, numbers.seconds, strict=True):
+        total += count
+        seconds.set({"service": name, "le": bound}, total)
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -149,7 +149,7 @@
             return
         notice = effect.notice
         pool = self.pool_of(notice)
-        self._metrics.attempts.inc({"service": call.service})
+        self._metrics.service(call.service).attempts += 1
         headers = to_server(
             call.request.requestHeaders,
             f"{notice.host}:{notice.port}".encode(),
@@ -207,15 +207,13 @@
             (b"Gentianwall-Request-Id", call.request_id.encode()),
         ]
         call.request.answer(answer.status, headers, answer.body)
-        self._metrics.answers.inc(
-            {"service": call.service, "tier": effect.tier}
+        self._metrics.note_answer(
+            call.service,
+            effect.tier,
+            call.caller,
+            effect.price,
+            (monotonic_ms() - call.arrived_ms) / 1000.0,
         )
-        if effect.price > 0:
-            self._metrics.charges.add(
-                {"caller": call.caller, "tier": effect.tier}, effect.price
-            )
-        taken_s = (monotonic_ms() - call.arrived_ms) / 1000.0
-        self._metrics.seconds.observe({"service": call.service}, taken_s)
 
     def answer_recorded(self, effect: AnswerRecorded) -> None:
         """Repeats the recorded end of a request that ran before."""
@@ -242,9 +240,8 @@
             return
         problem = problem_of(effect.refusal, call.request_id)
         call.request.answer_problem(problem)
-        self._metrics.refusals.inc(
-            {"service": call.service, "reason": effect.refusal.reason.name}
-        )
+        reason = effect.refusal.reason.name.lower()
+        self._metrics.note_refusal(call.service, reason)
 
     def pool_of(self, notice: ServerNotice) -> ConnectionPool:
         """Returns the connections to a server at its present address."""
@@ -276,6 +273,7 @@
         call = self.calls.pop(call_id, None)
         if call is not None:
             self._by_request.pop(id(call.request), None)
+            call.attempt = None  # It refers back to the call.
         return call
 
 
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -247,9 +247,9 @@
     def metrics(request: server.Request) -> None:
         links = runtime.links
         gauges = runtime.metrics.gauges
-        gauges.set({"of": "link_sent_bytes"}, links.sent_bytes)
-        gauges.set({"of": "link_received_bytes"}, links.received_bytes)
-        gauges.set({"of": "malformed_messages"}, links.malformed)
+        gauges["link_sent_bytes"] = links.sent_bytes
+        gauges["link_received_bytes"] = links.received_bytes
+        gauges["malformed_messages"] = links.malformed
         send_text(request, 200, runtime.metrics.text())
 
     def timeline(request: server.Request) -> None:
--- a/gentianwall/runtime/probes.py
+++ b/gentianwall/runtime/probes.py
@@ -38,7 +38,7 @@
 
     def probe(self, notice: ServerNotice) -> None:
         """Probes a server."""
-        self._metrics.probes.inc({"service": notice.key.service})
+        self._metrics.service(notice.key.service).probes += 1
         pool = self._calls.pool_of(notice)
         headers = Headers()
         headers.addRawHeader(b"Host", f"{notice.host}:{notice.port}".encode())
