Choose servers by expected time; move overdue repeatable calls

What was wrong, each seen by switching it off: differences of a moving average below two are noise and made servers look lucky; reports are older than a call is long, and idle ones (stale or lying) draw crowds; a slow server was seen only with its answers, and was remembered for 2 s after it had recovered. Change: load counts linearly, slowness only from twice the usual on, overdue calls count before they are answered, evidence fades over 800 ms, a report can only make a server less attractive, and a repeatable call that is overdue by four times the usual moves to a server that is expected to be quicker, within the retry budget.

--- a/gentianwall/core/attempts.py
+++ b/gentianwall/core/attempts.py
@@ -33,10 +33,10 @@
     call.incarnation = server.notice.incarnation
     call.tried += (call.server,)
     call.dispatched_ms = now_ms
-    call.factor = server.queue_factor(now_ms)
+    call.factor = server.queue_factor
     call.is_maybe_run_before = call.is_maybe_run
     call.is_maybe_run = True
-    server.outstanding += 1
+    server.calls[call.call_id] = now_ms
 
 
 def _end(service: Service | None, call: Call) -> Server | None:
@@ -46,7 +46,7 @@
     server = service.pool.servers.get(call.server)
     if server is None or server.notice.incarnation != call.incarnation:
         return None
-    server.outstanding -= 1
+    server.calls.pop(call.call_id, None)
     return server
 
 
@@ -65,10 +65,11 @@
     if event.status >= FIRST_ERROR_STATUS:
         is_ejected = note_failure(server, service.pool.live(), event.at_ms)
         return Verdict(False, is_ejected)
-    latency_ms = event.at_ms - call.dispatched_ms
-    note_answer(server, latency_ms, call.factor, event.report, event.at_ms)
+    alone_ms = (event.at_ms - call.dispatched_ms) / call.factor
+    pool = service.pool
+    note_answer(server, alone_ms, pool.usual_ms, event.report, event.at_ms)
     note_success(server)
-    service.pool.note_time(latency_ms / call.factor)
+    pool.note_answer(alone_ms, server.foreign_load)
     return Verdict(False, False)
 
 
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -34,6 +34,8 @@
 NO_SERVER_RETRY_MS = 1000.0
 MAX_ATTEMPTS = 3
 MAX_CRASHES = 2
+OVERDUE_FACTOR = 4.0
+MOVE_SHARE = 0.6
 RETRIED_STATUSES = (502, 503, 504)
 
 
@@ -285,6 +287,46 @@
         start_service(state, service, event.at_ms, effects)
 
 
+def move_overdue(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Moves repeatable calls away from servers that keep them for long."""
+    for service in state.services.values():
+        if not service.pool.is_managed:
+            continue
+        bound_ms = OVERDUE_FACTOR * service.pool.usual_ms
+        for server in service.pool.servers.values():
+            if server.oldest_age_ms(now_ms) < bound_ms:
+                continue
+            for call_id, sent_ms in list(server.calls.items()):
+                if now_ms - sent_ms >= bound_ms:
+                    call = state.calls[call_id]
+                    _move(state, service, call, now_ms, effects)
+
+
+def _move(
+    state: EntryState,
+    service: Service,
+    call: Call,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    if not call.is_idempotent:
+        return
+    pool = service.pool
+    other = pool.pick(call.tried, now_ms, state.rng)
+    if isinstance(other, NoServer):
+        return
+    expected_ms = other.expected_ms(now_ms, pool.usual_ms, pool.usual_foreign)
+    if expected_ms > MOVE_SHARE * (now_ms - call.dispatched_ms):
+        return
+    if not _may_retry(state, call, now_ms):
+        return
+    attempts.note_cancelled(service, call, now_ms)
+    effects.append(CancelAttempt(call.call_id, call.attempt))
+    _retry(state, call, "overdue", now_ms, effects)
+
+
 def _may_retry(state: EntryState, call: Call, now_ms: float) -> bool:
     service = state.services.get(call.service)
     if service is None or call.is_nested:
--- a/gentianwall/core/entry.py
+++ b/gentianwall/core/entry.py
@@ -89,6 +89,7 @@
         _on_unanswered(request_id, effects)
     membership.on_tick(state, now_ms, effects)
     configuration.poll_due(state, now_ms, effects)
+    calls.move_overdue(state, now_ms, effects)
     calls.start_waiting(state, now_ms, effects)
 
 
--- a/gentianwall/core/membership.py
+++ b/gentianwall/core/membership.py
@@ -28,7 +28,7 @@
     RenewalSpread,
     ServerNotice,
 )
-from gentianwall.routing.servers import note_answer
+from gentianwall.routing.servers import note_report
 from gentianwall.timeline import EventKind
 
 DEFAULT_LEASE_MS = 2500.0
@@ -236,7 +236,9 @@
     if server is None:
         return
     if event.is_answered:
-        # A probe is not a call: only its report is taken over.
-        note_answer(server, server.service_ms, 1.0, event.report, event.at_ms)
+        # A probe is not a call: its time tells nothing of calls.
+        server.answered_ms = event.at_ms
+        if event.report is not None:
+            note_report(server, event.report, event.at_ms)
     else:
         server.failures += 1
--- a/gentianwall/routing/policies.py
+++ b/gentianwall/routing/policies.py
@@ -47,19 +47,36 @@
     """The less loaded of two drawn at random (Mitzenmacher, 2001)."""
 
 
+@attrs.define
+class ProbeResult:
+    """What a probe told of a server, and how often it may still be used."""
+
+    load: float
+    latency_ms: float
+    uses: int
+
+
 @attrs.define
 class HotCold:
-    """Probed requests in flight and latency, after Prequal (NSDI 2024).
+    """Probed requests in flight and latency, after Prequal.
+
+    Wydrowski et al., "Load is not what you should balance: Introducing
+    Prequal" (NSDI 2024). Servers above a quantile of the loads are hot; of
+    the others the one with the least latency is picked.
 
     Attributes:
+        probes_per_call: Probes that each call brings.
+        uses: How often one result is used.
         hot_share: Quantile of the loads above which a server is hot.
-        pool: Probe results: server name to load and latency in ms.
         pool_size: Results kept at most.
+        pool: Results by server name, the oldest first.
     """
 
+    probes_per_call: float = 1.0
+    uses: int = 2
     hot_share: float = 0.75
-    pool: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     pool_size: int = 16
+    pool: dict[str, ProbeResult] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -73,6 +90,19 @@
     sample: int = 0
 
 
+@attrs.frozen
+class Usual:
+    """What is usual at a service, to compare its servers with.
+
+    Attributes:
+        time_ms: Time of a call.
+        foreign_load: Calls of other entries at a server.
+    """
+
+    time_ms: float
+    foreign_load: float
+
+
 Policy = (
     RandomChoice
     | RoundRobin
@@ -86,7 +116,7 @@
 def choose(
     policy: Policy,
     servers: Sequence[Server],
-    usual_ms: float,
+    usual: Usual,
     now_ms: float,
     rng: random.Random,
 ) -> Server:
@@ -95,7 +125,7 @@
     Args:
         policy: How to pick.
         servers: The candidates, at least one.
-        usual_ms: Time of a call at the service's usual server.
+        usual: What is usual at the service.
         now_ms: The local clock.
         rng: Breaks ties and draws samples.
     """
@@ -116,7 +146,13 @@
             drawn = servers
             if 0 < policy.sample < len(servers):
                 drawn = rng.sample(servers, policy.sample)
-            return _least(drawn, lambda s: s.expected_ms(now_ms, usual_ms), rng)
+            return _least(
+                drawn,
+                lambda s: s.expected_ms(
+                    now_ms, usual.time_ms, usual.foreign_load
+                ),
+                rng,
+            )
 
 
 def _least(servers, key, rng: random.Random) -> Server:
@@ -135,17 +171,24 @@
 def _hot_cold(
     policy: HotCold, servers: Sequence[Server], rng: random.Random
 ) -> Server:
-    known = [s for s in servers if s.notice.key.server in policy.pool]
+    known = {
+        server.notice.key.server: server
+        for server in servers
+        if server.notice.key.server in policy.pool
+    }
     if len(known) < 2:
         return rng.choice(servers)
-    results = {s.notice.key.server: s for s in known}
-    loads = sorted(policy.pool[name][0] for name in results)
+    results = {name: policy.pool[name] for name in known}
+    loads = sorted(result.load for result in results.values())
     hot = loads[min(len(loads) - 1, int(len(loads) * policy.hot_share))]
-    cold = [n for n in results if policy.pool[n][0] < hot]
+    cold = [name for name in results if results[name].load < hot]
     if cold:
-        name = min(cold, key=lambda n: policy.pool[n][1])
+        name = min(cold, key=lambda n: results[n].latency_ms)
     else:
-        name = min(results, key=lambda n: policy.pool[n][0])
-    load, latency_ms = policy.pool[name]
-    policy.pool[name] = (load + 1, latency_ms)
-    return results[name]
+        name = min(results, key=lambda n: results[n].load)
+    result = results[name]
+    result.load += 1
+    result.uses -= 1
+    if result.uses <= 0:
+        del policy.pool[name]
+    return known[name]
--- a/gentianwall/routing/pool.py
+++ b/gentianwall/routing/pool.py
@@ -11,6 +11,7 @@
     ExpectedLatency,
     NoServer,
     Policy,
+    Usual,
     choose,
 )
 from gentianwall.routing.servers import Server
@@ -24,12 +25,18 @@
 
     Attributes:
         usual_ms: Moving average of the time of a call, over all servers.
+        usual_foreign: Moving average of the load by other entries.
         servers: By name.
+        policy: How one of the free servers is picked.
+        is_managed: Whether servers' limits hold and overdue calls are moved;
+            baselines lack both.
     """
 
     usual_ms: float
+    usual_foreign: float = 0.0
     servers: dict[str, Server] = attrs.field(factory=dict)
     policy: Policy = attrs.field(factory=ExpectedLatency)
+    is_managed: bool = True
 
     def put(self, notice: ServerNotice, now_ms: float) -> Server:
         """Adds a server, or replaces an older incarnation of it."""
@@ -67,10 +74,13 @@
         live = self.live()
         untried = [s for s in live if s.notice.key.server not in avoid]
         healthy = [s for s in untried if not s.is_ejected(now_ms)]
-        free = [s for s in healthy or untried if s.has_room(now_ms)]
+        free = healthy or untried
+        if self.is_managed:
+            free = [s for s in free if s.has_room(now_ms)]
         if not free:
             return NoServer(is_any_live=bool(untried))
-        return choose(self.policy, free, self.usual_ms, now_ms, rng)
+        usual = Usual(self.usual_ms, self.usual_foreign)
+        return choose(self.policy, free, usual, now_ms, rng)
 
     def slots(self, now_ms: float) -> float:
         """Returns how many calls this entry may have outstanding in all."""
@@ -78,6 +88,7 @@
         healthy = [s for s in live if not s.is_ejected(now_ms)]
         return sum(max(1.0, s.limit) for s in healthy or live)
 
-    def note_time(self, alone_ms: float) -> None:
-        """Moves the usual time of a call."""
+    def note_answer(self, alone_ms: float, foreign_load: float) -> None:
+        """Moves the usual time of a call and the usual foreign load."""
         self.usual_ms += USUAL_WEIGHT * (alone_ms - self.usual_ms)
+        self.usual_foreign += USUAL_WEIGHT * (foreign_load - self.usual_foreign)
--- a/gentianwall/routing/servers.py
+++ b/gentianwall/routing/servers.py
@@ -8,13 +8,15 @@
 
 from gentianwall.membership.messages import ServerNotice
 
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.3
 REPORT_LIFE_MS = 100.0
-BASE_LIFE_MS = 2000.0
-TRUST_WEIGHT = 0.1
+EVIDENCE_LIFE_MS = 800.0
+SLOWNESS_DEADBAND = 2.0
+PATIENCE_FACTOR = 1.5
 SLOW_START_MS = 2000.0
 SLOW_START_SHARE = 0.25
-MAX_QUEUE_PER_SLOT = 2.0
+MAX_CALLS_PER_SLOT = 2.0
+LIMIT_CUT_SLOWNESS = 3.0
 MIN_SERVICE_MS = 0.05
 
 
@@ -39,16 +41,16 @@
     Attributes:
         notice: What it announced.
         since_ms: When this entry first heard of it.
-        outstanding: Calls of this entry that it holds.
-        limit: How many of them it may hold.
-        service_ms: Moving average of the time of a call, with the queue it
-            met taken out.
+        service_ms: Moving average of the time of a call, with the entry's
+            own queue there taken out.
+        limit: How many calls of this entry it may hold.
+        calls: Calls of this entry that it holds: when each was sent, in ms,
+            by call id, the oldest first.
         answered_ms: When it last answered.
         foreign_load: Requests of other entries, by its last report.
         reported_ms: When that report came.
-        trust: How well its reports explained its answers, from 0 to 1.
         failures: Failures since the last good answer.
-        ejections: Ejections since it was last good for long.
+        ejections: Ejections since it was last good.
         ejected_until_ms: When it is tried again.
     """
 
@@ -56,38 +58,67 @@
     since_ms: float
     service_ms: float
     limit: float
-    outstanding: int = 0
+    calls: dict[int, float] = attrs.field(factory=dict)
     answered_ms: float = float("-inf")
     foreign_load: float = 0.0
     reported_ms: float = float("-inf")
-    trust: float = 1.0
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: float = float("-inf")
 
-    def expected_load(self, now_ms: float) -> float:
-        """Returns requests it is thought to hold, of all entries."""
-        age_ms = now_ms - self.reported_ms
-        weight = self.trust * math.exp(-age_ms / REPORT_LIFE_MS)
-        return self.outstanding + self.foreign_load * weight
+    @property
+    def outstanding(self) -> int:
+        """How many calls of this entry it holds."""
+        return len(self.calls)
 
-    def queue_factor(self, now_ms: float) -> float:
-        """Returns how much longer the next call takes than one alone."""
-        load = self.expected_load(now_ms) + 1.0
-        return max(1.0, load / self.notice.slots)
+    @property
+    def queue_factor(self) -> float:
+        """How much longer the next call takes for the entry's own calls."""
+        return max(1.0, (len(self.calls) + 1.0) / self.notice.slots)
 
-    def expected_ms(self, now_ms: float, usual_ms: float) -> float:
+    def oldest_age_ms(self, now_ms: float) -> float:
+        """Returns the age of the oldest call that it holds, or 0."""
+        for sent_ms in self.calls.values():
+            return now_ms - sent_ms
+        return 0.0
+
+    def slowness(self, now_ms: float, usual_ms: float) -> float:
+        """Returns how many times slower than usual it seems; at least 1.
+
+        Answers count less as they age, so that a server that was slow is
+        tried again. A call that is overdue counts before it is answered.
+        Small differences are noise and do not count.
+        """
+        age_ms = now_ms - self.answered_ms
+        weight = math.exp(-age_ms / EVIDENCE_LIFE_MS)
+        seen_ms = usual_ms + (self.service_ms - usual_ms) * weight
+        if self.calls:
+            overdue_ms = self.oldest_age_ms(now_ms) / PATIENCE_FACTOR
+            seen_ms = max(seen_ms, overdue_ms)
+        ratio = seen_ms / usual_ms
+        return ratio if ratio >= SLOWNESS_DEADBAND else 1.0
+
+    def expected_ms(
+        self, now_ms: float, usual_ms: float, usual_foreign: float
+    ) -> float:
         """Returns the expected time of the next call.
 
+        A report can only make a server less attractive: what it holds for
+        others beyond its slots and beyond the usual counts, while an idle
+        report, which may be stale or a lie, draws no calls.
+
         Args:
             now_ms: The local clock.
-            usual_ms: Time of a call at the service's usual server; a server
-                that was not heard for long is taken for a usual one.
+            usual_ms: Time of a call at the service's usual server.
+            usual_foreign: Usual load by other entries.
         """
-        age_ms = now_ms - self.answered_ms
-        weight = math.exp(-age_ms / BASE_LIFE_MS)
-        base_ms = usual_ms + (self.service_ms - usual_ms) * weight
-        return base_ms * self.queue_factor(now_ms)
+        load = float(len(self.calls))
+        excess = self.foreign_load - max(usual_foreign, self.notice.slots)
+        if excess > 0:
+            age_ms = now_ms - self.reported_ms
+            load += excess * math.exp(-age_ms / REPORT_LIFE_MS)
+        crowding = 1.0 + load / self.notice.slots
+        return usual_ms * self.slowness(now_ms, usual_ms) * crowding
 
     def has_room(self, now_ms: float) -> bool:
         """Whether it may get another call of this entry now."""
@@ -96,7 +127,7 @@
         if age_ms < SLOW_START_MS:
             share = max(SLOW_START_SHARE, age_ms / SLOW_START_MS)
             limit = max(1.0, limit * share)
-        return self.outstanding < int(limit)
+        return len(self.calls) < int(limit)
 
     def is_ejected(self, now_ms: float) -> bool:
         """Whether its failures keep it from new calls."""
@@ -105,8 +136,8 @@
 
 def note_answer(
     server: Server,
-    latency_ms: float,
-    factor: float,
+    alone_ms: float,
+    usual_ms: float,
     report: LoadReport | None,
     now_ms: float,
 ) -> None:
@@ -114,47 +145,35 @@
 
     Args:
         server: Who answered.
-        latency_ms: From dispatch to the whole answer.
-        factor: The queue factor that was expected at dispatch.
+        alone_ms: Time of the call, with the entry's own queue taken out.
+        usual_ms: Time of a call at the service's usual server.
         report: The load report in the answer, if any.
         now_ms: The local clock.
     """
-    alone_ms = max(MIN_SERVICE_MS, latency_ms / factor)
-    was_usual_ms = server.service_ms
-    server.service_ms += LATENCY_WEIGHT * (alone_ms - server.service_ms)
+    seen_ms = max(MIN_SERVICE_MS, alone_ms)
+    server.service_ms += LATENCY_WEIGHT * (seen_ms - server.service_ms)
     server.answered_ms = now_ms
     server.failures = 0
-    _adapt_limit(server, alone_ms, was_usual_ms)
+    _adapt_limit(server, seen_ms, usual_ms)
     if report is not None:
-        _note_report(server, report, alone_ms, was_usual_ms, now_ms)
+        note_report(server, report, now_ms)
 
 
-def _adapt_limit(server: Server, alone_ms: float, usual_ms: float) -> None:
+def _adapt_limit(server: Server, seen_ms: float, usual_ms: float) -> None:
     """Raises the limit by one a round, or cuts it when calls got slow."""
-    most = server.notice.slots * MAX_QUEUE_PER_SLOT
-    if alone_ms > 3.0 * usual_ms:
+    most = server.notice.slots * MAX_CALLS_PER_SLOT
+    if seen_ms > LIMIT_CUT_SLOWNESS * usual_ms:
         server.limit = max(1.0, server.limit * 0.9)
     else:
         server.limit = min(most, server.limit + 1.0 / server.limit)
 
 
-def _note_report(
-    server: Server,
-    report: LoadReport,
-    alone_ms: float,
-    usual_ms: float,
-    now_ms: float,
-) -> None:
+def note_report(server: Server, report: LoadReport, now_ms: float) -> None:
+    """Takes over what a server says of its load."""
     load = report.requests_in_flight
     if load < 0:
         load = report.utilization * server.notice.slots
-    foreign = max(0.0, load - server.outstanding)
-    # An idle report next to a slow answer contradicts itself.
-    seems_idle = load < server.notice.slots
-    is_contradicted = seems_idle and alone_ms > 3.0 * usual_ms
-    target = 0.0 if is_contradicted else 1.0
-    server.trust += TRUST_WEIGHT * (target - server.trust)
-    server.foreign_load = foreign
+    server.foreign_load = max(0.0, load - len(server.calls))
     server.reported_ms = now_ms
 
 
