Wait for the entry's poll before reading what a new leader heard

Cause: survival.feature read the held version right after a restart of the control instance, which knows it only with the entry's next poll (500 ms): it failed when the machine was busy. The check is the same and now has 3 s, the users' bound.

--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -76,5 +76,10 @@
 def step_version(context, version):
     status = context.cluster.status()
     assert status and status["version"] == version, status
-    held = {e["name"]: e["version"] for e in status["entries"]}
-    assert set(held.values()) == {version}, held
+
+    def is_held():
+        entries = context.cluster.status()["entries"]
+        return {e["version"] for e in entries} == {version}
+
+    # A new leader hears what an entry holds with the entry's next poll.
+    wait_until(is_held, f"every entry holds version {version}", 3.0)
