Operators: tokens, keys, questionnaire, reference, time line proved

Cause: the command line, the questionnaire, tokens, CURVE links and the time line had no proof. Found and mended: the interactive questionnaire took a word that is no choice and failed only at the end. Shown failing first: the stranger's command is applied when the links have no keys, and is not heard when they have.

--- a/features/environment.py
+++ b/features/environment.py
@@ -26,7 +26,10 @@
     size = sizes[0].removeprefix("size.") if sizes else DEFAULT_SIZE
     entries, _, controls = size.partition("x")
     has_relays = "relays" in feature.tags
-    context.cluster = Cluster(int(entries), int(controls), has_relays)
+    is_secured = "secured" in feature.tags
+    context.cluster = Cluster(
+        int(entries), int(controls), has_relays, is_secured
+    )
     context.relays = []
     try:
         context.cluster.start()
--- /dev/null
+++ b/features/steps/commands.py
@@ -0,0 +1,163 @@
+"""Steps of operators at the command line, and of strangers."""
+
+from __future__ import annotations
+
+import json
+import shlex
+import subprocess
+import sys
+import time
+
+import zmq
+import zmq.auth
+from behave import given, then, when
+
+from gentianwall import codec
+from gentianwall.claims.commands import ApplyDeclaration
+from gentianwall.control.messages import CommandRequest
+from gentianwall.links.messages import PROTOCOL_VERSION, Envelope
+from harness.cluster import DECLARATION, call, wait_until
+
+STRANGER_S = 1.0
+
+
+def _run(context, line):
+    cluster = context.cluster
+    changed = DECLARATION.replace("price = 5", "price = 6")
+    broken = DECLARATION.replace("price = 2", "prize = 2")
+    (cluster.folder / "changed.toml").write_text(changed)
+    (cluster.folder / "broken.toml").write_text(
+        broken + "max_queued_calls = -1\n"
+    )
+    command = [sys.executable, "-m", "gentianwall.ctl", *shlex.split(line)]
+    if not line.startswith("check"):
+        addresses = ",".join(cluster.client().addresses)
+        command += ["--operators", addresses]
+        command += ["--token-file", str(cluster.folder / "operator-token")]
+    return subprocess.run(
+        command,
+        cwd=cluster.folder,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@when('the operator runs "{line}"')
+def step_run(context, line):
+    context.ended = _run(context, line)
+
+
+@when("entry {number:d} is killed")
+def step_kill_entry(context, number):
+    context.cluster.kill(context.cluster.names("entry")[number])
+
+
+@then("the command ends with {code:d}")
+def step_code(context, code):
+    assert context.ended.returncode == code, context.ended
+
+
+@then('it prints "{words}"')
+def step_prints(context, words):
+    printed = context.ended.stdout + context.ended.stderr
+    assert words in printed, printed
+
+
+@given('a server of "{service}" announces itself with the token "{token}"')
+def step_announced(context, service, token):
+    cluster = context.cluster
+    if not cluster.is_running("announced"):
+        cluster.start_server("announced", service, "--token", token)
+    cluster.wait_for_servers(service, {"announced"})
+
+
+@when('a server of "{service}" announces itself with the token "{token}"')
+def step_wrong(context, service, token):
+    content = {"address": "127.0.0.1", "port": 1, "slots": 1, "incarnation": 1}
+    path = f"/gentianwall/v1/services/{service}/servers/other"
+    context.announcement = call(
+        context.cluster.address("entry-0"),
+        "PUT",
+        path,
+        json.dumps(content).encode(),
+        {"Authorization": f"Bearer {token}"},
+    )
+
+
+@then("the announcement has status {status:d}")
+def step_announcement(context, status):
+    assert context.announcement.status == status
+
+
+@then("the time line of the request names the server")
+def step_timeline(context):
+    request_id = context.answer.headers["gentianwall-request-id"]
+    ended = _run(context, f"timeline --request-id {request_id}")
+    assert "call-answered" in ended.stdout, ended
+    assert "announced" in ended.stdout, ended
+
+
+@then("the time line can be written as a trace")
+def step_trace(context):
+    ended = _run(context, "timeline --trace trace.json")
+    assert ended.returncode == 0, ended
+    trace = json.loads((context.cluster.folder / "trace.json").read_text())
+    names = {event["name"] for event in trace["traceEvents"]}
+    assert {"process_name", "leader-changed", "call-answered"} <= names
+
+
+@when("someone without the token asks for the status")
+def step_no_token(context):
+    address = context.cluster.address("entry-0", "operators_address")
+    context.answer = call(address, "GET", "/v1/status")
+
+
+@when("a stranger sends a command to every instance")
+def step_stranger(context):
+    cluster = context.cluster
+    context.before = cluster.status()["version"]
+    change = ApplyDeclaration(
+        "stranger", context.before, DECLARATION + "# x\n", "stranger", 1
+    )
+    envelope = Envelope(
+        PROTOCOL_VERSION, "entry-0", "x", 0.0, 0, CommandRequest("s", change)
+    )
+    data = codec.pack(envelope, Envelope)
+    strange = zmq.Context()
+    has_keys = (cluster.folder / "keys").exists()
+    for has_key in (False, True) if has_keys else (False,):
+        for instance in cluster.instances:
+            socket = strange.socket(zmq.PUSH)
+            socket.linger = 0
+            if has_key:
+                public, secret = zmq.curve_keypair()
+                key_file = cluster.folder / "keys" / f"{instance['name']}.key"
+                server_key, _ = zmq.auth.load_certificate(key_file)
+                socket.curve_publickey = public
+                socket.curve_secretkey = secret
+                socket.curve_serverkey = server_key
+            socket.connect(f"tcp://{instance['link_address']}")
+            socket.send(data)
+    time.sleep(STRANGER_S)
+    strange.destroy(linger=0)
+
+
+@then("the version in force is unchanged")
+def step_unchanged(context):
+    status = context.cluster.status()
+    assert status["version"] == context.before
+    assert "stranger" not in {h["change_id"] for h in status["history"]}
+
+
+@then("no entry uses the announced server")
+def step_unused(context):
+    cluster = context.cluster
+    wait_until(
+        lambda: all(
+            cluster.servers_known(entry, "die-ledger") == set()
+            for entry in cluster.names("entry")
+        ),
+        "the server is drained everywhere",
+    )
--- a/gentianwall/commands/questionnaire.py
+++ b/gentianwall/commands/questionnaire.py
@@ -79,9 +79,13 @@
         if not text and not is_required:
             return None
         try:
-            return _convert(text, hint)
+            value = _convert(text, hint)
         except ValueError:
             print(f"  {text!r} does not fit; try again")
+            continue
+        if not choices or value in choices:
+            return value
+        print(f"  {text!r} is not one of {', '.join(choices)}; try again")
 
 
 def _convert(text: str, hint: type) -> object:
--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -255,6 +255,15 @@
     return ExitCode.NOT_CONFIRMED if merged.silent else ExitCode.IN_FORCE
 
 
+@app.command
+def reference() -> int:
+    """Prints the reference of all options, made from the schema."""
+    from gentianwall.config.reference import render_reference
+
+    print(render_reference(), end="")
+    return ExitCode.IN_FORCE
+
+
 @app.command
 def keys(folder: str, names: tuple[str, ...]) -> int:
     """Makes the keys of the links, a pair for each named process."""
--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import secrets
 import shutil
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 from gentianwall.commands import apply as applying
 from gentianwall.ctl.client import OperatorClient, Reply
+from gentianwall.links.keys import make_keys
 from harness.relay import Relay
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -83,8 +85,15 @@
 class Cluster:
     """Entries, control instances and servers as processes."""
 
-    def __init__(self, entries: int, controls: int, has_relays: bool = False):
+    def __init__(
+        self,
+        entries: int,
+        controls: int,
+        has_relays: bool = False,
+        is_secured: bool = False,
+    ):
         self.relays: dict[str, Relay] = {}
+        self.token = ""
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gentianwall-"))
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
@@ -96,8 +105,10 @@
                 i["name"]: Relay(int(i["link_address"].split(":")[1]))
                 for i in self.instances
             }
+        security = self._secure() if is_secured else {}
         for instance in self.instances:
             settings = {
+                **security,
                 "instance": instance["name"],
                 "data_folder": f"data-{instance['name']}",
                 "instances": [
@@ -108,6 +119,23 @@
             path = self.folder / f"{instance['name']}.toml"
             path.write_text(tomli_w.dumps(settings))
 
+    def _secure(self) -> dict:
+        """Makes tokens and keys; returns the settings that name them."""
+        self.token = secrets.token_hex(16)
+        token_file = self.folder / "operator-token"
+        token_file.write_text(self.token)
+        token_file.chmod(0o600)
+        tokens = self.folder / "server-tokens"
+        tokens.mkdir()
+        (tokens / "die-ledger").write_text("die-ledger-token\n")
+        for instance in self.instances:
+            make_keys(str(self.folder / "keys"), instance["name"])
+        return {
+            "operator_token_file": "operator-token",
+            "server_token_folder": "server-tokens",
+            "links": {"key_folder": "keys"},
+        }
+
     def _as_seen_by(self, name: str, other: dict) -> dict:
         """Returns an instance as another reaches it, through its relay."""
         relay = self.relays.get(other["name"])
@@ -142,7 +170,7 @@
             self.address(name, "operators_address")
             for name in self.names("entry")
         ]
-        return OperatorClient(tuple(addresses))
+        return OperatorClient(tuple(addresses), self.token)
 
     def start(
         self, declaration: str = DECLARATION, without: tuple[str, ...] = ()
@@ -277,7 +305,9 @@
     def servers_known(self, entry: str, service: str) -> set[str]:
         """Returns the servers of a service that an entry would use."""
         address = self.address(entry, "operators_address")
-        content = json.loads(call(address, "GET", "/v1/servers").body)
+        headers = {"Authorization": f"Bearer {self.token}"}
+        answer = call(address, "GET", "/v1/servers", None, headers)
+        content = json.loads(answer.body)
         return {
             s["server"]
             for s in content["servers"]
