--- a/gentianwall/config/settings.py
+++ b/gentianwall/config/settings.py
@@ -67,11 +67,11 @@
     """Timing of the replicated log."""
 
     heartbeat_ms: int = option(
-        "Time between heartbeats of the leader.", 50, minimum=5
+        "Time between heartbeats of the leader.", 100, minimum=5
     )
     election_timeout_ms: int = option(
         "Silence of the leader before an election, doubled at most by chance.",
-        300,
+        500,
         minimum=30,
     )
     snapshot_entries: int = option(
--- a/gentianwall/routing/policies.py
+++ b/gentianwall/routing/policies.py
@@ -146,13 +146,32 @@
             drawn = servers
             if 0 < policy.sample < len(servers):
                 drawn = rng.sample(servers, policy.sample)
-            return _least(
-                drawn,
-                lambda s: s.expected_ms(
-                    now_ms, usual.time_ms, usual.foreign_load
-                ),
-                rng,
-            )
+            return _least_expected(drawn, usual, now_ms, rng)
+
+
+def _least_expected(
+    servers: Sequence[Server],
+    usual: Usual,
+    now_ms: float,
+    rng: random.Random,
+) -> Server:
+    """Returns the server with the least expected time.
+
+    The best case is a server without calls that is neither slow nor crowded;
+    while there is one, the others need no closer look.
+    """
+    idle = [
+        server
+        for server in servers
+        if not server.calls and server.is_unremarkable(usual.time_ms)
+    ]
+    if idle:
+        return rng.choice(idle)
+    return _least(
+        servers,
+        lambda s: s.expected_ms(now_ms, usual.time_ms, usual.foreign_load),
+        rng,
+    )
 
 
 def _least(servers, key, rng: random.Random) -> Server:
--- a/gentianwall/routing/pool.py
+++ b/gentianwall/routing/pool.py
@@ -71,9 +71,10 @@
             now_ms: The local clock.
             rng: Breaks ties.
         """
-        live = self.live()
-        untried = [s for s in live if s.notice.key.server not in avoid]
-        healthy = [s for s in untried if not s.is_ejected(now_ms)]
+        untried = self.live()
+        if avoid:
+            untried = [s for s in untried if s.name not in avoid]
+        healthy = [s for s in untried if s.ejected_until_ms <= now_ms]
         free = healthy or untried
         if self.is_managed:
             free = [s for s in free if s.has_room(now_ms)]
--- a/gentianwall/routing/servers.py
+++ b/gentianwall/routing/servers.py
@@ -66,6 +66,11 @@
     ejections: int = 0
     ejected_until_ms: float = float("-inf")
 
+    @property
+    def name(self) -> str:
+        """The name it chose."""
+        return self.notice.key.server
+
     @property
     def outstanding(self) -> int:
         """How many calls of this entry it holds."""
@@ -89,14 +94,23 @@
         tried again. A call that is overdue counts before it is answered.
         Small differences are noise and do not count.
         """
-        age_ms = now_ms - self.answered_ms
-        weight = math.exp(-age_ms / EVIDENCE_LIFE_MS)
-        seen_ms = usual_ms + (self.service_ms - usual_ms) * weight
+        seen_ms = self.service_ms
+        bound_ms = SLOWNESS_DEADBAND * usual_ms
+        if seen_ms >= bound_ms:
+            age_ms = now_ms - self.answered_ms
+            weight = math.exp(-age_ms / EVIDENCE_LIFE_MS)
+            seen_ms = usual_ms + (seen_ms - usual_ms) * weight
         if self.calls:
             overdue_ms = self.oldest_age_ms(now_ms) / PATIENCE_FACTOR
             seen_ms = max(seen_ms, overdue_ms)
-        ratio = seen_ms / usual_ms
-        return ratio if ratio >= SLOWNESS_DEADBAND else 1.0
+        return seen_ms / usual_ms if seen_ms >= bound_ms else 1.0
+
+    def is_unremarkable(self, usual_ms: float) -> bool:
+        """Whether nothing speaks of slowness or of a crowd there."""
+        return (
+            self.service_ms < SLOWNESS_DEADBAND * usual_ms
+            and self.foreign_load <= self.notice.slots
+        )
 
     def expected_ms(
         self, now_ms: float, usual_ms: float, usual_foreign: float
@@ -122,6 +136,8 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Whether it may get another call of this entry now."""
+        if not self.calls:
+            return True
         limit = self.limit
         age_ms = now_ms - self.since_ms
         if age_ms < SLOW_START_MS:
--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -49,6 +49,7 @@
 log = get_logger("entry")
 
 TICK_MS = 5.0
+IDLE_TICK_MS = 25.0
 SWEEP_MS = 100.0
 LOGGED_KINDS = frozenset(
     (
@@ -76,6 +77,7 @@
         self.links: Links | None = None
         self._events: collections.deque[EntryEvent] = collections.deque()
         self._is_busy = False
+        self._ticked_ms = 0.0
         self._ports: list = []
 
     def start(self, links: Links) -> None:
@@ -125,8 +127,11 @@
         )
 
     def tick(self) -> None:
-        """Tells the core that time went on."""
-        self.handle(Tick(monotonic_ms()))
+        """Tells the core that time went on; less often without calls."""
+        now_ms = monotonic_ms()
+        if self.state.calls or now_ms >= self._ticked_ms + IDLE_TICK_MS:
+            self._ticked_ms = now_ms
+            self.handle(Tick(now_ms))
 
     def receive(self, envelopes: list[Envelope]) -> None:
         """Takes messages of other instances."""
