--- /dev/null
+++ b/features/steps/crossed.py
@@ -0,0 +1,65 @@
+"""Steps of answers that arrive crossed."""
+
+from __future__ import annotations
+
+import json
+import time
+
+from behave import given, then, when
+
+from harness.cluster import call, free_port, wait_until
+from harness.crossing_server import CrossingServer
+
+PAUSE_S = 0.06
+
+
+def _put(context):
+    content = {
+        "address": "127.0.0.1",
+        "port": context.crossing.port,
+        "slots": 2,
+        "incarnation": context.incarnation,
+    }
+    path = f"/gentianwall/v1/services/{context.service}/servers/crossing"
+    entry = context.cluster.address("entry-0")
+    return call(entry, "PUT", path, json.dumps(content).encode())
+
+
+@given('a server of "{service}" whose answers are {manner}')
+def step_server(context, service, manner):
+    context.service = service
+    context.incarnation = time.time_ns() // 1000
+    context.crossing = CrossingServer(free_port())
+    context.relays.append(context.crossing)
+    context.crossing.mode = manner
+    wait_until(lambda: _put(context).status == 200, "it is announced")
+
+
+@when("{count:d} callers ask for paths of their own, one after the other")
+def step_ask(context, count):
+    entry = context.cluster.address("entry-0")
+    context.answers = {}
+    for number in range(count):
+        _put(context)
+        path = f"/{context.service}/own/{time.time_ns()}-{number}"
+        context.answers[path] = call(entry, "GET", path)
+        time.sleep(PAUSE_S if number % 2 else 0.0)
+
+
+@then("every answer that was passed on names the path that was asked for")
+def step_own(context):
+    for path, answer in context.answers.items():
+        if answer.status == 200:
+            named = json.loads(answer.body)["path"]
+            assert f"/{context.service}{named}" == path, (path, answer)
+
+
+@then("at least {least:d} answers were passed on")
+def step_least(context, least):
+    good = [a for a in context.answers.values() if a.status == 200]
+    assert len(good) >= least, len(good)
+
+
+@then("no answer was passed on")
+def step_none(context):
+    assert all(a.status != 200 for a in context.answers.values())
--- a/gentianwall/config/declaration.py
+++ b/gentianwall/config/declaration.py
@@ -81,6 +81,13 @@
         3000.0,
         minimum=10,
     )
+    reuse_unnamed_connections: bool = option(
+        "Send further requests on a connection whose server does not echo "
+        "the request id; without it, a late second answer of such a server "
+        "can never be taken for the next one's, at the cost of a connection "
+        "for each call.",
+        True,
+    )
     timed_keys_only: bool = option(
         "Refuse idempotency keys that are not UUIDs of version 7.", False
     )
--- a/gentianwall/core/attempts.py
+++ b/gentianwall/core/attempts.py
@@ -10,6 +10,11 @@
 from gentianwall.routing.servers import Server, note_answer, note_shed
 
 FIRST_ERROR_STATUS = 500
+BLAMELESS = (
+    FailureKind.SILENT,
+    FailureKind.CROSSED,
+    FailureKind.TOO_LARGE,
+)
 
 
 @attrs.frozen
@@ -78,12 +83,13 @@
 ) -> bool:
     """Learns from a failed attempt; returns whether it ejected the server.
 
-    A silent connection or a large answer says nothing against the server.
+    A silent connection, an answer to another request or a large one says
+    nothing against the server.
     """
     server = _end(service, call)
     if server is None or service is None:
         return False
-    if kind in (FailureKind.SILENT, FailureKind.TOO_LARGE):
+    if kind in BLAMELESS:
         return False
     return note_failure(server, service.pool.live(), now_ms)
 
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -187,6 +187,7 @@
                 deadline_ms=call.deadline_ms,
                 silence_ms=service.settings.connection_silence_ms,
                 answer_limit_bytes=service.settings.answer_limit_bytes,
+                is_name_needed=not service.settings.reuse_unnamed_connections,
             )
         )
 
@@ -265,14 +266,14 @@
             call.crashed += (call.server,)
             reason = RefusalReason.SERVER_LOST
             _try_again(state, call, reason, event.at_ms, effects)
-        case FailureKind.SILENT:
+        case FailureKind.SILENT | FailureKind.CROSSED:
             key = ServerKey(call.service, call.server)
             effects.append(CloseConnections(key, event.at_ms))
             effects.append(
                 Record(
                     EventKind.CONNECTIONS_CLOSED,
                     call.server,
-                    "silent",
+                    event.kind.value,
                     call.request_id,
                 )
             )
--- a/gentianwall/core/effects.py
+++ b/gentianwall/core/effects.py
@@ -26,6 +26,8 @@
         deadline_ms: When the answer is no longer wanted.
         silence_ms: Silence after which the connection is given up.
         answer_limit_bytes: Largest answer body.
+        is_name_needed: Whether the connection is kept only if the answer
+            echoes the request id.
     """
 
     call_id: int
@@ -34,6 +36,7 @@
     deadline_ms: float
     silence_ms: float
     answer_limit_bytes: int
+    is_name_needed: bool
 
 
 @attrs.define
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -164,6 +164,7 @@
             headers,
             call.request.body,
             call.is_idempotent,
+            effect.is_name_needed,
         )
 
         def on_answer(answer: ServerAnswer) -> None:
