--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -148,6 +148,7 @@
 def step_until_decided(context, key, number):
     def is_decided():
         context.order = _post(context, number, key)
-        return context.order.status != 503
+        # 409 tells that the outcome is still on its way to a quorum.
+        return context.order.status not in (409, 503)
 
     wait_until(is_decided, "the order is decided")
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -1,4 +1,4 @@
-"""The life of a call: admitted, queued, dispatched, retried, answered."""
+"""The life of a call: admitted, answered, failed, cancelled, expired."""
 
 from __future__ import annotations
 
@@ -6,15 +6,13 @@
 
 from gentianwall.admission.prices import tier_of
 from gentianwall.admission.queue import start_target_ms
-from gentianwall.core import attempts, claiming
+from gentianwall.core import attempts, claiming, dispatching, retrying
 from gentianwall.core.effects import (
     AnswerCaller,
     CancelAttempt,
     CloseConnections,
-    Dispatch,
     EntryEffect,
     Record,
-    RefuseCaller,
 )
 from gentianwall.core.events import (
     AttemptAnswered,
@@ -26,16 +24,11 @@
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.core.state import Call, CallPhase, EntryState, Service
 from gentianwall.membership.messages import ServerKey
-from gentianwall.routing.policies import NoServer
 from gentianwall.timeline import EventKind
 from gentianwall.utils.uuid7 import uuid7_time_ms
 
 NOT_READY_RETRY_MS = 500.0
 NO_SERVER_RETRY_MS = 1000.0
-MAX_ATTEMPTS = 3
-MAX_CRASHES = 2
-OVERDUE_FACTOR = 4.0
-MOVE_SHARE = 0.6
 RETRIED_STATUSES = (502, 503, 504)
 
 
@@ -45,13 +38,17 @@
     """Admits a call or refuses it at once."""
     refusal = _refuse_unknown(state, event)
     if refusal is not None:
-        _tell_refusal(event.call_id, event.request_id, refusal, effects)
+        dispatching.tell_refusal(
+            event.call_id, event.request_id, refusal, effects
+        )
         return
     service = state.services[event.service]
     call = _make_call(state, service, event)
     refusal = _refuse_hopeless(service, call, event)
     if refusal is not None:
-        _tell_refusal(event.call_id, event.request_id, refusal, effects)
+        dispatching.tell_refusal(
+            event.call_id, event.request_id, refusal, effects
+        )
         return
     state.calls[call.call_id] = call
     heapq.heappush(state.deadlines, (call.deadline_ms, call.call_id))
@@ -59,7 +56,7 @@
     if call.claim is not None:
         claiming.start(state, call, event, effects)
     else:
-        enqueue(state, call, event.at_ms, effects)
+        dispatching.enqueue(state, call, event.at_ms, effects)
 
 
 def _refuse_unknown(state: EntryState, event: CallArrived) -> Refusal | None:
@@ -118,7 +115,7 @@
         return Refusal(RefusalReason.KEY_NOT_TIMED, Executed.NO)
     if not service.pool.live():
         return Refusal(RefusalReason.NO_SERVER, Executed.NO, NO_SERVER_RETRY_MS)
-    wait_ms = expected_wait_ms(service, call, event.at_ms)
+    wait_ms = dispatching.expected_wait_ms(service, call, event.at_ms)
     if len(service.waiting) >= settings.max_queued_calls and wait_ms > 0:
         return Refusal(RefusalReason.QUEUE_FULL, Executed.NO, wait_ms)
     finish_ms = event.at_ms + wait_ms + service.pool.usual_ms
@@ -127,71 +124,6 @@
     return None
 
 
-def expected_wait_ms(service: Service, call: Call, now_ms: float) -> float:
-    """Returns how long a call would wait for a slot."""
-    pool = service.pool
-    if not service.waiting and any(s.has_room(now_ms) for s in pool.live()):
-        return 0.0
-    ahead = service.waiting.ahead_of(call.start_target_ms) + 1
-    return ahead * pool.usual_ms / pool.slots(now_ms)
-
-
-def enqueue(
-    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
-) -> None:
-    """Puts a call into the queue and starts what can start."""
-    service = state.services.get(call.service)
-    if service is None:
-        refuse(state, call, RefusalReason.UNKNOWN_SERVICE, now_ms, effects)
-        return
-    call.phase = CallPhase.QUEUED
-    service.waiting.put(call.start_target_ms, call.call_id)
-    start_service(state, service, now_ms, effects)
-
-
-def start_waiting(
-    state: EntryState, now_ms: float, effects: list[EntryEffect]
-) -> None:
-    """Starts what can start, over all services."""
-    for service in state.services.values():
-        if service.waiting:
-            start_service(state, service, now_ms, effects)
-
-
-def start_service(
-    state: EntryState,
-    service: Service,
-    now_ms: float,
-    effects: list[EntryEffect],
-) -> None:
-    """Starts waiting calls of a service while servers have room."""
-    while service.waiting:
-        call = state.calls[service.waiting.first()]
-        server = service.pool.pick(call.tried, now_ms, state.rng)
-        if isinstance(server, NoServer):
-            if server.is_any_live:
-                return
-            service.waiting.pop()
-            reason = RefusalReason.NO_SERVER
-            if call.tried:
-                reason = RefusalReason.SERVER_REFUSED
-            refuse(state, call, reason, now_ms, effects)
-            continue
-        service.waiting.pop()
-        attempts.begin(call, server, now_ms)
-        effects.append(
-            Dispatch(
-                call_id=call.call_id,
-                attempt=call.attempt,
-                notice=server.notice,
-                deadline_ms=call.deadline_ms,
-                silence_ms=service.settings.connection_silence_ms,
-                answer_limit_bytes=service.settings.answer_limit_bytes,
-                is_name_needed=not service.settings.reuse_unnamed_connections,
-            )
-        )
-
-
 def on_answered(
     state: EntryState, event: AttemptAnswered, effects: list[EntryEffect]
 ) -> None:
@@ -206,7 +138,7 @@
     if verdict.is_shed:
         call.is_maybe_run = call.is_maybe_run_before
         retry_after_ms = event.retry_after_ms or 0.0
-        _try_again(
+        retrying.try_again(
             state,
             call,
             RefusalReason.SERVER_REFUSED,
@@ -217,13 +149,15 @@
     elif (
         event.status in RETRIED_STATUSES
         and call.is_idempotent
-        and _may_retry(state, call, event.at_ms)
+        and retrying.may_retry(state, call, event.at_ms)
     ):
-        _retry(state, call, f"status {event.status}", event.at_ms, effects)
+        retrying.retry(
+            state, call, f"status {event.status}", event.at_ms, effects
+        )
     else:
         _answer(state, call, event, effects)
     if service is not None:
-        start_service(state, service, event.at_ms, effects)
+        dispatching.start_service(state, service, event.at_ms, effects)
 
 
 def _answer(
@@ -261,11 +195,11 @@
         case FailureKind.NOT_CONNECTED | FailureKind.NOT_SENT:
             call.is_maybe_run = call.is_maybe_run_before
             reason = RefusalReason.SERVER_REFUSED
-            _try_again(state, call, reason, event.at_ms, effects)
+            retrying.try_again(state, call, reason, event.at_ms, effects)
         case FailureKind.LOST | FailureKind.SHORT:
             call.crashed += (call.server,)
             reason = RefusalReason.SERVER_LOST
-            _try_again(state, call, reason, event.at_ms, effects)
+            retrying.try_again(state, call, reason, event.at_ms, effects)
         case FailureKind.SILENT | FailureKind.CROSSED:
             key = ServerKey(call.service, call.server)
             effects.append(CloseConnections(key, event.at_ms))
@@ -280,134 +214,14 @@
             # The server is not to blame: a new connection may serve.
             call.tried = call.tried[:-1]
             reason = RefusalReason.SERVER_SILENT
-            _try_again(state, call, reason, event.at_ms, effects)
+            retrying.try_again(state, call, reason, event.at_ms, effects)
         case FailureKind.TOO_LARGE:
             reason = RefusalReason.ANSWER_TOO_LARGE
-            refuse(state, call, reason, event.at_ms, effects, Executed.YES)
+            dispatching.refuse(
+                state, call, reason, event.at_ms, effects, Executed.YES
+            )
     if service is not None:
-        start_service(state, service, event.at_ms, effects)
-
-
-def move_overdue(
-    state: EntryState, now_ms: float, effects: list[EntryEffect]
-) -> None:
-    """Moves repeatable calls away from servers that keep them for long."""
-    for service in state.services.values():
-        if not service.pool.is_managed:
-            continue
-        bound_ms = OVERDUE_FACTOR * service.pool.usual_ms
-        for server in service.pool.servers.values():
-            if server.oldest_age_ms(now_ms) < bound_ms:
-                continue
-            for call_id, sent_ms in list(server.calls.items()):
-                if now_ms - sent_ms >= bound_ms:
-                    call = state.calls[call_id]
-                    _move(state, service, call, now_ms, effects)
-
-
-def _move(
-    state: EntryState,
-    service: Service,
-    call: Call,
-    now_ms: float,
-    effects: list[EntryEffect],
-) -> None:
-    if not call.is_idempotent:
-        return
-    pool = service.pool
-    other = pool.pick(call.tried, now_ms, state.rng)
-    if isinstance(other, NoServer):
-        return
-    expected_ms = other.expected_ms(now_ms, pool.usual_ms, pool.usual_foreign)
-    if expected_ms > MOVE_SHARE * (now_ms - call.dispatched_ms):
-        return
-    if not _may_retry(state, call, now_ms):
-        return
-    attempts.note_cancelled(service, call, now_ms)
-    effects.append(CancelAttempt(call.call_id, call.attempt))
-    _retry(state, call, "overdue", now_ms, effects)
-
-
-def _may_retry(state: EntryState, call: Call, now_ms: float) -> bool:
-    service = state.services.get(call.service)
-    if service is None or call.is_nested:
-        return False
-    if call.is_maybe_run and not call.is_idempotent:
-        return False
-    if call.attempt >= MAX_ATTEMPTS or len(call.crashed) >= MAX_CRASHES:
-        return False
-    if now_ms + service.pool.usual_ms > call.deadline_ms:
-        return False
-    return service.retries.spend()
-
-
-def _try_again(
-    state: EntryState,
-    call: Call,
-    reason: RefusalReason,
-    now_ms: float,
-    effects: list[EntryEffect],
-    retry_after_ms: float = 0.0,
-) -> None:
-    if _may_retry(state, call, now_ms):
-        _retry(state, call, reason.value, now_ms, effects)
-        return
-    if call.crashed:
-        claiming.report_crashes(state, call, now_ms, effects)
-    refuse(state, call, reason, now_ms, effects, retry_after_ms=retry_after_ms)
-
-
-def _retry(
-    state: EntryState,
-    call: Call,
-    detail: str,
-    now_ms: float,
-    effects: list[EntryEffect],
-) -> None:
-    effects.append(
-        Record(EventKind.CALL_RETRIED, call.server, detail, call.request_id)
-    )
-    enqueue(state, call, now_ms, effects)
-
-
-def refuse(
-    state: EntryState,
-    call: Call,
-    reason: RefusalReason,
-    now_ms: float,
-    effects: list[EntryEffect],
-    executed: Executed | None = None,
-    retry_after_ms: float = 0.0,
-) -> None:
-    """Ends a call with a refusal; an unused claim is given back first."""
-    if executed is None:
-        executed = Executed.UNKNOWN if call.is_maybe_run else Executed.NO
-    if executed is Executed.NO and call.claim is not None:
-        claiming.release(state, call, now_ms, effects)
-    service = state.services.get(call.service)
-    if retry_after_ms <= 0 and executed is not Executed.YES:
-        usual_ms = service.pool.usual_ms if service else 0.0
-        retry_after_ms = max(usual_ms, 1.0)
-    state.calls.pop(call.call_id, None)
-    refusal = Refusal(reason, executed, retry_after_ms)
-    _tell_refusal(call.call_id, call.request_id, refusal, effects)
-
-
-def _tell_refusal(
-    call_id: int,
-    request_id: str,
-    refusal: Refusal,
-    effects: list[EntryEffect],
-) -> None:
-    effects.append(RefuseCaller(call_id, refusal))
-    effects.append(
-        Record(
-            EventKind.CALL_REFUSED,
-            refusal.reason.value,
-            f"executed {refusal.executed.value}",
-            request_id,
-        )
-    )
+        dispatching.start_service(state, service, event.at_ms, effects)
 
 
 def on_caller_gone(
@@ -434,7 +248,7 @@
         attempts.note_cancelled(service, call, now_ms)
         effects.append(CancelAttempt(call.call_id, call.attempt))
         if service is not None:
-            start_service(state, service, now_ms, effects)
+            dispatching.start_service(state, service, now_ms, effects)
 
 
 def expire_deadlines(
@@ -450,20 +264,7 @@
         if call.phase is CallPhase.CLAIMING:
             reason = RefusalReason.CLAIM_UNAVAILABLE
         _stop(state, call, now_ms, effects)
-        refuse(state, call, reason, now_ms, effects)
-
-
-def refuse_waiting(
-    state: EntryState,
-    service: Service,
-    now_ms: float,
-    effects: list[EntryEffect],
-) -> None:
-    """Refuses the calls that wait for a service no longer declared."""
-    while service.waiting:
-        call = state.calls[service.waiting.pop()]
-        reason = RefusalReason.UNKNOWN_SERVICE
-        refuse(state, call, reason, now_ms, effects)
+        dispatching.refuse(state, call, reason, now_ms, effects)
 
 
 def _call_of_attempt(
--- /dev/null
+++ b/gentianwall/core/claim_results.py
@@ -0,0 +1,68 @@
+"""Going on with a call whose claim was decided."""
+
+from __future__ import annotations
+
+from gentianwall.claims.commands import (
+    ClaimGranted,
+    ClaimHeld,
+    ClaimMismatch,
+    ClaimOutOfWindow,
+    ClaimsFull,
+    CommandResult,
+)
+from gentianwall.control.messages import CommandReply
+from gentianwall.core import claiming, dispatching
+from gentianwall.core.effects import AnswerRecorded, EntryEffect
+from gentianwall.core.refusals import Executed, RefusalReason
+from gentianwall.core.state import Call, CallPhase, EntryState
+
+HELD_RETRY_MS = 1000.0
+
+
+def on_result(
+    state: EntryState,
+    reply: CommandReply,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Goes on with a call whose claim was decided."""
+    kind, _, number = reply.request_id[len(claiming.OWN_PREFIX) :].partition(
+        "-"
+    )
+    if kind != "claim":
+        return
+    call = state.calls.get(int(number))
+    if call is None or call.phase is not CallPhase.CLAIMING:
+        return
+    _decide(state, call, reply.result, now_ms, effects)
+
+
+def _decide(
+    state: EntryState,
+    call: Call,
+    result: CommandResult,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    def refuse(
+        reason: RefusalReason, executed: Executed, retry_after_ms: float = 0
+    ) -> None:
+        call.claim = None  # It is another's, or was never taken.
+        dispatching.refuse(
+            state, call, reason, now_ms, effects, executed, retry_after_ms
+        )
+
+    match result:
+        case ClaimGranted():
+            dispatching.enqueue(state, call, now_ms, effects)
+        case ClaimHeld(outcome=None):
+            refuse(RefusalReason.CLAIM_HELD, Executed.UNKNOWN, HELD_RETRY_MS)
+        case ClaimHeld(outcome=outcome):
+            effects.append(AnswerRecorded(call.call_id, outcome))
+            del state.calls[call.call_id]
+        case ClaimMismatch():
+            refuse(RefusalReason.CLAIM_MISMATCH, Executed.NO)
+        case ClaimOutOfWindow():
+            refuse(RefusalReason.CLAIM_OUT_OF_WINDOW, Executed.UNKNOWN)
+        case ClaimsFull(retry_after_ms=retry_after_ms):
+            refuse(RefusalReason.CLAIM_UNAVAILABLE, Executed.NO, retry_after_ms)
--- a/gentianwall/core/configuration.py
+++ b/gentianwall/core/configuration.py
@@ -11,7 +11,7 @@
 from gentianwall.config.declaration import Declaration, parse_declaration
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.control.messages import ConfigNotice, ConfigPoll
-from gentianwall.core import calls
+from gentianwall.core import dispatching
 from gentianwall.core.effects import EntryEffect, Record, SendMessage
 from gentianwall.core.events import MessageArrived
 from gentianwall.core.state import EntryState, Service
@@ -91,7 +91,7 @@
     for name in list(state.services):
         if name not in declaration.services:
             service = state.services.pop(name)
-            calls.refuse_waiting(state, service, now_ms, effects)
+            dispatching.refuse_waiting(state, service, now_ms, effects)
     for name, settings in declaration.services.items():
         service = state.services.get(name)
         if service is not None:
--- /dev/null
+++ b/gentianwall/core/dispatching.py
@@ -0,0 +1,134 @@
+"""Calls that wait for a server, and calls that are refused."""
+
+from __future__ import annotations
+
+from gentianwall.core import attempts, claiming
+from gentianwall.core.effects import (
+    Dispatch,
+    EntryEffect,
+    Record,
+    RefuseCaller,
+)
+from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.core.state import Call, CallPhase, EntryState, Service
+from gentianwall.routing.policies import NoServer
+from gentianwall.timeline import EventKind
+
+
+def expected_wait_ms(service: Service, call: Call, now_ms: float) -> float:
+    """Returns how long a call would wait for a slot."""
+    pool = service.pool
+    if not service.waiting and any(s.has_room(now_ms) for s in pool.live()):
+        return 0.0
+    ahead = service.waiting.ahead_of(call.start_target_ms) + 1
+    return ahead * pool.usual_ms / pool.slots(now_ms)
+
+
+def enqueue(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Puts a call into the queue and starts what can start."""
+    service = state.services.get(call.service)
+    if service is None:
+        refuse(state, call, RefusalReason.UNKNOWN_SERVICE, now_ms, effects)
+        return
+    call.phase = CallPhase.QUEUED
+    service.waiting.put(call.start_target_ms, call.call_id)
+    start_service(state, service, now_ms, effects)
+
+
+def start_waiting(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Starts what can start, over all services."""
+    for service in state.services.values():
+        if service.waiting:
+            start_service(state, service, now_ms, effects)
+
+
+def start_service(
+    state: EntryState,
+    service: Service,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Starts waiting calls of a service while servers have room."""
+    while service.waiting:
+        call = state.calls[service.waiting.first()]
+        server = service.pool.pick(call.tried, now_ms, state.rng)
+        if isinstance(server, NoServer):
+            if server.is_any_live:
+                return
+            service.waiting.pop()
+            reason = RefusalReason.NO_SERVER
+            if call.tried:
+                reason = RefusalReason.SERVER_REFUSED
+            refuse(state, call, reason, now_ms, effects)
+            continue
+        service.waiting.pop()
+        attempts.begin(call, server, now_ms)
+        effects.append(
+            Dispatch(
+                call_id=call.call_id,
+                attempt=call.attempt,
+                notice=server.notice,
+                deadline_ms=call.deadline_ms,
+                silence_ms=service.settings.connection_silence_ms,
+                answer_limit_bytes=service.settings.answer_limit_bytes,
+                is_name_needed=not service.settings.reuse_unnamed_connections,
+            )
+        )
+
+
+def refuse(
+    state: EntryState,
+    call: Call,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[EntryEffect],
+    executed: Executed | None = None,
+    retry_after_ms: float = 0.0,
+) -> None:
+    """Ends a call with a refusal; an unused claim is given back first."""
+    if executed is None:
+        executed = Executed.UNKNOWN if call.is_maybe_run else Executed.NO
+    if executed is Executed.NO and call.claim is not None:
+        claiming.release(state, call, now_ms, effects)
+    service = state.services.get(call.service)
+    if retry_after_ms <= 0 and executed is not Executed.YES:
+        usual_ms = service.pool.usual_ms if service else 0.0
+        retry_after_ms = max(usual_ms, 1.0)
+    state.calls.pop(call.call_id, None)
+    refusal = Refusal(reason, executed, retry_after_ms)
+    tell_refusal(call.call_id, call.request_id, refusal, effects)
+
+
+def tell_refusal(
+    call_id: int,
+    request_id: str,
+    refusal: Refusal,
+    effects: list[EntryEffect],
+) -> None:
+    """Sends a refusal and puts it on the time line."""
+    effects.append(RefuseCaller(call_id, refusal))
+    effects.append(
+        Record(
+            EventKind.CALL_REFUSED,
+            refusal.reason.value,
+            f"executed {refusal.executed.value}",
+            request_id,
+        )
+    )
+
+
+def refuse_waiting(
+    state: EntryState,
+    service: Service,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Refuses the calls that wait for a service no longer declared."""
+    while service.waiting:
+        call = state.calls[service.waiting.pop()]
+        reason = RefusalReason.UNKNOWN_SERVICE
+        refuse(state, call, reason, now_ms, effects)
--- a/gentianwall/core/entry.py
+++ b/gentianwall/core/entry.py
@@ -9,7 +9,15 @@
     StatusReply,
     StatusRequest,
 )
-from gentianwall.core import calls, claiming, configuration, membership
+from gentianwall.core import (
+    calls,
+    claim_results,
+    claiming,
+    configuration,
+    dispatching,
+    membership,
+    retrying,
+)
 from gentianwall.core.effects import (
     EntryEffect,
     FinishCommand,
@@ -89,8 +97,8 @@
         _on_unanswered(request_id, effects)
     membership.on_tick(state, now_ms, effects)
     configuration.poll_due(state, now_ms, effects)
-    calls.move_overdue(state, now_ms, effects)
-    calls.start_waiting(state, now_ms, effects)
+    retrying.move_overdue(state, now_ms, effects)
+    dispatching.start_waiting(state, now_ms, effects)
 
 
 def _on_unanswered(request_id: str, effects: list[EntryEffect]) -> None:
@@ -138,6 +146,6 @@
     if not state.control.finish(reply.request_id):
         return
     if claiming.is_own_request(reply.request_id):
-        claiming.on_result(state, reply, event.at_ms, effects)
+        claim_results.on_result(state, reply, event.at_ms, effects)
     else:
         effects.append(FinishCommand(reply.request_id, reply.result))
--- /dev/null
+++ b/gentianwall/core/retrying.py
@@ -0,0 +1,102 @@
+"""Sending a call once more, where that is safe and worth it."""
+
+from __future__ import annotations
+
+from gentianwall.core import attempts, claiming, dispatching
+from gentianwall.core.effects import CancelAttempt, EntryEffect, Record
+from gentianwall.core.refusals import RefusalReason
+from gentianwall.core.state import Call, EntryState, Service
+from gentianwall.routing.policies import NoServer
+from gentianwall.timeline import EventKind
+
+MAX_ATTEMPTS = 3
+MAX_CRASHES = 2
+OVERDUE_FACTOR = 4.0
+MOVE_SHARE = 0.6
+
+
+def move_overdue(
+    state: EntryState, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Moves repeatable calls away from servers that keep them for long."""
+    for service in state.services.values():
+        if not service.pool.is_managed:
+            continue
+        bound_ms = OVERDUE_FACTOR * service.pool.usual_ms
+        for server in service.pool.servers.values():
+            if server.oldest_age_ms(now_ms) < bound_ms:
+                continue
+            for call_id, sent_ms in list(server.calls.items()):
+                if now_ms - sent_ms >= bound_ms:
+                    call = state.calls[call_id]
+                    _move(state, service, call, now_ms, effects)
+
+
+def _move(
+    state: EntryState,
+    service: Service,
+    call: Call,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    if not call.is_idempotent:
+        return
+    pool = service.pool
+    other = pool.pick(call.tried, now_ms, state.rng)
+    if isinstance(other, NoServer):
+        return
+    expected_ms = other.expected_ms(now_ms, pool.usual_ms, pool.usual_foreign)
+    if expected_ms > MOVE_SHARE * (now_ms - call.dispatched_ms):
+        return
+    if not may_retry(state, call, now_ms):
+        return
+    attempts.note_cancelled(service, call, now_ms)
+    effects.append(CancelAttempt(call.call_id, call.attempt))
+    retry(state, call, "overdue", now_ms, effects)
+
+
+def may_retry(state: EntryState, call: Call, now_ms: float) -> bool:
+    """Whether a call may be sent once more; spends of the retry budget."""
+    service = state.services.get(call.service)
+    if service is None or call.is_nested:
+        return False
+    if call.is_maybe_run and not call.is_idempotent:
+        return False
+    if call.attempt >= MAX_ATTEMPTS or len(call.crashed) >= MAX_CRASHES:
+        return False
+    if now_ms + service.pool.usual_ms > call.deadline_ms:
+        return False
+    return service.retries.spend()
+
+
+def try_again(
+    state: EntryState,
+    call: Call,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[EntryEffect],
+    retry_after_ms: float = 0.0,
+) -> None:
+    """Sends a call once more where that is safe, or refuses it."""
+    if may_retry(state, call, now_ms):
+        retry(state, call, reason.value, now_ms, effects)
+        return
+    if call.crashed:
+        claiming.report_crashes(state, call, now_ms, effects)
+    dispatching.refuse(
+        state, call, reason, now_ms, effects, retry_after_ms=retry_after_ms
+    )
+
+
+def retry(
+    state: EntryState,
+    call: Call,
+    detail: str,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Puts a call back into the queue."""
+    effects.append(
+        Record(EventKind.CALL_RETRIED, call.server, detail, call.request_id)
+    )
+    dispatching.enqueue(state, call, now_ms, effects)
