One place for what both drivers do, and for reading load reports

Cause: entry and control turned envelopes into events and listened in the same lines; the load header was named in three places; fields of EntryState had no words.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,7 +22,13 @@
 from gentianwall.commands import apply as applying
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.routing.pool import ServerPool
-from harness.cluster import DECLARATION, Cluster, open_cluster, wait_until
+from harness.cluster import (
+    DECLARATION,
+    Cluster,
+    call,
+    open_cluster,
+    wait_until,
+)
 
 MEASURE_S = 8.0
 HEARTBEAT_S = 0.8
@@ -240,8 +246,6 @@
 
 def _fill(cluster: Cluster, count: int) -> None:
     address = cluster.address("entry-0", "operators_address")
-    from harness.cluster import call
-
     for number in range(count):
         fingerprint = f"{number:032x}".encode()
         call(address, "POST", "/v1/quarantine/release", fingerprint)
--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -117,7 +117,15 @@
         delays: Delays of the messages of peers.
         calls: Calls by their id.
         deadlines: Heap of (deadline in ms, call id).
-        renewals: Heartbeats to pass on with the next spread.
+        started_ms: When the process started.
+        quarantine_version: Version of `quarantines`.
+        renewals: Heartbeats to pass on with the next spread; their lease is
+            the local time at which it ends until they are sent.
+        renewals_due_ms: When they are passed on.
+        directory_due_ms: When peers may be asked for all notices again.
+        is_directory_known: Whether a peer gave them, or none answered.
+        poll_due_ms: When the control instances are polled.
+        probes_due_ms: When silent servers are looked for.
         probes: This entry's share of the measuring budget.
         is_draining: Whether the process is about to end.
     """
--- a/gentianwall/http/headers.py
+++ b/gentianwall/http/headers.py
@@ -4,6 +4,8 @@
 
 from twisted.web.http_headers import Headers
 
+from gentianwall.http.reports import REPORT_HEADER
+
 HOP_BY_HOP = frozenset(
     name.encode()
     for name in (
@@ -72,7 +74,7 @@
             continue
         if lower in HOP_BY_HOP and lower != b"content-length":
             continue
-        if lower == b"endpoint-load-metrics":
+        if lower == REPORT_HEADER:
             continue
         passed += [(name, value) for value in values]
     passed.append((b"Via", b"1.1 gentianwall-" + instance))
--- a/gentianwall/http/reports.py
+++ b/gentianwall/http/reports.py
@@ -8,8 +8,11 @@
 import json
 import math
 
+from twisted.web.http_headers import Headers
+
 from gentianwall.routing.servers import LoadReport
 
+REPORT_HEADER = b"endpoint-load-metrics"
 IN_FLIGHT_NAMES = (
     "named_metrics.requests_in_flight",
     "named_metrics.inflight",
@@ -18,6 +21,12 @@
 UTILIZATION_NAMES = ("application_utilization", "cpu_utilization")
 
 
+def report_of(headers: Headers) -> LoadReport | None:
+    """Returns the load report in an answer's headers, if any."""
+    values = headers.getRawHeaders(REPORT_HEADER)
+    return parse_report(values[0].decode("latin-1")) if values else None
+
+
 def parse_report(value: str) -> LoadReport | None:
     """Reads a load report.
 
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -39,13 +39,12 @@
     to_server,
 )
 from gentianwall.http.problems import problem_of
-from gentianwall.http.reports import parse_report
+from gentianwall.http.reports import report_of
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.metrics import Metrics
 from gentianwall.timers import monotonic_ms, wall_ms
 
 MAX_KEPT_BODY_BYTES = 2048
-NO_REPORT = b"endpoint-load-metrics"
 
 
 @attrs.define
@@ -310,14 +309,13 @@
     call: OpenCall, attempt: int, answer: ServerAnswer
 ) -> AttemptAnswered:
     headers = answer.headers
-    report = headers.getRawHeaders(NO_REPORT)
     return AttemptAnswered(
         at_ms=monotonic_ms(),
         call_id=call.call_id,
         attempt=attempt,
         status=answer.status,
         retry_after_ms=_retry_after_ms(headers),
-        report=parse_report(report[0].decode("latin-1")) if report else None,
+        report=report_of(headers),
         outcome=_outcome(answer) if call.has_key else None,
     )
 
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from gentianwall.claims.image import encode_register
-from gentianwall.config.settings import Address, Settings, parse_address
+from gentianwall.config.settings import Settings
 from gentianwall.core.control import (
     ControlEffect,
     ControlEvent,
@@ -15,7 +15,7 @@
     reduce_control,
 )
 from gentianwall.core.effects import Record, SendMessage
-from gentianwall.core.events import MessageArrived, Tick
+from gentianwall.core.events import Tick
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import Links, open_links
 from gentianwall.logs import get_logger
@@ -31,6 +31,7 @@
 from gentianwall.replication.restore import kept_of, restore_replica
 from gentianwall.replication.state import Role, Timing
 from gentianwall.runtime.operators import ControlDesk
+from gentianwall.runtime.plumbing import events_of, listen
 from gentianwall.storage.journal import Journal, JournalDamaged
 from gentianwall.timeline import EventKind, Timeline
 from gentianwall.timers import TimerService, monotonic_ms, wall_ms
@@ -94,13 +95,8 @@
         """Listens."""
         self.links = links
         self.desk = ControlDesk(self)
-        parsed = parse_address(self.settings.own.operators_address)
-        assert isinstance(parsed, Address)
-        self._ports.append(
-            self.reactor.listenTCP(
-                parsed.port, self.desk.site(), interface=parsed.host
-            )
-        )
+        address = self.settings.own.operators_address
+        self._ports = [listen(self.reactor, address, self.desk.site())]
         self.timeline.record(wall_ms(), EventKind.STARTED)
 
     def tick(self) -> None:
@@ -116,20 +112,7 @@
 
     def receive(self, envelopes: list[Envelope]) -> None:
         """Takes messages of other instances, in one batch."""
-        events: list[ControlEvent] = []
-        for envelope in envelopes:
-            self.timeline.observe(envelope.clock_ms)
-            events.append(
-                MessageArrived(
-                    at_ms=monotonic_ms(),
-                    wall_ms=wall_ms(),
-                    sender=envelope.sender,
-                    boot_id=envelope.boot_id,
-                    sent_ms=envelope.sent_ms,
-                    message=envelope.message,
-                )
-            )
-        self._handle(events)
+        self._handle(list(events_of(envelopes, self.timeline)))
 
     def _handle(self, events: list[ControlEvent]) -> None:
         """Reduces a batch of events; one sync serves them all."""
--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Iterator
 
-from gentianwall.config.settings import Address, Settings, parse_address
+from gentianwall.config.settings import Settings
 from gentianwall.control.client import ControlClient
 from gentianwall.core.effects import (
     AcceptAnnouncement,
@@ -30,7 +30,6 @@
 from gentianwall.core.events import (
     DrainStarted,
     EntryEvent,
-    MessageArrived,
     Tick,
 )
 from gentianwall.core.state import EntryState
@@ -42,6 +41,7 @@
 from gentianwall.metrics import Metrics
 from gentianwall.runtime.calls import CallDesk
 from gentianwall.runtime.operators import OperatorDesk
+from gentianwall.runtime.plumbing import events_of, listen
 from gentianwall.runtime.probes import ProbeDesk
 from gentianwall.timeline import EventKind, Timeline
 from gentianwall.timers import TimerService, monotonic_ms, wall_ms
@@ -112,20 +112,13 @@
         self.operators = OperatorDesk(self)
         self.probes = ProbeDesk(self.calls, self.metrics, self.handle)
         self.site = CallerSite(self._on_request, self.calls.gone)
-        self._listen(own.callers_address, self.site)
-        self._listen(own.operators_address, self.operators.site())
+        self._ports = [
+            listen(self.reactor, own.callers_address, self.site),
+            listen(self.reactor, own.operators_address, self.operators.site()),
+        ]
         self.timeline.record(wall_ms(), EventKind.STARTED)
         log.info("Callers are served at %s.", own.callers_address)
 
-    def _listen(self, address: str, factory) -> None:
-        parsed = parse_address(address)
-        assert isinstance(parsed, Address)
-        self._ports.append(
-            self.reactor.listenTCP(
-                parsed.port, factory, backlog=1024, interface=parsed.host
-            )
-        )
-
     def tick(self) -> None:
         """Tells the core that time went on; less often without calls.
 
@@ -143,18 +136,8 @@
 
     def receive(self, envelopes: list[Envelope]) -> None:
         """Takes messages of other instances."""
-        for envelope in envelopes:
-            self.timeline.observe(envelope.clock_ms)
-            self.handle(
-                MessageArrived(
-                    at_ms=monotonic_ms(),
-                    wall_ms=wall_ms(),
-                    sender=envelope.sender,
-                    boot_id=envelope.boot_id,
-                    sent_ms=envelope.sent_ms,
-                    message=envelope.message,
-                )
-            )
+        for event in events_of(envelopes, self.timeline):
+            self.handle(event)
 
     def handle(self, event: EntryEvent) -> None:
         """Takes an event to the core; effects may bring further events."""
--- a/gentianwall/runtime/probes.py
+++ b/gentianwall/runtime/probes.py
@@ -12,7 +12,7 @@
     ServerAnswer,
     ServerRequest,
 )
-from gentianwall.http.reports import parse_report
+from gentianwall.http.reports import report_of
 from gentianwall.membership.messages import ServerNotice
 from gentianwall.metrics import Metrics
 from gentianwall.runtime.calls import CallDesk
@@ -47,8 +47,7 @@
         started_ms = monotonic_ms()
 
         def on_answer(answer: ServerAnswer) -> None:
-            values = answer.headers.getRawHeaders(b"endpoint-load-metrics")
-            report = parse_report(values[0].decode()) if values else None
+            report = report_of(answer.headers)
             self._end(notice, started_ms, answer.status < 500, report)
 
         def on_failure(kind: FailureKind) -> None:
