--- a/gentianwall/admission/queue.py
+++ b/gentianwall/admission/queue.py
@@ -42,8 +42,15 @@
             del self.order[place]
 
     def ahead_of(self, target_ms: float) -> int:
-        """Returns how many calls would start before one with this target."""
-        return bisect.bisect_left(self.order, (target_ms, 0))
+        """Returns how many calls would start before a new one.
+
+        Calls with the same target came earlier, so they count.
+        """
+        return bisect.bisect_right(self.order, target_ms, key=_target_of)
+
+
+def _target_of(entry: tuple[float, int]) -> float:
+    return entry[0]
 
 
 def start_target_ms(arrived_ms: float, tier_wait_ms: float) -> float:
