--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -113,7 +113,7 @@
     needs_time = settings.timed_keys_only and call.claim is not None
     if needs_time and uuid7_time_ms(event.idempotency_key) is None:
         return Refusal(RefusalReason.KEY_NOT_TIMED, Executed.NO)
-    if not service.pool.live():
+    if not service.pool.has_live():
         return Refusal(RefusalReason.NO_SERVER, Executed.NO, NO_SERVER_RETRY_MS)
     wait_ms = dispatching.expected_wait_ms(service, call, event.at_ms)
     if len(service.waiting) >= settings.max_queued_calls and wait_ms > 0:
@@ -192,7 +192,7 @@
     if attempts.note_failed(service, call, event.kind, event.at_ms):
         effects.append(Record(EventKind.SERVER_EJECTED, call.server))
     match event.kind:
-        case FailureKind.NOT_CONNECTED | FailureKind.NOT_SENT:
+        case FailureKind.NOT_CONNECTED:
             call.is_maybe_run = call.is_maybe_run_before
             reason = RefusalReason.SERVER_REFUSED
             retrying.try_again(state, call, reason, event.at_ms, effects)
--- a/gentianwall/core/dispatching.py
+++ b/gentianwall/core/dispatching.py
@@ -18,7 +18,7 @@
 def expected_wait_ms(service: Service, call: Call, now_ms: float) -> float:
     """Returns how long a call would wait for a slot."""
     pool = service.pool
-    if not service.waiting and any(s.has_room(now_ms) for s in pool.live()):
+    if not service.waiting and pool.has_room(now_ms):
         return 0.0
     ahead = service.waiting.ahead_of(call.start_target_ms) + 1
     return ahead * pool.usual_ms / pool.slots(now_ms)
--- a/gentianwall/core/events.py
+++ b/gentianwall/core/events.py
@@ -21,7 +21,6 @@
     SHORT = "answer cut short"
     CROSSED = "answer to another request"
     TOO_LARGE = "answer too large"
-    NOT_SENT = "nothing was sent"
 
 
 @attrs.define
--- a/gentianwall/http/operators.py
+++ b/gentianwall/http/operators.py
@@ -10,7 +10,7 @@
 import attrs
 from twisted.web import resource, server
 
-from gentianwall.http.problems import CONTENT_TYPE, Problem
+from gentianwall.http.problems import CONTENT_TYPE
 
 MAX_DECLARATION_BYTES = 4 * 1024 * 1024
 
@@ -99,11 +99,3 @@
     request.setHeader(b"Content-Type", b"text/plain; charset=utf-8")
     request.write(text)
     request.finish()
-
-
-def send_problem(request: server.Request, problem: Problem) -> None:
-    """Sends a problem."""
-    request.setResponseCode(problem.status)
-    request.setHeader(b"Content-Type", CONTENT_TYPE)
-    request.write(problem.body)
-    request.finish()
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -102,10 +102,8 @@
     effects: list[ReplicationEffect],
 ) -> None:
     """Takes entries from the leader; the reply goes out once they are kept."""
-    if request.term < state.term:
-        _reply(state, sender, False, 0, request.sent_ms, effects)
+    if not _heed_leader(state, sender, request, now_ms, effects):
         return
-    _heed_leader(state, sender, request.term, now_ms, effects)
     if request.prev_index < state.log.base_index:
         # What a snapshot covers is committed, so it cannot differ.
         hint = state.log.base_index
@@ -128,10 +126,19 @@
 def _heed_leader(
     state: ReplicaState,
     leader: str,
-    term: int,
+    request: AppendRequest | SnapshotRequest,
     now_ms: float,
     effects: list[ReplicationEffect],
-) -> None:
+) -> bool:
+    """Follows the sender of a request, unless its term is over.
+
+    Returns:
+        Whether the request counts; if not, the sender is told the term.
+    """
+    term = request.term
+    if term < state.term:
+        _reply(state, leader, False, 0, request.sent_ms, effects)
+        return False
     if (
         term > state.term
         or state.leader != leader
@@ -140,6 +147,7 @@
         election.follow(state, term, leader, now_ms, effects)
     state.last_contact_ms = now_ms
     election.draw_election_due(state, now_ms)
+    return True
 
 
 def _store_new(
@@ -282,10 +290,8 @@
     effects: list[ReplicationEffect],
 ) -> None:
     """Replaces this replica's state by the leader's snapshot."""
-    if request.term < state.term:
-        _reply(state, sender, False, 0, request.sent_ms, effects)
+    if not _heed_leader(state, sender, request, now_ms, effects):
         return
-    _heed_leader(state, sender, request.term, now_ms, effects)
     if request.snapshot.index > state.commit_index:
         install_snapshot(state, request.snapshot)
         effects.append(StoreSnapshot(request.snapshot))
--- a/gentianwall/routing/pool.py
+++ b/gentianwall/routing/pool.py
@@ -61,6 +61,17 @@
         """Returns the servers that may get new work."""
         return [s for s in self.servers.values() if s.notice.state == "up"]
 
+    def has_live(self) -> bool:
+        """Whether any server may get new work."""
+        return any(s.notice.state == "up" for s in self.servers.values())
+
+    def has_room(self, now_ms: float) -> bool:
+        """Whether any server may get another call of this entry now."""
+        return any(
+            server.notice.state == "up" and server.has_room(now_ms)
+            for server in self.servers.values()
+        )
+
     def pick(
         self, avoid: tuple[str, ...], now_ms: float, rng: random.Random
     ) -> Server | NoServer:
