Found with several members, replace silent voters, survive torn and full disks

Cause: replicas are found at run time on the users' platform, replaced by empty ones at new addresses, and their disks refuse writes or tear the last frame. The log admitted only replicas of the settings, and every one as a voter; a torn frame of full length stopped the replica; a refused write left half a frame in the middle of the file. Ruled out: swapping a voter in one step (two disjoint majorities); cutting any bad tail (a flipped bit of an acknowledged record would pass unseen, so a tail that one bit explains is still refused). Also: the monotonic clock counts suspended time, or a leader that slept would keep its lease.

--- a/gentianwall/replication/joining.py
+++ b/gentianwall/replication/joining.py
@@ -13,37 +13,86 @@
 from gentianwall.replication.messages import JoinRequest, Member
 from gentianwall.replication.state import Progress, ReplicaState, Role
 
+# Five requests in the shortest bound for a replacement, catch-up of 4 s.
 JOIN_INTERVAL_MS = 200.0
+# A learner that follows the leader repeats itself only in case the leader
+# forgot it; the leader forgets after `LEARNER_SILENCE_MS`.
+FOLLOWED_JOIN_INTERVAL_MS = 1000.0
+# Elections that failed in a row before a voter doubts its membership.
+FORSAKEN_TIMEOUTS = 4.0
+# Longer than a restart of a process takes (0.2 to 1 s), and short enough to
+# have a successor voting within the 4 s that a replacement may take.
+VOTER_SILENCE_MS = 1500.0
+# A learner that was replaced or cut off for that long must ask again.
+LEARNER_SILENCE_MS = 10_000.0
+
+
+def is_forsaken(state: ReplicaState, now_ms: float) -> bool:
+    """Whether no leader was heard for so long that others may have left us.
+
+    A voter that was replaced while it was away learns of it only by asking.
+    """
+    wait_ms = FORSAKEN_TIMEOUTS * state.timing.election_timeout_ms
+    return now_ms > state.last_contact_ms + wait_ms
 
 
 def ask_to_join(
     state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
 ) -> None:
-    """Asks every other replica to be admitted, now and then."""
+    """Asks to be admitted: the leader if it is known, else everyone."""
     if now_ms < state.join_due_ms:
         return
-    state.join_due_ms = now_ms + JOIN_INTERVAL_MS
+    timeout_ms = 2 * state.timing.election_timeout_ms
+    is_followed = bool(state.leader) and (
+        now_ms < state.last_contact_ms + timeout_ms
+    )
+    wait_ms = FOLLOWED_JOIN_INTERVAL_MS if is_followed else JOIN_INTERVAL_MS
+    state.join_due_ms = now_ms + wait_ms
     request = JoinRequest(state.disk_id)
-    for peer in state.peers:
+    for peer in (state.leader,) if is_followed else state.peers:
         effects.append(SendToReplica(peer, request))
 
 
 def on_join_request(
-    state: ReplicaState, sender: str, request: JoinRequest
+    state: ReplicaState,
+    sender: str,
+    request: JoinRequest,
+    now_ms: float,
+    effects: list[ReplicationEffect],
 ) -> None:
-    """Starts to replicate to a learner; only the leader does."""
-    if state.role is not Role.LEADER or sender not in state.peers:
+    """Starts to replicate to a learner, or passes the request to the leader."""
+    if state.role is not Role.LEADER:
+        if not request.replica and state.leader not in ("", sender):
+            passed = JoinRequest(request.disk_id, sender)
+            effects.append(SendToReplica(state.leader, passed))
         return
-    if Member(sender, request.disk_id) in state.members:
+    name = request.replica or sender
+    is_known = name in state.peers or state.target_voters > 0
+    if not is_known or Member(name, request.disk_id) in state.members:
         return
-    known = state.progress.get(sender)
+    known = state.progress.get(name)
     if known is None or known.disk_id != request.disk_id:
-        state.progress[sender] = Progress(
-            request.disk_id, state.log.last_index + 1
+        state.progress[name] = Progress(
+            request.disk_id, state.log.last_index + 1, acked_ms=now_ms
         )
 
 
-def next_member_change(state: ReplicaState) -> ChangeMembers | None:
+def drop_silent_learners(state: ReplicaState, now_ms: float) -> None:
+    """Stops to replicate to learners that answer no more."""
+    voters = {member.replica for member in state.members}
+    silent = [
+        name
+        for name, progress in state.progress.items()
+        if name not in voters
+        and now_ms - progress.acked_ms > LEARNER_SILENCE_MS
+    ]
+    for name in silent:
+        del state.progress[name]
+
+
+def next_member_change(
+    state: ReplicaState, now_ms: float
+) -> ChangeMembers | None:
     """Returns the change that brings a caught-up learner nearer, if any."""
     if state.role is not Role.LEADER:
         return None
@@ -57,14 +106,38 @@
             continue
         if progress.match_index < max(1, state.commit_index):
             continue
-        return _step_towards(state.members, learner)
+        change = _step_towards(state, learner, progress, now_ms)
+        if change is not None:
+            return change
     return None
 
 
 def _step_towards(
-    members: tuple[Member, ...], learner: Member
-) -> ChangeMembers:
+    state: ReplicaState, learner: Member, progress: Progress, now_ms: float
+) -> ChangeMembers | None:
+    """Returns the next change on the way to a learner that votes."""
+    members = state.members
     others = [m for m in members if m.replica != learner.replica]
-    if len(others) == len(members):
-        others.append(learner)
-    return ChangeMembers(tuple((m.replica, m.disk_id) for m in others))
+    if len(others) < len(members):
+        return _change_to(others)  # Its old disk leaves first.
+    if state.target_voters == 0 or len(members) < state.target_voters:
+        return _change_to([*members, learner])
+    if now_ms - progress.acked_ms > VOTER_SILENCE_MS:
+        return None
+    for member in members:
+        if _is_silent(state, member, now_ms):
+            return _change_to([m for m in members if m != member])
+    return None
+
+
+def _is_silent(state: ReplicaState, member: Member, now_ms: float) -> bool:
+    """Whether a voter has not answered this leader for long."""
+    if member.replica == state.name:
+        return False
+    progress = state.progress_of(member)
+    heard_ms = progress.acked_ms if progress else float("-inf")
+    return now_ms - max(heard_ms, state.lead_since_ms) > VOTER_SILENCE_MS
+
+
+def _change_to(members: list[Member]) -> ChangeMembers:
+    return ChangeMembers(tuple((m.replica, m.disk_id) for m in members))
--- a/gentianwall/replication/messages.py
+++ b/gentianwall/replication/messages.py
@@ -93,9 +93,15 @@
 
 @attrs.frozen
 class JoinRequest:
-    """Asks the leader to admit a replica whose disk is not a member."""
+    """Asks the leader to admit a replica whose disk is not a member.
+
+    Attributes:
+        disk_id: Identity of its disk.
+        replica: Its name, where another replica passes the request on.
+    """
 
     disk_id: str
+    replica: str = ""
 
 
 ReplicationMessage = (
--- a/gentianwall/replication/replica.py
+++ b/gentianwall/replication/replica.py
@@ -166,7 +166,9 @@
                 state, sender, message, event.at_ms, effects
             )
         case JoinRequest():
-            joining.on_join_request(state, sender, message)
+            joining.on_join_request(
+                state, sender, message, event.at_ms, effects
+            )
 
 
 def _tick(
@@ -177,9 +179,11 @@
             appending.send_due(state, now_ms, effects)
             _admit(state, now_ms, effects)
         return
-    if not state.is_member:
+    if not state.is_member or joining.is_forsaken(state, now_ms):
         joining.ask_to_join(state, now_ms, effects)
-    elif now_ms >= state.election_due_ms and election.start_trial(
+    if not state.is_member:
+        return
+    if now_ms >= state.election_due_ms and election.start_trial(
         state, now_ms, effects
     ):
         propose(state, Noop(), now_ms, effects)
@@ -188,6 +192,7 @@
 def _admit(
     state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
 ) -> None:
-    change = joining.next_member_change(state)
+    joining.drop_silent_learners(state, now_ms)
+    change = joining.next_member_change(state, now_ms)
     if change is not None:
         propose(state, change, now_ms, effects)
--- a/gentianwall/replication/restore.py
+++ b/gentianwall/replication/restore.py
@@ -29,6 +29,7 @@
     timing: Timing,
     seed: int,
     now_ms: float,
+    target_voters: int = 0,
 ) -> ReplicaState:
     """Returns a follower that remembers everything it synced.
 
@@ -42,6 +43,7 @@
         timing: Time limits.
         seed: Seeds the choice of election timeouts.
         now_ms: The monotonic clock.
+        target_voters: How many replicas vote; 0 for all that join.
     """
     state = ReplicaState(
         name=name,
@@ -49,6 +51,7 @@
         peers=peers,
         timing=timing,
         rng=random.Random(seed),
+        target_voters=target_voters,
         term=recovered.term,
         voted_for=recovered.voted_for,
     )
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -117,7 +117,10 @@
     Attributes:
         name: Name of the replica's process.
         disk_id: Identity of its disk, drawn when the disk was empty.
-        peers: Names of the other replicas in the settings.
+        peers: Names of the other replicas in the settings, or of those
+            learned since.
+        target_voters: How many replicas vote once enough have joined; 0
+            makes every replica that joins a voter.
         members: The membership in force: the last one in the log.
         members_index: Log index of that membership.
         applied_members: The last membership that was committed.
@@ -136,6 +139,7 @@
     peers: tuple[str, ...]
     timing: Timing
     rng: random.Random
+    target_voters: int = 0
     register: RegisterState = attrs.field(factory=RegisterState)
     term: int = 0
     voted_for: str = ""
--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -6,9 +6,13 @@
 A frame is one synced batch of records: magic, length, CRC-32 of the payload
 and CRC-32 of the header, then the records packed together. Since a frame is
 written only after the one before it was synced, a torn frame can only be the
-last one. A frame that ends early
-or in zeros is cut; one of full length with a wrong checksum was damaged and
-stops the replica, because it may hold records that were acknowledged.
+last one: it was never acknowledged and is cut. A damaged frame with a whole
+one behind it stops the replica, because it held records that were
+acknowledged; so does a last frame of which one bit flipped, since a torn write
+does not look like that.
+
+A disk that refuses a write leaves the journal as it was: the frame is written
+again at the same place once there is room.
 """
 
 from __future__ import annotations
@@ -39,6 +43,8 @@
 FRAME = struct.Struct(">4sII")
 HEADER_CHECK = struct.Struct(">I")
 HEADER_BYTES = FRAME.size + HEADER_CHECK.size
+# Room for a snapshot and a new journal at the largest state measured,
+# docs/CAPACITY.md.
 FREE_SPACE_RESERVE_BYTES = 64 * 1024 * 1024
 
 
@@ -130,19 +136,34 @@
         self._number, path = files[-1]
         return self._read(path)
 
-    def found(self, replica: str) -> Recovered | JournalNotEmpty:
-        """Founds a cluster of one member; the others join it."""
+    def found(
+        self, replica: str, founders: tuple[str, ...] = ()
+    ) -> Recovered | JournalNotEmpty:
+        """Founds a cluster in an empty folder.
+
+        Args:
+            replica: Name of this replica.
+            founders: All that found it together, this one included; each
+                writes the same first state, and a majority of them must have
+                it before anything is decided. Without them, the cluster has
+                one member and the others join it.
+        """
         self._folder.mkdir(parents=True, exist_ok=True)
         if self._files():
             return JournalNotEmpty(str(self._folder))
-        disk_id = uuid.uuid4().hex
+        if founders:
+            members = tuple(Member(f, _founding_disk_id(f)) for f in founders)
+            disk_id = _founding_disk_id(replica)
+        else:
+            disk_id = uuid.uuid4().hex
+            members = (Member(replica, disk_id),)
         recovered = Recovered(
             disk_id=disk_id,
             term=1,
             snapshot=Snapshot(
                 index=1,
                 term=1,
-                members=(Member(replica, disk_id),),
+                members=members,
                 state=encode_register(RegisterState()),
             ),
         )
@@ -177,7 +198,7 @@
         new = path.with_suffix(".new")
         fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(fd, payload)
+            _write_all(fd, payload, 0)
         finally:
             os.close(fd)
         os.rename(new, path)
@@ -205,12 +226,17 @@
         path = self._folder / f"journal-{self._number:08d}"
         new = path.with_suffix(".new")
         fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            frame = _frame(self._records_of(kept))
+            _write_all(fd, frame, 0)
+            os.rename(new, path)
+            self._sync_folder()
+        except OSError:
+            os.close(fd)
+            raise
         self.close()
         self._fd = fd
-        self.size_bytes = 0
-        self._write(fd, self._records_of(kept))
-        os.rename(new, path)
-        self._sync_folder()
+        self.size_bytes = len(frame)
         for stale in old:
             stale.unlink()
 
@@ -229,10 +255,8 @@
         return records
 
     def _write(self, fd: int, records: list[JournalRecord]) -> None:
-        payload = codec.pack(records, list[JournalRecord])
-        header = FRAME.pack(MAGIC, len(payload), zlib.crc32(payload))
-        frame = header + HEADER_CHECK.pack(zlib.crc32(header)) + payload
-        _write_all(fd, frame)
+        frame = _frame(records)
+        _write_all(fd, frame, self.size_bytes)
         self.size_bytes += len(frame)
 
     def _sync_folder(self) -> None:
@@ -259,7 +283,7 @@
             end = offset + HEADER_BYTES + len(payload)
         if recovered is None:
             return JournalDamaged(str(path), 0)
-        self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._fd = os.open(path, os.O_WRONLY)
         if end < len(data):
             os.ftruncate(self._fd, end)
             os.fsync(self._fd)
@@ -302,14 +326,58 @@
         return snapshot
 
 
-def _write_all(fd: int, data: bytes) -> None:
-    """Writes all of the data and syncs it."""
+def _founding_disk_id(replica: str) -> str:
+    """Names the disk of a founder, so that all founders agree on it."""
+    return f"founder-{replica}"
+
+
+def _write_all(fd: int, data: bytes, offset: int) -> None:
+    """Writes all of the data at an offset and syncs it."""
     view = memoryview(data)
     while view:
-        view = view[os.write(fd, view) :]
+        written = os.pwrite(fd, view, offset)
+        offset += written
+        view = view[written:]
     os.fsync(fd)
 
 
+def _frame(records: list[JournalRecord]) -> bytes:
+    payload = codec.pack(records, list[JournalRecord])
+    header = FRAME.pack(MAGIC, len(payload), zlib.crc32(payload))
+    return header + HEADER_CHECK.pack(zlib.crc32(header)) + payload
+
+
+def _is_one_bit_off(data: bytes, checksum: int) -> bool:
+    """Whether one flipped bit explains that a checksum does not match.
+
+    CRC-32 is linear, so each bit has a difference of its own; the walk goes
+    from the last byte to the first.
+    """
+    difference = zlib.crc32(data) ^ checksum
+    if difference.bit_count() == 1:
+        return True  # The checksum itself was hit.
+    of_zero = zlib.crc32(b"\0")
+    steps = [zlib.crc32(bytes((i,))) ^ of_zero for i in range(256)]
+    bits = [steps[1 << bit] for bit in range(8)]
+    for _ in data:
+        if difference in bits:
+            return True
+        bits = [(bit >> 8) ^ steps[bit & 0xFF] for bit in bits]
+    return False
+
+
+def _has_frame_after(data: bytes, offset: int) -> bool:
+    """Whether a frame with a sound header begins after an offset."""
+    place = data.find(MAGIC, offset + 1)
+    while 0 <= place <= len(data) - HEADER_BYTES:
+        header = data[place : place + FRAME.size]
+        (check,) = HEADER_CHECK.unpack_from(data, place + FRAME.size)
+        if zlib.crc32(header) == check:
+            return True
+        place = data.find(MAGIC, place + 1)
+    return False
+
+
 def _frames(data: bytes) -> Iterator[tuple[int, bytes | None]]:
     """Yields offset and payload of each frame; None marks damage.
 
@@ -324,14 +392,17 @@
         (header_check,) = HEADER_CHECK.unpack_from(data, offset + FRAME.size)
         header = data[offset : offset + FRAME.size]
         if magic != MAGIC or zlib.crc32(header) != header_check:
-            if data.count(0, offset) < len(data) - offset:
+            is_rotten = _is_one_bit_off(header, header_check)
+            if is_rotten or _has_frame_after(data, offset):
                 yield offset, None
             return
         payload = data[start : start + length]
         if len(payload) < length:
             return
         if zlib.crc32(payload) != checksum:
-            yield offset, None
+            is_rotten = _is_one_bit_off(payload, checksum)
+            if is_rotten or _has_frame_after(data, start):
+                yield offset, None
             return
         yield offset, payload
         offset = start + length
--- a/gentianwall/timers.py
+++ b/gentianwall/timers.py
@@ -11,8 +11,12 @@
 
 
 def monotonic_ms() -> float:
-    """Returns the monotonic clock in milliseconds."""
-    return time.monotonic() * 1000.0
+    """Returns a clock in milliseconds that never jumps.
+
+    It counts the time that the machine was suspended, which the steady clock
+    does not: a leader that slept must know that its lease is over.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
 def wall_ms() -> int:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -90,6 +90,63 @@
     journal.store([StoreEntries((_entry(index),))], Recovered("d"))
 
 
+@given(
+    start=st.integers(0, 60), length=st.integers(2, 60), fill=st.binary()
+)
+def test_a_tail_with_torn_blocks_is_cut(start, length, fill, tmp_path_factory):
+    tmp_path = tmp_path_factory.mktemp("blocks")
+    journal = Journal(str(tmp_path / "data"))
+    journal.recover()
+    _write(journal, 3)
+    whole = journal.size_bytes
+    _write_one(journal, 4)
+    journal.close()
+    path = _file(tmp_path)
+    data = bytearray(path.read_bytes())
+    place = whole + min(start, len(data) - whole - 1)
+    end = min(place + length, len(data))
+    block = (fill + bytes(length))[: end - place]
+    flips = sum(
+        (a ^ b).bit_count() for a, b in zip(data[place:end], block, strict=True)
+    )
+    data[place:end] = block
+    path.write_bytes(data)
+    found = _reopen(tmp_path)
+    if flips == 0:
+        assert len(found.entries) == 4
+    elif flips == 1:
+        assert isinstance(found, JournalDamaged)
+    else:
+        assert len(found.entries) == 3
+
+
+def test_a_full_disk_takes_the_same_frame_once_there_is_room(
+    journal, tmp_path, monkeypatch
+):
+    _write(journal, 3)
+    written = os.pwrite
+
+    def half(fd, data, offset):
+        written(fd, bytes(data)[: len(data) // 2], offset)
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "pwrite", half)
+    with pytest.raises(OSError):
+        _write_one(journal, 4)
+    monkeypatch.undo()
+    _write_one(journal, 4)
+    _write_one(journal, 5)
+    assert [e.index for e in _reopen(tmp_path).entries] == [1, 2, 3, 4, 5]
+
+
+def test_founders_write_the_same_first_state(tmp_path):
+    names = ("a", "b", "c")
+    found = [Journal(str(tmp_path / n)).found(n, names) for n in names]
+    assert len({f.snapshot.members for f in found}) == 1
+    disks = {m.disk_id for m in found[0].snapshot.members}
+    assert disks == {f.disk_id for f in found}
+
+
 def test_a_tail_of_zeros_is_cut(journal, tmp_path):
     _write(journal, 3)
     with open(_file(tmp_path), "ab") as file:
@@ -152,10 +209,10 @@
 ):
     _write(journal, 3)
 
-    def full(fd, data):
+    def full(fd, data, offset):
         raise OSError(28, "No space left on device")
 
-    monkeypatch.setattr(os, "write", full)
+    monkeypatch.setattr(os, "pwrite", full)
     with pytest.raises(OSError):
         _write_one(journal, 4)
     monkeypatch.undo()
