--- a/benchmarks/commits.py
+++ b/benchmarks/commits.py
@@ -13,7 +13,7 @@
 from gentianwall.claims.commands import ClaimKey, RecordClaim
 from gentianwall.config.settings import load_settings
 from gentianwall.control.messages import CommandReply, CommandRequest
-from gentianwall.links.sockets import Links
+from gentianwall.links.sockets import Links, link_setup_of
 from gentianwall.timeline import Timeline
 from harness.cluster import Cluster
 
@@ -32,7 +32,9 @@
         self.is_over = False
         settings = load_settings(str(cluster.folder / "entry-1.toml"))
         timeline = Timeline("entry-1")
-        self.links = Links(settings, reactor, timeline, self.receive)
+        self.links = Links(
+            link_setup_of(settings), reactor, timeline, self.receive
+        )
 
     def send(self) -> None:
         """Sends one claim."""
--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from gentianwall.config.routes import RouteConfiguration
+from gentianwall.membership.messages import ServerNotice
+
 
 @attrs.frozen
 class ClaimKey:
@@ -103,6 +106,56 @@
     at_ms: int
 
 
+@attrs.frozen
+class PutConfiguration:
+    """Puts a numbered configuration in force, unless a higher one is.
+
+    Attributes:
+        configuration: What entries act on; valid.
+        document: The same as the operator wrote it, to be read back.
+        at_ms: Wall clock of the leader.
+    """
+
+    configuration: RouteConfiguration
+    document: bytes
+    at_ms: int
+
+
+@attrs.frozen
+class AnnounceServer:
+    """Records what a server says of itself.
+
+    Attributes:
+        notice: What it says; its state is `up` or `draining`.
+        sequence: Grows with each announcement of an incarnation.
+        warmup_ms: How long it stays slow after its start.
+        at_ms: Wall clock of the leader.
+    """
+
+    notice: ServerNotice
+    sequence: int
+    warmup_ms: float
+    at_ms: int
+
+
+@attrs.frozen
+class RemoveServer:
+    """Records that a server leaves; incarnation 0 means the one known."""
+
+    server: str
+    incarnation: int
+    at_ms: int
+
+
+@attrs.frozen
+class MarkSilent:
+    """Records that a server was not heard for long; it may be gone."""
+
+    server: str
+    incarnation: int
+    at_ms: int
+
+
 Command = (
     Noop
     | ChangeMembers
@@ -112,6 +165,10 @@
     | ReleaseClaim
     | ReportCrash
     | ReleaseQuarantine
+    | PutConfiguration
+    | AnnounceServer
+    | RemoveServer
+    | MarkSilent
 )
 
 
@@ -179,6 +236,20 @@
     """The command took effect, or had already."""
 
 
+@attrs.frozen
+class ConfigurationHeld:
+    """A configuration was taken, or one at least as new is in force.
+
+    Attributes:
+        number: The number in force.
+        is_same: Whether the content is the one held under its number, as
+            far as that is known.
+    """
+
+    number: int
+    is_same: bool
+
+
 CommandResult = (
     DeclarationAccepted
     | DeclarationConflict
@@ -189,4 +260,5 @@
     | ClaimOutOfWindow
     | ClaimsFull
     | Done
+    | ConfigurationHeld
 )
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -7,6 +7,7 @@
 import attrs
 
 from gentianwall.claims.commands import (
+    AnnounceServer,
     ApplyDeclaration,
     ChangeMembers,
     ClaimGranted,
@@ -17,20 +18,30 @@
     ClaimsFull,
     Command,
     CommandResult,
+    ConfigurationHeld,
     DeclarationAccepted,
     DeclarationConflict,
     DeclarationInvalid,
     Done,
+    MarkSilent,
     Noop,
     Outcome,
+    PutConfiguration,
     RecordClaim,
     RecordOutcome,
     ReleaseClaim,
     ReleaseQuarantine,
+    RemoveServer,
     ReportCrash,
 )
 from gentianwall.config.declaration import parse_declaration
 from gentianwall.config.schema import ConfigErrors
+from gentianwall.membership.registry import (
+    ServerRegistry,
+    announce_server,
+    mark_silent,
+    remove_server,
+)
 from gentianwall.utils.uuid7 import uuid7_time_ms
 
 MAX_CLAIMS = 400_000
@@ -105,6 +116,8 @@
         quarantine_version: Counts the changes of `quarantines`.
         forgotten_before_ms: Claims of keys up to this time may be gone; it
             never falls, also when the retention is raised.
+        numbered: The numbered configuration in force, if any.
+        registry: Servers that announced themselves to control instances.
     """
 
     now_ms: int = 0
@@ -117,6 +130,8 @@
     claim_retention_ms: int = DEFAULT_CLAIM_RETENTION_MS
     quarantine_ms: int = DEFAULT_QUARANTINE_MS
     forgotten_before_ms: int = 0
+    numbered: PutConfiguration | None = None
+    registry: ServerRegistry = attrs.field(factory=ServerRegistry)
 
     def copy(self) -> RegisterState:
         """Returns a copy that later commands do not change."""
@@ -127,6 +142,7 @@
             claims=dict(self.claims),
             suspects=dict(self.suspects),
             quarantines=dict(self.quarantines),
+            registry=self.registry.copy(),
         )
 
     @property
@@ -158,6 +174,22 @@
             return _report_crash(state, command)
         case ReleaseQuarantine():
             return _release_quarantine(state, command)
+        case PutConfiguration():
+            return _put_configuration(state, command)
+        case AnnounceServer():
+            announce_server(
+                state.registry,
+                command.notice,
+                command.sequence,
+                command.warmup_ms,
+            )
+            return Done()
+        case RemoveServer():
+            remove_server(state.registry, command.server, command.incarnation)
+            return Done()
+        case MarkSilent():
+            mark_silent(state.registry, command.server, command.incarnation)
+            return Done()
         case _:
             return Done()
 
@@ -206,6 +238,20 @@
     return DeclarationAccepted(accepted.version, accepted.change_id)
 
 
+def _put_configuration(
+    state: RegisterState, command: PutConfiguration
+) -> CommandResult:
+    """Takes the highest number; what is held under a number never changes."""
+    held = state.numbered
+    number = command.configuration.number
+    if held is None or number > held.configuration.number:
+        state.numbered = command
+        return ConfigurationHeld(number, True)
+    held_number = held.configuration.number
+    is_same = number < held_number or held.document == command.document
+    return ConfigurationHeld(held_number, is_same)
+
+
 def _record_claim(state: RegisterState, command: RecordClaim) -> CommandResult:
     record = state.claims.get(command.claim)
     if record is None:
--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -20,7 +20,7 @@
 from gentianwall.http.operators import TokenFileError
 from gentianwall.links.keys import KeyFileError
 from gentianwall.logs import get_logger, set_up
-from gentianwall.runtime.control import ControlFailedError, run_control
+from gentianwall.runtime.control import ControlFailedError, run_listed_control
 from gentianwall.runtime.entry import EntryRuntime, run_entry
 from gentianwall.storage.journal import Journal, JournalNotEmpty
 from gentianwall.timers import TimerService, monotonic_ms
@@ -114,7 +114,9 @@
             entries = []
             for settings in all_settings:
                 if settings.own.role == "control":
-                    stack.enter_context(run_control(settings, reactor, timers))
+                    stack.enter_context(
+                        run_listed_control(settings, reactor, timers)
+                    )
                 else:
                     entries.append(
                         stack.enter_context(
--- a/gentianwall/control/client.py
+++ b/gentianwall/control/client.py
@@ -8,9 +8,12 @@
 from gentianwall.control.messages import (
     CommandRefused,
     CommandRequest,
+    ReadRequest,
     StatusRequest,
 )
 
+ControlRequest = CommandRequest | StatusRequest | ReadRequest
+
 RESEND_MS = 120.0
 
 
@@ -18,7 +21,7 @@
 class PendingRequest:
     """A request not yet answered."""
 
-    message: CommandRequest | StatusRequest
+    message: ControlRequest
     deadline_ms: float
     resend_ms: float
 
@@ -28,7 +31,7 @@
     """A message to send to a control instance."""
 
     receiver: str
-    message: CommandRequest | StatusRequest
+    message: ControlRequest
 
 
 @attrs.define
@@ -39,11 +42,13 @@
         replicas: Names of the control instances.
         target: Index of the one thought to lead.
         pending: Requests by id.
+        interval_ms: Time before a request is repeated.
     """
 
     replicas: tuple[str, ...]
     target: int = 0
     pending: dict[str, PendingRequest] = attrs.field(factory=dict)
+    interval_ms: float = RESEND_MS
 
     @property
     def leader(self) -> str:
@@ -52,13 +57,13 @@
 
     def ask(
         self,
-        message: CommandRequest | StatusRequest,
+        message: ControlRequest,
         deadline_ms: float,
         now_ms: float,
     ) -> ControlSend:
         """Starts a request."""
         self.pending[message.request_id] = PendingRequest(
-            message, deadline_ms, now_ms + RESEND_MS
+            message, deadline_ms, now_ms + self.interval_ms
         )
         return ControlSend(self.leader, message)
 
@@ -77,6 +82,13 @@
         """Ends a request; returns whether it was open."""
         return self.pending.pop(request_id, None) is not None
 
+    def note_replicas(self, names: tuple[str, ...]) -> None:
+        """Takes note of the control instances there are."""
+        if names and names != self.replicas:
+            leader = self.leader
+            self.replicas = names
+            self.target = names.index(leader) if leader in names else 0
+
     def note_leader(self, name: str) -> None:
         """Takes note of who leads."""
         if name in self.replicas:
@@ -90,7 +102,7 @@
         if pending is None or refused.leader in ("", sender):
             return None
         self.note_leader(refused.leader)
-        pending.resend_ms = now_ms + RESEND_MS
+        pending.resend_ms = now_ms + self.interval_ms
         return ControlSend(self.leader, pending.message)
 
     def resend_due(self, now_ms: float) -> list[ControlSend]:
@@ -99,7 +111,7 @@
         if due:
             self.target = (self.target + 1) % len(self.replicas)
         for pending in due:
-            pending.resend_ms = now_ms + RESEND_MS
+            pending.resend_ms = now_ms + self.interval_ms
         return [ControlSend(self.leader, p.message) for p in due]
 
     def expire(self, now_ms: float) -> list[str]:
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -5,6 +5,8 @@
 import attrs
 
 from gentianwall.claims.commands import Command, CommandResult
+from gentianwall.config.routes import RouteConfiguration
+from gentianwall.membership.registry import RegisteredServer
 
 
 @attrs.frozen
@@ -130,6 +132,86 @@
     claims: int
 
 
+@attrs.frozen
+class FeedPoll:
+    """What an entry holds of the numbered configuration and the servers.
+
+    Attributes:
+        number: Number of the configuration; -1 for none.
+        revision: Revision of the registry of servers.
+        quarantine_version: Version of the quarantines.
+        is_ready: Whether callers may be sent there.
+    """
+
+    number: int
+    revision: int
+    quarantine_version: int
+    is_ready: bool
+
+
+@attrs.frozen
+class FeedNotice:
+    """What changed since a poll, told by a leader under a valid lease.
+
+    Attributes:
+        term: Term of the leader.
+        number: Number in force; -1 before the first configuration.
+        configuration: The configuration, or None when the entry holds it.
+        revision: Revision of the registry.
+        servers: Servers that changed since the entry's revision.
+        quarantine_version: Version of `quarantines`.
+        quarantines: Refused fingerprints, or None when unchanged.
+        controls: Names of the control instances that are known.
+        entries: How many entries are heard; budgets are shared by them.
+    """
+
+    term: int
+    number: int
+    configuration: RouteConfiguration | None
+    revision: int
+    servers: tuple[RegisteredServer, ...]
+    quarantine_version: int
+    quarantines: tuple[str, ...] | None
+    controls: tuple[str, ...]
+    entries: int
+
+
+@attrs.frozen
+class FeedRedirect:
+    """Another instance leads, or none that is known."""
+
+    leader: str
+
+
+@attrs.frozen
+class ServersHeard:
+    """Servers that were heard since the last such message."""
+
+    servers: tuple[str, ...]
+
+
+@attrs.frozen
+class ReadRequest:
+    """Asks for the numbered configuration in force."""
+
+    request_id: str
+
+
+@attrs.frozen
+class ReadReply:
+    """The numbered configuration under the leader's lease.
+
+    Attributes:
+        request_id: The request.
+        number: Its number; -1 before the first.
+        document: As the operator wrote it.
+    """
+
+    request_id: str
+    number: int
+    document: bytes
+
+
 ControlMessage = (
     CommandRequest
     | CommandReply
@@ -138,4 +220,10 @@
     | ConfigNotice
     | StatusRequest
     | StatusReply
+    | FeedPoll
+    | FeedNotice
+    | FeedRedirect
+    | ServersHeard
+    | ReadRequest
+    | ReadReply
 )
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gentianwall.claims.commands import Command
 from gentianwall.control.messages import (
     CommandRefused,
     CommandReply,
@@ -11,10 +12,14 @@
     ConfigNotice,
     ConfigPoll,
     EntryStatus,
+    FeedPoll,
+    ReadRequest,
+    ServersHeard,
     StatusReply,
     StatusRequest,
     VersionStatus,
 )
+from gentianwall.core import feed
 from gentianwall.core.effects import Record, SendMessage
 from gentianwall.core.events import MessageArrived, Tick
 from gentianwall.replication.effects import (
@@ -76,6 +81,7 @@
         heard: What entries hold, by name.
         pushed: Versions of configuration and quarantines last pushed.
         is_disk_full: Whether new commands are refused for lack of room.
+        feed: What is told to entries that poll, and who is heard.
     """
 
     replica: ReplicaState
@@ -84,6 +90,7 @@
     heard: dict[str, HeardEntry] = attrs.field(factory=dict)
     pushed: tuple[int, int] = (0, 0)
     is_disk_full: bool = False
+    feed: feed.FeedState = attrs.field(factory=feed.FeedState)
 
 
 def reduce_control(
@@ -100,15 +107,34 @@
         case Tick():
             tick = ReplicaTick(event.at_ms)
             _carry(state, reduce_replica(state.replica, tick), event, effects)
+            commands = feed.silent_servers(
+                state.feed, state.replica, event.at_ms
+            )
+            for command in commands:
+                _propose(state, command, event, effects)
         case BatchEnded() | SnapshotTaken():
             replica_effects = reduce_replica(state.replica, event)
             _carry(state, replica_effects, event, effects)
+            feed.push(state.feed, state.replica, event.at_ms, effects)
         case MessageArrived(message=CommandRequest()):
             _on_command(state, event, event.message, effects)
         case MessageArrived(message=ConfigPoll()):
             _on_poll(state, event, event.message, effects)
         case MessageArrived(message=StatusRequest()):
             _on_status(state, event, event.message, effects)
+        case MessageArrived(message=FeedPoll()):
+            feed.on_poll(
+                state.feed,
+                state.replica,
+                event.sender,
+                event.message,
+                event.at_ms,
+                effects,
+            )
+        case MessageArrived(message=ServersHeard()):
+            feed.on_servers_heard(state.feed, event.message, event.at_ms)
+        case MessageArrived(message=ReadRequest()):
+            _on_read(state, event, event.message, effects)
         case MessageArrived():
             message = ReplicaMessage(event.at_ms, event.sender, event.message)
             replica_effects = reduce_replica(state.replica, message)
@@ -133,8 +159,34 @@
     command = attrs.evolve(request.command, at_ms=event.wall_ms)
     index = replica.log.last_index + 1
     state.waiters[index] = Waiter(event.sender, request.request_id)
+    _propose(state, command, event, effects)
+
+
+def _propose(
+    state: ControlState,
+    command: Command,
+    event: ControlEvent,
+    effects: list[ControlEffect],
+) -> None:
     proposed = Proposed(event.at_ms, command)
-    _carry(state, reduce_replica(replica, proposed), event, effects)
+    _carry(state, reduce_replica(state.replica, proposed), event, effects)
+
+
+def _on_read(
+    state: ControlState,
+    event: MessageArrived,
+    request: ReadRequest,
+    effects: list[ControlEffect],
+) -> None:
+    """Answers with the numbered configuration, if it is surely the newest."""
+    replica = state.replica
+    if not replica.can_read(event.at_ms):
+        leader = "" if replica.role is Role.LEADER else replica.leader
+        refused = CommandRefused(request.request_id, leader, False)
+        effects.append(SendMessage(event.sender, refused))
+        return
+    reply = feed.read_reply(replica, request.request_id)
+    effects.append(SendMessage(event.sender, reply))
 
 
 def _carry(
--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -12,6 +12,7 @@
 
     NOT_READY = "not ready"
     UNKNOWN_SERVICE = "unknown service"
+    NO_ROUTE = "no route"
     NO_SERVER = "no live server"
     OVERLOADED = "the wait cannot be met"
     QUEUE_FULL = "too many calls wait"
@@ -42,6 +43,7 @@
 STATUS = {
     RefusalReason.NOT_READY: 503,
     RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.NO_ROUTE: 404,
     RefusalReason.NO_SERVER: 503,
     RefusalReason.OVERLOADED: 503,
     RefusalReason.QUEUE_FULL: 503,
--- /dev/null
+++ b/gentianwall/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that follow routes: which request goes where, and when it may not."""
--- /dev/null
+++ b/gentianwall/gateway/knowledge.py
@@ -0,0 +1,147 @@
+"""What an entry learns from the control instances, and how it asks."""
+
+from __future__ import annotations
+
+from gentianwall.control.messages import FeedNotice, FeedPoll, FeedRedirect
+from gentianwall.gateway.effects import (
+    DropServer,
+    GatewayEffect,
+    Log,
+    TellControl,
+)
+from gentianwall.gateway.events import FeedArrived
+from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.state import GatewayState
+from gentianwall.membership.registry import RegisteredServer
+from gentianwall.routing.routes import RouteTable
+
+# A change is pushed; polls find what was lost, several times within the 2 s
+# in which it must be in force.
+POLL_MS = 400.0
+# An entry without a configuration refuses everything, so it asks more often.
+FIRST_POLL_MS = 100.0
+# Three polls without an answer: the leader is gone, so all are asked.
+FEED_SILENCE_MS = 700.0
+
+
+def poll_due(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Asks for news when it is time."""
+    if now_ms >= state.poll_due_ms:
+        _poll(state, now_ms, effects)
+
+
+def _poll(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    is_heard = now_ms - state.told_ms <= FEED_SILENCE_MS
+    wait_ms = POLL_MS if state.table is not None else FIRST_POLL_MS
+    state.poll_due_ms = now_ms + (wait_ms if is_heard else FIRST_POLL_MS * 2)
+    if is_heard and state.leader:
+        receivers = {state.leader}
+    else:
+        receivers = {*state.controls, *state.seeds}
+    poll = FeedPoll(
+        state.number,
+        state.revision,
+        state.quarantine_version,
+        state.is_ready,
+    )
+    for receiver in sorted(receivers):
+        effects.append(TellControl(receiver, poll))
+
+
+def on_feed(
+    state: GatewayState, event: FeedArrived, effects: list[GatewayEffect]
+) -> None:
+    """Takes news; what is older than what is known changes nothing."""
+    match event.message:
+        case FeedRedirect(leader):
+            if leader != state.leader or leader not in state.controls:
+                state.leader = leader
+                state.controls = (*state.controls, leader)
+        case FeedNotice():
+            _on_notice(state, event, event.message, effects)
+
+
+def _on_notice(
+    state: GatewayState,
+    event: FeedArrived,
+    notice: FeedNotice,
+    effects: list[GatewayEffect],
+) -> None:
+    silent_ms = event.at_ms - state.told_ms
+    if silent_ms > FEED_SILENCE_MS or event.sender != state.leader:
+        fields = {
+            "leader": event.sender,
+            "term": notice.term,
+            "silent_ms": round(min(silent_ms, 1e9)),
+        }
+        effects.append(Log("control_heard", fields))
+    state.told_ms = event.at_ms
+    state.leader = event.sender
+    state.controls = notice.controls
+    _note_entries(state, notice.entries)
+    if notice.configuration is not None and notice.number > state.number:
+        _take_configuration(state, notice, effects)
+    if notice.revision > state.revision:
+        state.revision = notice.revision
+        for record in notice.servers:
+            _take_server(state, record, event.at_ms, effects)
+    if notice.quarantines is not None:
+        state.quarantine_version = notice.quarantine_version
+        state.quarantines = frozenset(notice.quarantines)
+
+
+def _note_entries(state: GatewayState, entries: int) -> None:
+    state.entries = max(1, entries)
+    for service in state.services.values():
+        service.retries.entries = state.entries
+
+
+def _take_configuration(
+    state: GatewayState, notice: FeedNotice, effects: list[GatewayEffect]
+) -> None:
+    configuration = notice.configuration
+    state.number = notice.number
+    state.table = RouteTable(configuration)
+    for declared in configuration.services:
+        state.service(declared.name).health_path = declared.health_path
+    fields = {"number": notice.number, "routes": len(configuration.routes)}
+    effects.append(Log("configuration_in_force", fields))
+
+
+def _take_server(
+    state: GatewayState,
+    record: RegisteredServer,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    name = record.name
+    notice = record.notice
+    known = state.server(name)
+    is_same = (
+        known is not None
+        and known.record.notice.incarnation == notice.incarnation
+        and known.record.notice.key == notice.key
+        and (known.record.notice.host, known.record.notice.port)
+        == (notice.host, notice.port)
+    )
+    fields = {
+        "server": name,
+        "service": notice.key.service,
+        "state": notice.state,
+        "revision": record.revision,
+    }
+    effects.append(Log("server_changed", fields))
+    if is_same and record.is_present:
+        known.record = record
+        return
+    if known is not None:
+        del state.services[state.places.pop(name)].servers[name]
+        effects.append(DropServer(name))
+    if record.is_present:
+        service = state.service(notice.key.service)
+        service.servers[name] = RoutedServer(record, now_ms + record.warmup_ms)
+        state.places[name] = service.name
--- /dev/null
+++ b/gentianwall/gateway/outcomes.py
@@ -0,0 +1,275 @@
+"""What becomes of a request that a server has, or lost."""
+
+from __future__ import annotations
+
+from gentianwall.claims.commands import ReportCrash
+from gentianwall.control.messages import CommandRequest
+from gentianwall.core.events import FailureKind
+from gentianwall.core.refusals import RefusalReason
+from gentianwall.gateway import placing
+from gentianwall.gateway.effects import (
+    CheckServer,
+    DropServer,
+    GatewayEffect,
+    Log,
+    PassAnswer,
+    TellControl,
+)
+from gentianwall.gateway.events import (
+    LoadTold,
+    ServerAnswered,
+    ServerDead,
+    ServerFailed,
+)
+from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
+
+FIRST_ERROR_STATUS = 500
+# A request that took a server down twice is not tried on a third.
+MAX_CRASHES = 2
+# A server that kept a request for so many times its expected time, until the
+# time was up, is held to be at fault.
+OVERDUE_FACTOR = 2.0
+REASONS = {
+    FailureKind.NOT_CONNECTED: RefusalReason.NO_SERVER,
+    FailureKind.LOST: RefusalReason.SERVER_LOST,
+    FailureKind.SHORT: RefusalReason.SERVER_LOST,
+    FailureKind.CROSSED: RefusalReason.SERVER_LOST,
+    FailureKind.SILENT: RefusalReason.SERVER_SILENT,
+    FailureKind.TOO_LARGE: RefusalReason.ANSWER_TOO_LARGE,
+}
+
+
+def on_answered(
+    state: GatewayState, event: ServerAnswered, effects: list[GatewayEffect]
+) -> None:
+    """Passes an answer on, or sends the request once more."""
+    call = state.calls.get(event.call_id)
+    if call is None or call.attempt != event.attempt:
+        return
+    server = _returned(state, call)
+    service = state.service(call.service)
+    if server is not None and event.report is not None:
+        service.tells_load = True
+        server.note_report(event.report, event.at_ms)
+    if event.is_refusal:
+        again(state, call, RefusalReason.SERVER_REFUSED, event.at_ms, effects)
+        return
+    if not event.is_sound:
+        call.is_maybe_run = True
+        _blame(server, event.at_ms)
+        again(state, call, RefusalReason.SERVER_LOST, event.at_ms, effects)
+        return
+    if event.status >= FIRST_ERROR_STATUS:
+        call.is_maybe_run = True
+        _blame(server, event.at_ms)
+        if _may_again(state, call, event.at_ms):
+            _log_again(call, f"status_{event.status}", effects)
+            placing.place(state, call, event.at_ms, effects)
+            return
+    elif server is not None:
+        server.note_good(event.at_ms)
+        taken_ms = event.at_ms - call.sent_ms
+        service.note_work(taken_ms / max(1.0, call.slowness), call.route)
+    _pass(state, call, event, effects)
+
+
+def _pass(
+    state: GatewayState,
+    call: RoutedCall,
+    event: ServerAnswered,
+    effects: list[GatewayEffect],
+) -> None:
+    del state.calls[call.call_id]
+    effects.append(PassAnswer(call.call_id))
+    fields = {
+        "id": call.request_id,
+        "server": call.server,
+        "status": event.status,
+        "attempt": call.attempt,
+        "server_ms": round(event.at_ms - call.sent_ms),
+        "total_ms": round(event.at_ms - call.arrived_ms),
+        "target_ms": round(call.route.target_ms),
+    }
+    effects.append(Log("answered", fields))
+
+
+def on_failed(
+    state: GatewayState, event: ServerFailed, effects: list[GatewayEffect]
+) -> None:
+    """Sends a request once more where that is safe, or refuses it."""
+    call = state.calls.get(event.call_id)
+    if call is None or call.attempt != event.attempt:
+        return
+    server = _returned(state, call)
+    if event.kind is FailureKind.NOT_CONNECTED:
+        call.attempt -= 1  # Nothing was sent.
+        if server is not None:
+            _pause(state, server, event.at_ms, effects)
+        _log_again(call, "not_connected", effects)
+        placing.place(state, call, event.at_ms, effects)
+        return
+    call.is_maybe_run = True
+    _blame(server, event.at_ms)
+    if server is not None and event.kind is FailureKind.LOST:
+        effects.append(CheckServer(server.record.notice, call.call_id))
+    again(state, call, REASONS[event.kind], event.at_ms, effects)
+
+
+def again(
+    state: GatewayState,
+    call: RoutedCall,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Sends a request once more, or refuses it for a reason."""
+    if _may_again(state, call, now_ms):
+        _log_again(call, reason.name.lower(), effects)
+        placing.place(state, call, now_ms, effects)
+    else:
+        placing.refuse(state, call, reason, now_ms, effects)
+
+
+def _may_again(state: GatewayState, call: RoutedCall, now_ms: float) -> bool:
+    """Whether a request may be sent once more; spends of the budget."""
+    if call.is_maybe_run and not call.route.kind.is_idempotent:
+        return False
+    if call.attempt >= call.route.most_attempts or call.crashes >= MAX_CRASHES:
+        return False
+    service = state.service(call.service)
+    if now_ms + service.work_for(call.route) > call.deadline_ms:
+        return False
+    has_other = any(
+        server.record.notice.state == "up" and server.name not in call.tried
+        for server in service.servers.values()
+    )
+    return has_other and service.retries.spend(now_ms)
+
+
+def _log_again(
+    call: RoutedCall, reason: str, effects: list[GatewayEffect]
+) -> None:
+    fields = {
+        "id": call.request_id,
+        "server": call.server,
+        "reason": reason,
+        "attempt": call.attempt,
+    }
+    effects.append(Log("again", fields))
+
+
+def _returned(state: GatewayState, call: RoutedCall) -> RoutedServer | None:
+    server = state.server(call.server)
+    if server is not None:
+        server.own.pop(call.call_id, None)
+    return server
+
+
+def _blame(server: RoutedServer | None, now_ms: float) -> None:
+    if server is not None:
+        server.note_failure(now_ms)
+
+
+def _pause(
+    state: GatewayState,
+    server: RoutedServer,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Keeps requests from a server; one that was silent as well is gone."""
+    server.pause(now_ms)
+    if server.record.notice.state == "silent":
+        del state.services[state.places.pop(server.name)].servers[server.name]
+        effects.append(DropServer(server.name))
+    fields = {
+        "server": server.name,
+        "pause_ms": round(server.paused_until_ms - now_ms),
+    }
+    effects.append(Log("server_paused", fields))
+
+
+def on_time_up(
+    state: GatewayState,
+    call_id: int,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Ends a request whose caller or route gives up."""
+    call = state.calls.get(call_id)
+    if call is None:
+        return
+    if call.phase is Phase.SENT:
+        call.is_maybe_run = True
+    server = placing.take_back(state, call, effects)
+    if server is not None and (
+        now_ms - call.sent_ms > OVERDUE_FACTOR * call.expected_ms
+    ):
+        server.note_failure(now_ms)
+    placing.refuse(state, call, RefusalReason.DEADLINE, now_ms, effects)
+
+
+def on_caller_gone(
+    state: GatewayState,
+    call_id: int,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Stops the work on a request that nobody waits for."""
+    call = state.calls.pop(call_id, None)
+    if call is None:
+        return
+    placing.take_back(state, call, effects)
+    fields = {
+        "id": call.request_id,
+        "server": call.server,
+        "after_ms": round(now_ms - call.arrived_ms),
+    }
+    effects.append(Log("caller_gone", fields))
+
+
+def on_load_told(
+    state: GatewayState, event: LoadTold, effects: list[GatewayEffect]
+) -> None:
+    """Learns a server's load and places the requests that wait for it."""
+    server = state.server(event.server)
+    if server is not None:
+        if not event.is_answered or event.is_other:
+            _pause(state, server, event.at_ms, effects)
+        else:
+            server.is_ill = not event.is_well
+            if event.report is not None:
+                server.note_report(event.report, event.at_ms)
+    for call in list(state.asking.values()):
+        if event.server in call.unheard:
+            call.unheard.discard(event.server)
+            placing.on_load_known(state, call, False, event.at_ms, effects)
+
+
+def on_asking_ended(
+    state: GatewayState,
+    call_id: int,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Places a request by the reports that came in time."""
+    call = state.asking.get(call_id)
+    if call is not None:
+        placing.on_load_known(state, call, True, now_ms, effects)
+
+
+def on_server_dead(
+    state: GatewayState, event: ServerDead, effects: list[GatewayEffect]
+) -> None:
+    """Reports a request that a server did not survive."""
+    server = state.server(event.server)
+    if server is not None:
+        _pause(state, server, event.at_ms, effects)
+    state.reports += 1
+    command = ReportCrash(event.service, event.fingerprint, event.server, 0)
+    request = CommandRequest(f"crash-{state.reports}", command)
+    receivers = {state.leader} if state.leader else set(state.controls)
+    for receiver in sorted(receivers):
+        effects.append(TellControl(receiver, request))
+    fields = {"server": event.server, "fingerprint": event.fingerprint}
+    effects.append(Log("server_crashed", fields))
--- /dev/null
+++ b/gentianwall/gateway/placing.py
@@ -0,0 +1,257 @@
+"""From the arrival of a request to its sending, or to its refusal."""
+
+from __future__ import annotations
+
+from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.gateway import placement
+from gentianwall.gateway.effects import (
+    AskLoad,
+    CancelRequest,
+    GatewayEffect,
+    Log,
+    RefuseRequest,
+    SendRequest,
+    StartTimer,
+)
+from gentianwall.gateway.events import RequestArrived
+from gentianwall.gateway.placement import Candidate
+from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.state import (
+    GatewayState,
+    Phase,
+    RoutedCall,
+    ServiceState,
+)
+
+# A report this young needs no question; the speed changes every few hundred
+# milliseconds.
+FRESH_MS = 25.0
+# A server that is idle and of usual speed is taken without waiting for more.
+GOOD_ENOUGH = 1.2
+# A request that would probably miss its deadline is refused at once; the
+# expected time is an average, so it may exceed what is left a little.
+HOPELESS_SHARE = 0.9
+# Returns are spread over this range of the expected time of a request.
+RETURN_SPREAD = (0.5, 1.5)
+NO_CONTROL_RETRY_MS = 300.0
+
+
+def on_arrived(
+    state: GatewayState, event: RequestArrived, effects: list[GatewayEffect]
+) -> None:
+    """Finds the route of a request and places it."""
+    if state.table is None:
+        _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
+        return
+    route = state.table.find(event.host, event.path)
+    if route is None:
+        _refuse_unrouted(event, RefusalReason.NO_ROUTE, effects)
+        return
+    if event.fingerprint and event.fingerprint in state.quarantines:
+        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
+        return
+    name = state.table.choose_service(route)
+    if name is None:
+        _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
+        return
+    wait_ms = route.timeout_ms
+    if event.wait_ms is not None:
+        wait_ms = min(wait_ms, event.wait_ms)
+    call = RoutedCall(
+        call_id=event.call_id,
+        request_id=event.request_id,
+        route=route,
+        service=name,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms + wait_ms,
+    )
+    state.calls[call.call_id] = call
+    state.service(name).retries.note_call(event.at_ms)
+    effects.append(StartTimer(call.call_id, call.deadline_ms))
+    place(state, call, event.at_ms, effects)
+
+
+def _refuse_unrouted(
+    event: RequestArrived,
+    reason: RefusalReason,
+    effects: list[GatewayEffect],
+) -> None:
+    after_ms = 0.0
+    if reason in (RefusalReason.NOT_READY, RefusalReason.NO_SERVER):
+        after_ms = NO_CONTROL_RETRY_MS
+    fields = {"id": event.request_id, "reason": reason.name.lower()}
+    effects.append(Log("refused", {**fields, "path": event.path}))
+    refusal = Refusal(reason, Executed.NO, after_ms)
+    effects.append(RefuseRequest(event.call_id, refusal))
+
+
+def place(
+    state: GatewayState,
+    call: RoutedCall,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Sends a request to the best server, after a look at a few."""
+    service = state.service(call.service)
+    ranked = _ranked(state, service, call, now_ms)
+    if not ranked:
+        refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
+        return
+    if service.tells_load and service.health_path:
+        asked = [
+            candidate.server
+            for candidate in ranked[: placement.ASKED]
+            if now_ms - candidate.server.reported_ms > FRESH_MS
+        ]
+        if asked:
+            call.phase = Phase.ASKING
+            call.unheard = {server.name for server in asked}
+            state.asking[call.call_id] = call
+            notices = tuple(server.record.notice for server in asked)
+            effects.append(AskLoad(call.call_id, notices, service.health_path))
+            return
+    _send_best(state, service, call, ranked, now_ms, effects)
+
+
+def on_load_known(
+    state: GatewayState,
+    call: RoutedCall,
+    is_time_over: bool,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Sends a request once enough of the servers asked have answered."""
+    service = state.service(call.service)
+    ranked = _ranked(state, service, call, now_ms)
+    heard = [c for c in ranked if c.server.name not in call.unheard]
+    if not is_time_over and call.unheard:
+        work_ms = service.work_for(call.route)
+        fresh = [c for c in heard if now_ms - c.server.reported_ms <= FRESH_MS]
+        if not fresh or fresh[0].expected_ms > GOOD_ENOUGH * work_ms:
+            return
+        heard = fresh
+    del state.asking[call.call_id]
+    if not ranked:
+        refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
+        return
+    _send_best(state, service, call, heard or ranked, now_ms, effects)
+
+
+def _ranked(
+    state: GatewayState,
+    service: ServiceState,
+    call: RoutedCall,
+    now_ms: float,
+) -> list[Candidate]:
+    ranked = placement.rank(
+        service.servers.values(),
+        call.tried,
+        service.work_for(call.route),
+        now_ms,
+        state.rng,
+    )
+    return placement.prefer_near(
+        ranked, state.failure_domain, call.route.target_ms
+    )
+
+
+def _send_best(
+    state: GatewayState,
+    service: ServiceState,
+    call: RoutedCall,
+    ranked: list[Candidate],
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    best = ranked[0]
+    left_ms = call.deadline_ms - now_ms
+    is_hopeless = HOPELESS_SHARE * best.expected_ms > left_ms
+    if is_hopeless or best.server.is_full(now_ms):
+        refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
+        return
+    _send(call, best.server, best.expected_ms, now_ms, effects)
+
+
+def _send(
+    call: RoutedCall,
+    server: RoutedServer,
+    expected_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    call.phase = Phase.SENT
+    call.attempt += 1
+    call.tried.add(server.name)
+    call.server = server.name
+    call.sent_ms = now_ms
+    call.expected_ms = expected_ms
+    call.slowness = server.slowness(now_ms)
+    server.own[call.call_id] = now_ms
+    left_ms = call.deadline_ms - now_ms
+    effects.append(
+        SendRequest(
+            call.call_id,
+            call.attempt,
+            server.record.notice,
+            left_ms,
+            call.route.kind.is_idempotent,
+        )
+    )
+    age_ms = now_ms - server.reported_ms
+    fields = {
+        "id": call.request_id,
+        "server": server.name,
+        "attempt": call.attempt,
+        "load": round(server.load(now_ms), 1),
+        "slowness": round(call.slowness, 2),
+        "report_age_ms": round(min(age_ms, 1e9)),
+        "expected_ms": round(expected_ms),
+        "left_ms": round(left_ms),
+    }
+    effects.append(Log("sent", fields))
+
+
+def refuse(
+    state: GatewayState,
+    call: RoutedCall,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Gives the final word on a request; it is true about its execution."""
+    state.calls.pop(call.call_id, None)
+    state.asking.pop(call.call_id, None)
+    executed = Executed.UNKNOWN if call.is_maybe_run else Executed.NO
+    after_ms = 0.0
+    if executed is Executed.NO:
+        work_ms = state.service(call.service).work_for(call.route)
+        after_ms = work_ms * state.rng.uniform(*RETURN_SPREAD)
+    fields = {
+        "id": call.request_id,
+        "reason": reason.name.lower(),
+        "executed": executed.value,
+        "service": call.service,
+        "servers": len(state.service(call.service).servers),
+        "attempt": call.attempt,
+        "server": call.server,
+        "after_ms": round(now_ms - call.arrived_ms),
+        "left_ms": round(call.deadline_ms - now_ms),
+        "retry_after_ms": round(after_ms),
+    }
+    effects.append(Log("refused", fields))
+    refusal = Refusal(reason, executed, after_ms)
+    effects.append(RefuseRequest(call.call_id, refusal))
+
+
+def take_back(
+    state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
+) -> RoutedServer | None:
+    """Ends what is under way for a request; returns the server that had it."""
+    state.asking.pop(call.call_id, None)
+    if call.phase is not Phase.SENT:
+        return None
+    effects.append(CancelRequest(call.call_id))
+    server = state.server(call.server)
+    if server is not None:
+        server.own.pop(call.call_id, None)
+    return server
--- /dev/null
+++ b/gentianwall/gateway/reducer.py
@@ -0,0 +1,51 @@
+"""The reducer of an entry that follows routes."""
+
+from __future__ import annotations
+
+from gentianwall.core.events import CallerGone, DrainStarted, Tick
+from gentianwall.gateway import knowledge, outcomes, placing
+from gentianwall.gateway.effects import GatewayEffect, Log
+from gentianwall.gateway.events import (
+    AskingEnded,
+    FeedArrived,
+    GatewayEvent,
+    LoadTold,
+    RequestArrived,
+    ServerAnswered,
+    ServerDead,
+    ServerFailed,
+    TimeUp,
+)
+from gentianwall.gateway.state import GatewayState
+
+
+def reduce_gateway(
+    state: GatewayState, event: GatewayEvent
+) -> list[GatewayEffect]:
+    """Changes the state by one event and returns the effects in order."""
+    effects: list[GatewayEffect] = []
+    match event:
+        case RequestArrived():
+            placing.on_arrived(state, event, effects)
+        case LoadTold():
+            outcomes.on_load_told(state, event, effects)
+        case ServerAnswered():
+            outcomes.on_answered(state, event, effects)
+        case ServerFailed():
+            outcomes.on_failed(state, event, effects)
+        case AskingEnded():
+            outcomes.on_asking_ended(state, event.call_id, event.at_ms, effects)
+        case TimeUp():
+            outcomes.on_time_up(state, event.call_id, event.at_ms, effects)
+        case CallerGone():
+            outcomes.on_caller_gone(state, event.call_id, event.at_ms, effects)
+        case ServerDead():
+            outcomes.on_server_dead(state, event, effects)
+        case FeedArrived():
+            knowledge.on_feed(state, event, effects)
+        case Tick():
+            knowledge.poll_due(state, event.at_ms, effects)
+        case DrainStarted():
+            state.is_draining = True
+            effects.append(Log("draining", {"calls": len(state.calls)}))
+    return effects
--- /dev/null
+++ b/gentianwall/gateway/servers.py
@@ -0,0 +1,144 @@
+"""What an entry knows of each server, and how long a request would take.
+
+Load pattern: neighbours on a server's machine slow it several times for
+fractions of a second, and several entries send to it without telling each
+other. So a server's own report rules while it is fresh, what this entry sent
+since counts on top, and both fade within the time that the load changes.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from gentianwall.membership.registry import RegisteredServer
+from gentianwall.routing.reports import SpeedReport
+
+# Load and speed change "many times per second": a report loses most of its
+# meaning in a third of a second.
+REPORT_FADE_MS = 300.0
+# Above this share of busy slots servers slow down, by about this factor.
+CROWDED_SHARE = 0.8
+CROWDED_FACTOR = 1.7
+# Servers that have just started take about twice as long.
+COLD_FACTOR = 2.0
+# Requests that a server lets wait before it turns others away.
+SERVER_QUEUE = 4
+# An error rate fades within the time in which a fault usually ends.
+FAILURE_FADE_MS = 4000.0
+FAILURE_WEIGHT = 0.3
+FAILURE_FACTOR = 6.0
+# First pause after a lost connection; doubles up to the longest.
+PAUSE_MS = 200.0
+MAX_PAUSE_MS = 3200.0
+# A server that says it is ill may lie, so it is only put behind others.
+ILL_FACTOR = 2.0
+SILENT_FACTOR = 1.5
+
+
+@attrs.define
+class RoutedServer:
+    """One server as this entry sees it.
+
+    Attributes:
+        record: What the control instances hold of it.
+        warm_at_ms: When it is no longer slow from its start.
+        report: Its last report, if it tells its load.
+        reported_ms: When that report came.
+        own_at_report: Requests of this entry that it held then.
+        own: When each of this entry's requests was sent there, by call id.
+        failure_rate: Moving share of failures.
+        failed_ms: When it failed last.
+        pauses: Pauses since its last good answer.
+        paused_until_ms: When it is tried again.
+        is_ill: Whether its last health check said so.
+    """
+
+    record: RegisteredServer
+    warm_at_ms: float
+    report: SpeedReport | None = None
+    reported_ms: float = float("-inf")
+    own_at_report: int = 0
+    own: dict[int, float] = attrs.field(factory=dict)
+    failure_rate: float = 0.0
+    failed_ms: float = float("-inf")
+    pauses: int = 0
+    paused_until_ms: float = float("-inf")
+    is_ill: bool = False
+
+    @property
+    def name(self) -> str:
+        """The name it chose."""
+        return self.record.name
+
+    def load(self, now_ms: float) -> float:
+        """Returns how many requests it probably holds."""
+        if self.report is None:
+            return float(len(self.own))
+        held = self.report.running + self.report.waiting
+        others = max(0, held - self.own_at_report)
+        fade = math.exp(-(now_ms - self.reported_ms) / REPORT_FADE_MS)
+        return others * fade + len(self.own)
+
+    def slowness(self, now_ms: float) -> float:
+        """Returns how much longer than usual work takes there."""
+        slowness = 1.0
+        if self.report is not None:
+            fade = math.exp(-(now_ms - self.reported_ms) / REPORT_FADE_MS)
+            slowness += (self.report.slowness - 1.0) * fade
+        if now_ms < self.warm_at_ms:
+            slowness *= COLD_FACTOR
+        return slowness
+
+    def expected_ms(self, now_ms: float, work_ms: float) -> float:
+        """Returns how long a request sent now probably takes.
+
+        Args:
+            now_ms: The local clock.
+            work_ms: Time of such a request at an idle, usual server.
+        """
+        slots = self.record.notice.slots
+        load = self.load(now_ms)
+        each_ms = work_ms * self.slowness(now_ms)
+        if (min(load, slots) + 1.0) / slots > CROWDED_SHARE:
+            each_ms *= CROWDED_FACTOR
+        waiting = max(0.0, load + 1.0 - slots)
+        return each_ms * (1.0 + waiting / slots)
+
+    def penalty(self, now_ms: float) -> float:
+        """Returns a factor for what speaks against it, besides its load."""
+        fade = math.exp(-(now_ms - self.failed_ms) / FAILURE_FADE_MS)
+        factor = 1.0 + FAILURE_FACTOR * self.failure_rate * fade
+        if self.is_ill:
+            factor *= ILL_FACTOR
+        if self.record.notice.state == "silent":
+            factor *= SILENT_FACTOR
+        return factor
+
+    def is_full(self, now_ms: float) -> bool:
+        """Whether it would probably turn a request away."""
+        return self.load(now_ms) >= self.record.notice.slots + SERVER_QUEUE
+
+    def note_report(self, report: SpeedReport, now_ms: float) -> None:
+        """Takes a report that has just come."""
+        self.report = report
+        self.reported_ms = now_ms
+        self.own_at_report = len(self.own)
+
+    def note_good(self, now_ms: float) -> None:
+        """Takes note of a good answer."""
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT
+        self.pauses = 0
+        self.paused_until_ms = float("-inf")
+
+    def note_failure(self, now_ms: float) -> None:
+        """Takes note of a failure that speaks against it."""
+        self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
+        self.failed_ms = now_ms
+
+    def pause(self, now_ms: float) -> None:
+        """Keeps requests away for a while after its connection failed."""
+        pause_ms = min(MAX_PAUSE_MS, PAUSE_MS * 2**self.pauses)
+        self.paused_until_ms = now_ms + pause_ms
+        self.pauses += 1
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -8,19 +8,35 @@
 
 from collections.abc import Callable
 
+import attrs
 from twisted.internet import protocol
 from twisted.web import http
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.http.problems import CONTENT_TYPE, Problem, problem_of
 
-HEADER_TIMEOUT_S = 10.0
-BODY_TIMEOUT_S = 60.0
-IDLE_TIMEOUT_S = 75.0
-MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
 
 
+@attrs.frozen(kw_only=True)
+class CallerBounds:
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_bytes: Largest headers.
+        body_bytes: Largest body.
+        header_timeout_s: Time for the headers.
+        body_timeout_s: Time for the whole request.
+        idle_timeout_s: How long a connection may be idle.
+    """
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 16 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 60.0
+    idle_timeout_s: float = 75.0
+
+
 class CallerRequest(http.Request):
     """One request; its body is kept in memory up to the limit.
 
@@ -37,7 +53,7 @@
 
     def gotLength(self, length) -> None:
         """Refuses a body whose announced length is over the limit."""
-        if length is not None and length > self.channel.site.body_limit_bytes:
+        if length is not None and length > self.channel.bounds.body_bytes:
             self.channel.reject(RefusalReason.REQUEST_TOO_LARGE)
 
     def parseCookies(self) -> None:
@@ -46,7 +62,7 @@
     def handleContentChunk(self, data) -> None:
         """Takes a part of the body."""
         self._body_bytes += len(data)
-        if self._body_bytes > self.channel.site.body_limit_bytes:
+        if self._body_bytes > self.channel.bounds.body_bytes:
             self._chunks.clear()
             self.channel.reject(RefusalReason.REQUEST_TOO_LARGE)
             return
@@ -56,6 +72,11 @@
         """Takes the end of the request."""
         if self.channel.is_rejected:
             return
+        hosts = self.requestHeaders.getRawHeaders(b"Host") or []
+        if len(hosts) > 1 or (not hosts and version == b"HTTP/1.1"):
+            # RFC 9112, 3.2: exactly one Host.
+            self.channel.reject_status(400, "exactly one Host is needed")
+            return
         self.body = b"".join(self._chunks)
         self._chunks.clear()
         self.method = command
@@ -109,13 +130,14 @@
 
     requestFactory = CallerRequest
     maxHeaders = MAX_HEADERS
-    totalHeadersSize = MAX_HEADER_BYTES
-    MAX_LENGTH = MAX_HEADER_BYTES
-    timeOut = IDLE_TIMEOUT_S
     abortTimeout = 1
 
-    def __init__(self):
+    def __init__(self, bounds: CallerBounds):
         super().__init__()
+        self.bounds = bounds
+        self.totalHeadersSize = bounds.header_bytes
+        self.MAX_LENGTH = bounds.header_bytes
+        self.timeOut = bounds.idle_timeout_s
         self.is_rejected = False
         self._slow_call = None
         self._is_partial = False
@@ -136,7 +158,9 @@
             self._slow_call.cancel()
             self._slow_call = None
         if is_partial:
-            self._slow_call = self.callLater(HEADER_TIMEOUT_S, self._slow)
+            self._slow_call = self.callLater(
+                self.bounds.header_timeout_s, self._slow
+            )
 
     def _has_part(self) -> bool:
         return bool(self.requests) or bool(self._buffer)
@@ -147,7 +171,8 @@
         if has_headers and not self._is_body_late:
             self._is_body_late = True
             self._slow_call = self.callLater(
-                BODY_TIMEOUT_S - HEADER_TIMEOUT_S, self._slow
+                self.bounds.body_timeout_s - self.bounds.header_timeout_s,
+                self._slow,
             )
             return
         self.reject_status(408, "the request came too slowly")
@@ -240,7 +265,7 @@
     """Accepts callers' connections.
 
     Attributes:
-        body_limit_bytes: Largest body of any service.
+        bounds: Bounds for connections from now on.
         channels: Open connections, for a graceful end.
     """
 
@@ -253,12 +278,12 @@
     ):
         self.handle = handle
         self.handle_gone = handle_gone
-        self.body_limit_bytes = 16 * 1024 * 1024
+        self.bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
     def buildProtocol(self, addr) -> CallerChannel:
         """Makes the protocol of one connection."""
-        channel = CallerChannel()
+        channel = CallerChannel(self.bounds)
         channel.site = self
         channel.factory = self
         self.channels.add(channel)
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 import attrs
 from twisted.internet import protocol
 from twisted.internet.defer import succeed
+from twisted.internet.error import ConnectionDone
 from twisted.web import http_headers
 from twisted.web.client import HTTP11ClientProtocol, Request, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
@@ -22,11 +25,28 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_MS = 4000.0
 DISTRUST_MS = 60_000.0
+# A kept connection is given up well before the server says it would close it.
+KEEP_ALIVE_SHARE = 0.6
+# Answers to older requests that are dropped before the connection is.
+MAX_STRAYS = 3
 
 
 @attrs.define
 class ServerRequest:
-    """What is sent to a server."""
+    """What is sent to a server.
+
+    Attributes:
+        method: HTTP method.
+        uri: Path and query.
+        headers: All headers.
+        body: The whole body.
+        is_idempotent: Whether an old connection may be risked.
+        is_name_needed: Whether an answer that names no request ends its
+            connection.
+        is_close_an_end: Whether an answer without a length is whole once the
+            server has closed the connection in order.
+        echo_header: The header in which servers echo the request id.
+    """
 
     method: bytes
     uri: bytes
@@ -34,6 +54,8 @@
     body: bytes
     is_idempotent: bool
     is_name_needed: bool = False
+    is_close_an_end: bool = False
+    echo_header: bytes = b"Gentianwall-Request-Id"
 
 
 @attrs.define
@@ -67,6 +89,21 @@
         pass
 
 
+class _NothingMore:
+    """Waits for another answer to a request that was sent before."""
+
+    persistent = True
+
+    def __init__(self, method: bytes):
+        self.method = method
+
+    def writeTo(self, transport):
+        return succeed(None)
+
+    def stopWriting(self) -> None:
+        pass
+
+
 class Connection(HTTP11ClientProtocol):
     """One connection to a server.
 
@@ -76,6 +113,10 @@
         heard_ms: When the last byte came.
         is_tainted: Whether bytes came that belong to no request.
         is_lost: Whether it is closed.
+        is_orderly: Whether the server closed it in order.
+        idle_limit_ms: How long it may be idle and still be used.
+        is_stray: Whether the answer under way belongs to an older request.
+        stray_rest: Bytes behind that answer.
     """
 
     def __init__(self, pool: ConnectionPool):
@@ -86,13 +127,42 @@
         self.heard_ms = self.opened_ms
         self.is_tainted = False
         self.is_lost = False
+        self.is_orderly = False
+        self.idle_limit_ms = MAX_IDLE_MS
+        self.is_stray = False
+        self.stray_rest = b""
 
     def _went_idle(self, _) -> None:
-        self.pool.put_idle(self)
+        if not self.is_stray:
+            self.pool.put_idle(self)
+
+    def note_keep_alive(self, headers: http_headers.Headers) -> None:
+        """Takes note of how long the server keeps the connection."""
+        for value in headers.getRawHeaders(b"Keep-Alive") or ():
+            match = re.search(rb"timeout\s*=\s*(\d+)", value)
+            if match:
+                limit_ms = KEEP_ALIVE_SHARE * 1000.0 * int(match.group(1))
+                self.idle_limit_ms = min(MAX_IDLE_MS, limit_ms)
+
+    def await_next(self, method: bytes):
+        """Drops the answer under way and waits for the one behind it.
+
+        Returns:
+            A deferred that fires with the next answer.
+        """
+        self.is_stray = False
+        answered = self.request(_NothingMore(method))
+        rest, self.stray_rest = self.stray_rest, b""
+        if rest:
+            self.dataReceived(rest)
+        return answered
 
     def dataReceived(self, data) -> None:
         """Takes bytes; those that belong to no request end the connection."""
         self.heard_ms = monotonic_ms()
+        if self._parser is None and self.is_stray:
+            self.stray_rest += data
+            return
         if self._parser is None:
             self._distrust()
             self.transport.abortConnection()
@@ -100,17 +170,21 @@
         super().dataReceived(data)
 
     def _finishResponse(self, rest) -> None:
-        if rest:
+        if self.is_stray:
+            self.stray_rest = rest
+        elif rest:
             self._distrust()
         super()._finishResponse(rest)
 
     def _distrust(self) -> None:
         self.is_tainted = True
-        self.pool.distrust()
+        if not self.pool.is_echoing:
+            self.pool.distrust()
 
     def connectionLost(self, reason) -> None:
         """Leaves the pool."""
         self.is_lost = True
+        self.is_orderly = bool(reason.check(ConnectionDone))
         self.pool.drop(self)
         super().connectionLost(reason)
 
@@ -123,8 +197,10 @@
         limit_bytes: int,
         done: Callable[[bytes], None],
         failed: Callable[[FailureKind], None],
+        is_end: Callable[[], bool],
     ):
         self._limit_bytes = limit_bytes
+        self._is_end = is_end
         self._done = done
         self._failed = failed
         self._chunks: list[bytes] = []
@@ -139,10 +215,12 @@
         self._chunks.append(data)
 
     def connectionLost(self, reason) -> None:
-        if reason.check(ResponseDone):
+        is_closed = reason.check(PotentialDataLoss) and self._is_end()
+        if reason.check(ResponseDone) or is_closed:
             self._done(b"".join(self._chunks))
         else:
-            # An end by close alone cannot be told from a cut.
+            # An end by close alone cannot be told from a cut, unless the
+            # servers are known to close in order only behind a whole answer.
             self._failed(FailureKind.SHORT)
 
 
@@ -169,6 +247,7 @@
         self._limit_bytes = limit_bytes
         self._silence_ms = silence_ms
         self._is_testing = False
+        self._strays = 0
         self._on_answer = on_answer
         self._on_failure = on_failure
         self._connection: Connection | None = None
@@ -237,18 +316,46 @@
             _Body(body) if body else None,
             persistent=True,
         )
-        answered = connection.request(request)
+        self._await(connection.request(request))
+
+    def _await(self, answered) -> None:
         answered.addCallbacks(self._head, self._lost)
         answered.addErrback(self._lost)
 
+    def _skip(self, response) -> None:
+        """Drops the answer to an older request and waits for the next."""
+        connection = self._connection
+        connection.is_stray = True
+        self._strays += 1
+        if self._strays > MAX_STRAYS:
+            self.fail(FailureKind.CROSSED)
+            return
+
+        def dropped(_) -> None:
+            self._pool.call_soon(again)
+
+        def again() -> None:
+            if self._is_over:
+                return
+            if connection.is_lost:
+                self.fail(FailureKind.LOST)
+                return
+            self._await(connection.await_next(self.request.method))
+
+        response.deliverBody(
+            _Collector(self._limit_bytes, dropped, dropped, lambda: True)
+        )
+
     def _head(self, response) -> None:
         if self._is_over:
             return
-        echoed = response.headers.getRawHeaders(b"Gentianwall-Request-Id")
+        echoed = response.headers.getRawHeaders(self.request.echo_header)
+        if echoed:
+            self._pool.is_echoing = True
         if echoed and echoed[0] != self._request_id.encode():
-            self._pool.distrust()
-            self.fail(FailureKind.CROSSED)
+            self._skip(response)
             return
+        self._connection.note_keep_alive(response.headers)
         if not echoed and self.request.is_name_needed:
             self._connection.is_tainted = True  # It is not used again.
         is_known = response.length is not UNKNOWN_LENGTH
@@ -262,7 +369,12 @@
             self._is_over = True
             self._on_answer(ServerAnswer(response.code, response.headers, body))
 
-        response.deliverBody(_Collector(self._limit_bytes, done, self.fail))
+        def is_end() -> bool:
+            return self.request.is_close_an_end and self._connection.is_orderly
+
+        response.deliverBody(
+            _Collector(self._limit_bytes, done, self.fail, is_end)
+        )
 
     def _lost(self, _) -> None:
         self.fail(FailureKind.LOST)
@@ -300,12 +412,28 @@
 
 
 class ConnectionPool:
-    """All connections to one server."""
+    """All connections to one server.
+
+    Attributes:
+        host: IP number of the server.
+        port: Its port.
+        connect_timeout_s: Time for a new connection.
+        is_echoing: Whether the server echoes request ids, so that an answer
+            to another request is found out.
+    """
 
-    def __init__(self, reactor, host: str, port: int):
+    def __init__(
+        self,
+        reactor,
+        host: str,
+        port: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ):
         self._reactor = reactor
         self.host = host
         self.port = port
+        self.is_echoing = False
+        self.connect_timeout_s = connect_timeout_s
         self._distrusted_until_ms = float("-inf")
         self._idle: list[Connection] = []
         self._all: set[Connection] = set()
@@ -316,12 +444,14 @@
         A server may close a connection while a request is on its way. What
         may not be repeated therefore takes only one that was used just now.
         """
-        most_ms = MAX_IDLE_MS if is_idempotent else MAX_IDLE_MS / 4
         now_ms = monotonic_ms()
         while self._idle:
             connection = self._idle.pop()
             if connection.is_lost:
                 continue
+            most_ms = connection.idle_limit_ms
+            if not is_idempotent:
+                most_ms /= 4
             if now_ms - connection.idle_since_ms <= most_ms:
                 return connection
             connection.transport.loseConnection()
@@ -349,9 +479,13 @@
             self.host,
             self.port,
             _Connector(self, done, failed),
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=self.connect_timeout_s,
         )
 
+    def call_soon(self, call: Callable[[], None]) -> None:
+        """Calls once the present input is dealt with."""
+        self._reactor.callLater(0, call)
+
     def add(self, connection: Connection) -> None:
         """Counts an open connection."""
         self._all.add(connection)
--- a/gentianwall/http/headers.py
+++ b/gentianwall/http/headers.py
@@ -64,6 +64,22 @@
     return headers
 
 
+def passed_on(received: Headers, own: tuple[bytes, ...] = ()) -> Headers:
+    """Returns the headers that concern more than one connection.
+
+    Args:
+        received: All headers.
+        own: Names that are left out as well, since they are set anew.
+    """
+    dropped = _named_by_connection(received) | {name.lower() for name in own}
+    headers = Headers()
+    for name, values in received.getAllRawHeaders():
+        lower = name.lower()
+        if lower not in HOP_BY_HOP and lower not in dropped:
+            headers.setRawHeaders(name, values)
+    return headers
+
+
 def to_caller(received: Headers, instance: bytes) -> list[tuple[bytes, bytes]]:
     """Makes the headers of an answer towards the caller."""
     dropped = _named_by_connection(received)
--- a/gentianwall/links/sockets.py
+++ b/gentianwall/links/sockets.py
@@ -11,6 +11,7 @@
 import uuid
 from collections.abc import Callable, Iterator
 
+import attrs
 import zmq
 import zmq.auth
 from twisted.internet.interfaces import IReadDescriptor
@@ -31,6 +32,48 @@
 MAX_MESSAGES_PER_TURN = 512
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
+# Ten elections; whom nobody addressed for that long was replaced or is gone.
+UNUSED_LINK_MS = 30_000.0
+
+
+@attrs.frozen(kw_only=True)
+class LinkSetup:
+    """Who a process is to the others, and how it reaches them.
+
+    Attributes:
+        name: Name of the process.
+        address: Where it takes messages.
+        peers: Addresses of the others by name.
+        is_open: Whether any other name is an address and is dialled when it
+            is first sent to.
+        heartbeat_ms: Time between heartbeats of a link.
+        silence_ms: Silence after which a link is dialled anew.
+        key_folder: Folder of the keys, or an empty text.
+    """
+
+    name: str
+    address: str
+    peers: dict[str, str] = attrs.field(factory=dict)
+    is_open: bool = False
+    heartbeat_ms: int
+    silence_ms: int
+    key_folder: str = ""
+
+
+def link_setup_of(settings: Settings) -> LinkSetup:
+    """Returns the links that the settings of an instance list."""
+    return LinkSetup(
+        name=settings.instance,
+        address=settings.own.link_address,
+        peers={
+            other.name: other.link_address
+            for other in settings.instances
+            if other.name != settings.instance
+        },
+        heartbeat_ms=settings.links.heartbeat_ms,
+        silence_ms=settings.links.silence_ms,
+        key_folder=settings.links.key_folder,
+    )
 
 
 @implementer(IReadDescriptor)
@@ -39,12 +82,12 @@
 
     def __init__(
         self,
-        settings: Settings,
+        setup: LinkSetup,
         reactor,
         timeline: Timeline,
         receive: Callable[[list[Envelope]], None],
     ):
-        self.settings = settings
+        self.setup = setup
         self.boot_id = uuid.uuid4().hex[:12]
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -57,12 +100,13 @@
         self._keys: KeyPair | None = None
         self._pull: zmq.Socket | None = None
         self._push: dict[str, zmq.Socket] = {}
+        self._used_ms: dict[str, float] = {}
 
     def open(self) -> None:
         """Binds and connects."""
-        folder = self.settings.links.key_folder
+        folder = self.setup.key_folder
         if folder:
-            self._keys = load_keys(folder, self.settings.instance)
+            self._keys = load_keys(folder, self.setup.name)
             self._authenticator = ThreadAuthenticator(self._context)
             self._authenticator.start()
             self._authenticator.configure_curve(domain="*", location=folder)
@@ -72,12 +116,9 @@
             self._pull.curve_publickey = self._keys.public
             self._pull.curve_secretkey = self._keys.secret
             self._pull.curve_server = True
-        self._pull.bind(f"tcp://{self.settings.own.link_address}")
-        for instance in self.settings.instances:
-            if instance.name != self.settings.instance:
-                self._push[instance.name] = self._connect(
-                    instance.name, instance.link_address
-                )
+        self._pull.bind(f"tcp://{self.setup.address}")
+        for name, address in self.setup.peers.items():
+            self._push[name] = self._connect(name, address)
         self._reactor.addReader(self)
         self._reactor.callLater(0, self.doRead)
 
@@ -96,10 +137,14 @@
         """Sends a message, or drops it when the link is down or full."""
         socket = self._push.get(receiver)
         if socket is None:
-            return
+            if not self.setup.is_open:
+                return
+            socket = self._push[receiver] = self._connect(receiver, receiver)
+        if self.setup.is_open:
+            self._used_ms[receiver] = monotonic_ms()
         envelope = Envelope(
             PROTOCOL_VERSION,
-            self.settings.instance,
+            self.setup.name,
             self.boot_id,
             monotonic_ms(),
             self._timeline.now_ms(wall_ms()),
@@ -112,6 +157,14 @@
         except zmq.Again:
             log.debug("No link to %s. Message dropped.", receiver)
 
+    def close_unused(self) -> None:
+        """Closes the links that were not sent on for long."""
+        before_ms = monotonic_ms() - UNUSED_LINK_MS
+        for name, used_ms in list(self._used_ms.items()):
+            if used_ms < before_ms:
+                del self._used_ms[name]
+                self._push.pop(name).close(linger=0)
+
     def fileno(self) -> int:
         """The descriptor that signals incoming messages."""
         return self._pull.fileno()
@@ -160,7 +213,7 @@
         socket.reconnect_ivl = RECONNECT_MIN_MS
         socket.reconnect_ivl_max = RECONNECT_MAX_MS
         if self._keys is not None:
-            peer = load_keys(self.settings.links.key_folder, name, False)
+            peer = load_keys(self.setup.key_folder, name, False)
             socket.curve_publickey = self._keys.public
             socket.curve_secretkey = self._keys.secret
             socket.curve_serverkey = peer.public
@@ -169,22 +222,22 @@
 
     def _set_options(self, socket: zmq.Socket) -> None:
         socket.linger = 0
-        socket.heartbeat_ivl = self.settings.links.heartbeat_ms
-        socket.heartbeat_timeout = self.settings.links.silence_ms
-        socket.heartbeat_ttl = self.settings.links.silence_ms
-        socket.connect_timeout = self.settings.links.silence_ms
-        socket.handshake_ivl = self.settings.links.silence_ms
+        socket.heartbeat_ivl = self.setup.heartbeat_ms
+        socket.heartbeat_timeout = self.setup.silence_ms
+        socket.heartbeat_ttl = self.setup.silence_ms
+        socket.connect_timeout = self.setup.silence_ms
+        socket.handshake_ivl = self.setup.silence_ms
 
 
 @contextlib.contextmanager
 def open_links(
-    settings: Settings,
+    setup: LinkSetup,
     reactor,
     timeline: Timeline,
     receive: Callable[[list[Envelope]], None],
 ) -> Iterator[Links]:
     """Opens the links of a process and closes them at the end."""
-    links = Links(settings, reactor, timeline, receive)
+    links = Links(setup, reactor, timeline, receive)
     links.open()
     try:
         yield links
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -4,10 +4,17 @@
 
 import contextlib
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+
+import attrs
 
 from gentianwall.claims.image import encode_register
 from gentianwall.config.settings import Settings
+from gentianwall.control.messages import (
+    CommandRefused,
+    CommandReply,
+    ReadReply,
+)
 from gentianwall.core.control import (
     ControlEffect,
     ControlEvent,
@@ -15,9 +22,15 @@
     reduce_control,
 )
 from gentianwall.core.effects import Record, SendMessage
-from gentianwall.core.events import Tick
-from gentianwall.links.messages import Envelope
-from gentianwall.links.sockets import Links, open_links
+from gentianwall.core.events import MessageArrived, Tick
+from gentianwall.core.feed import DEFAULT_SERVER_SILENCE_MS
+from gentianwall.links.messages import Envelope, Message
+from gentianwall.links.sockets import (
+    Links,
+    LinkSetup,
+    link_setup_of,
+    open_links,
+)
 from gentianwall.logs import get_logger
 from gentianwall.metrics import Metrics
 from gentianwall.replication.effects import (
@@ -32,7 +45,11 @@
 from gentianwall.replication.state import Role, Timing
 from gentianwall.runtime.operators import ControlDesk
 from gentianwall.runtime.plumbing import events_of, listen
-from gentianwall.storage.journal import Journal, JournalDamaged
+from gentianwall.storage.journal import (
+    FREE_SPACE_RESERVE_BYTES,
+    Journal,
+    JournalDamaged,
+)
 from gentianwall.timeline import EventKind, Timeline
 from gentianwall.timers import TimerService, monotonic_ms, wall_ms
 
@@ -40,24 +57,64 @@
 
 TICK_MS = 50.0
 SPACE_CHECK_MS = 1000.0
+# A disk that has room again is used within a fifth of an operator's patience.
+STORE_AGAIN_MS = 200.0
+SNAPSHOT_AGAIN_MS = 1000.0
+
+
+# What answers requests of this instance's own callers.
+GATE_ANSWERS = (CommandReply, CommandRefused, ReadReply)
 
 
 class ControlFailedError(Exception):
-    """The control instance cannot go on; nothing unsynced was promised."""
+    """The control instance cannot start; nothing unsynced was promised."""
+
+
+@attrs.frozen(kw_only=True)
+class ControlSetup:
+    """What a control instance is told at its start.
+
+    Attributes:
+        name: Its name, as the other replicas know it.
+        data_folder: Folder of its journal.
+        peers: Names of the other control instances that are known.
+        entries: Names of the entries that are listed.
+        timing: Time limits of the log.
+        target_voters: How many replicas vote; 0 for all that join.
+        server_silence_ms: Time after which a server counts as silent.
+        free_space_bytes: Free space below which no command is taken; 0 to
+            take commands until a write is refused.
+    """
+
+    name: str
+    data_folder: str
+    peers: tuple[str, ...]
+    entries: tuple[str, ...] = ()
+    timing: Timing = attrs.field(factory=Timing)
+    target_voters: int = 0
+    server_silence_ms: float = DEFAULT_SERVER_SILENCE_MS
+    free_space_bytes: int = FREE_SPACE_RESERVE_BYTES
 
 
 class ControlRuntime:
-    """One control instance."""
+    """One control instance.
+
+    Attributes:
+        receive_reply: Takes what this instance sends to itself.
+        unstored: Effects whose writing the disk refused; until they are
+            written nothing else happens here.
+    """
 
-    def __init__(self, settings: Settings, reactor, timers: TimerService):
-        self.settings = settings
+    def __init__(self, setup: ControlSetup, reactor, timers: TimerService):
+        self.setup = setup
         self.reactor = reactor
         self.timers = timers
         self.metrics = Metrics()
-        self.timeline = Timeline(settings.instance)
+        self.timeline = Timeline(setup.name)
         self.links: Links | None = None
-        self.journal = Journal(settings.data_folder)
-        self._ports: list = []
+        self.journal = Journal(setup.data_folder)
+        self.receive_reply: Callable[[Message], None] = _ignore
+        self.unstored: list[ControlEffect] = []
 
     def recover(self) -> None:
         """Reads the journal and rebuilds the replica.
@@ -68,35 +125,29 @@
         recovered = self.journal.recover()
         if isinstance(recovered, JournalDamaged):
             raise ControlFailedError(str(recovered))
-        own = self.settings.own
-        controls = self.settings.with_role("control")
-        timing = self.settings.replication
+        setup = self.setup
         replica = restore_replica(
             recovered,
-            name=own.name,
-            peers=tuple(i.name for i in controls if i.name != own.name),
-            timing=Timing(
-                heartbeat_ms=timing.heartbeat_ms,
-                election_timeout_ms=timing.election_timeout_ms,
-                snapshot_entries=timing.snapshot_entries,
-            ),
+            name=setup.name,
+            peers=setup.peers,
+            timing=setup.timing,
             seed=random.SystemRandom().getrandbits(64),
             now_ms=monotonic_ms(),
+            target_voters=setup.target_voters,
         )
-        entries = tuple(i.name for i in self.settings.with_role("entry"))
-        self.state = ControlState(replica, entries)
+        self.state = ControlState(replica, setup.entries)
+        self.state.feed.server_silence_ms = setup.server_silence_ms
         log.info(
-            "Journal read. Term %d, last entry %d.",
+            "Journal read. Term %d, last entry %d, disk %s, member %s.",
             replica.term,
             replica.log.last_index,
+            replica.disk_id,
+            replica.is_member,
         )
 
     def start(self, links: Links) -> None:
-        """Listens."""
+        """Takes messages."""
         self.links = links
-        self.desk = ControlDesk(self)
-        address = self.settings.own.operators_address
-        self._ports = [listen(self.reactor, address, self.desk.site())]
         self.timeline.record(wall_ms(), EventKind.STARTED)
 
     def tick(self) -> None:
@@ -105,29 +156,64 @@
 
     def check_space(self) -> None:
         """Refuses new commands while the disk is nearly full."""
-        is_full = not self.journal.has_space()
+        is_full = not self.journal.has_space(self.setup.free_space_bytes)
         if is_full and not self.state.is_disk_full:
             log.error("Disk nearly full. New changes are refused.")
         self.state.is_disk_full = is_full
 
     def receive(self, envelopes: list[Envelope]) -> None:
         """Takes messages of other instances, in one batch."""
-        self._handle(list(events_of(envelopes, self.timeline)))
+        events = []
+        for event in events_of(envelopes, self.timeline):
+            if isinstance(event.message, GATE_ANSWERS):
+                self.receive_reply(event.message)
+            else:
+                events.append(event)
+        if events:
+            self._handle(events)
+
+    def handle_own(self, event: MessageArrived) -> None:
+        """Takes a message that this instance sends to itself."""
+        self._handle([event])
 
     def _handle(self, events: list[ControlEvent]) -> None:
         """Reduces a batch of events; one sync serves them all."""
+        if self.unstored:
+            return  # As if they were lost on the way; senders repeat.
         effects: list[ControlEffect] = []
         for event in [*events, BatchEnded(monotonic_ms())]:
             effects += reduce_control(self.state, event)
-        self._store(effects)
+        self._carry_out(effects)
+
+    def _carry_out(self, effects: list[ControlEffect]) -> None:
+        if not self._store(effects):
+            self.unstored = effects
+            self.timers.start(
+                f"{self.setup.name}.store",
+                monotonic_ms() + STORE_AGAIN_MS,
+                self._store_again,
+            )
+            return
+        own = []
         for effect in effects:
             match effect:
                 case TakeSnapshot():
                     self.reactor.callInThread(self._take_snapshot, effect)
+                case SendMessage(receiver=self.setup.name):
+                    own.append(effect.message)
                 case SendMessage():
                     self.links.send(effect.receiver, effect.message)
                 case Record():
                     self._record(effect)
+        for message in own:
+            self.receive_reply(message)
+
+    def _store_again(self) -> None:
+        """Writes what the disk refused; it held nothing up meanwhile."""
+        effects, self.unstored = self.unstored, []
+        self._carry_out(effects)
+        if not self.unstored:
+            log.info("Journal written again. Work goes on.")
 
     def _take_snapshot(self, effect: TakeSnapshot) -> None:
         """Packs a snapshot and writes its file; runs in a thread."""
@@ -140,35 +226,37 @@
         try:
             self.journal.write_snapshot(snapshot)
         except OSError as error:
-            self.reactor.callFromThread(self._fail, error)
+            log.error("Snapshot not written: %s. It is tried again.", error)
+            self.reactor.callFromThread(
+                self.timers.start,
+                f"{self.setup.name}.snapshot",
+                monotonic_ms() + SNAPSHOT_AGAIN_MS,
+                lambda: self.reactor.callInThread(self._take_snapshot, effect),
+            )
             return
         event = SnapshotTaken(monotonic_ms(), snapshot)
         self.reactor.callFromThread(self._handle, [event])
 
-    def _fail(self, error: OSError) -> None:
-        """Ends the process.
+    def _store(self, effects: list[ControlEffect]) -> bool:
+        """Writes and syncs what must be kept; returns whether it is kept.
 
-        What is in memory may now be ahead of the disk, so nothing of it may
-        be told to anyone.
+        What is in memory is ahead of a disk that refuses, so nothing of it
+        may be told to anyone until it is written.
         """
-        log.error("Journal not written: %s. The process ends.", error)
-        if self.reactor.running:
-            self.reactor.stop()
-        raise ControlFailedError(str(error)) from error
-
-    def _store(self, effects: list[ControlEffect]) -> None:
         storage = [
             effect
             for effect in effects
             if isinstance(effect, StoreTerm | StoreEntries | StoreSnapshot)
         ]
         if not storage:
-            return
+            return True
         kept = kept_of(self.state.replica)
         try:
             self.journal.store(storage, kept)
         except OSError as error:
-            self._fail(error)
+            log.error("Journal not written: %s. Work waits for it.", error)
+            return False
+        return True
 
     def _record(self, effect: Record) -> None:
         self.timeline.record(
@@ -187,30 +275,58 @@
         replica = self.state.replica
         return replica.role is Role.LEADER or bool(replica.leader)
 
-    def stop_listening(self) -> None:
-        """Takes no further connections."""
-        for port in self._ports:
-            port.stopListening()
-        self._ports.clear()
-
 
 @contextlib.contextmanager
 def run_control(
-    settings: Settings, reactor, timers: TimerService
+    setup: ControlSetup,
+    link_setup: LinkSetup,
+    reactor,
+    timers: TimerService,
 ) -> Iterator[ControlRuntime]:
     """Runs a control instance for as long as the context lasts."""
-    runtime = ControlRuntime(settings, reactor, timers)
+    runtime = ControlRuntime(setup, reactor, timers)
     runtime.recover()
     with contextlib.ExitStack() as stack:
         stack.callback(runtime.journal.close)
         links = stack.enter_context(
-            open_links(settings, reactor, runtime.timeline, runtime.receive)
+            open_links(link_setup, reactor, runtime.timeline, runtime.receive)
         )
         runtime.start(links)
-        name = settings.instance
+        name = setup.name
         stack.enter_context(timers.every(f"{name}.tick", TICK_MS, runtime.tick))
         stack.enter_context(
             timers.every(f"{name}.space", SPACE_CHECK_MS, runtime.check_space)
         )
         yield runtime
-        runtime.stop_listening()
+
+
+@contextlib.contextmanager
+def run_listed_control(
+    settings: Settings, reactor, timers: TimerService
+) -> Iterator[ControlRuntime]:
+    """Runs a control instance whose settings list all others."""
+    own = settings.own
+    timing = settings.replication
+    setup = ControlSetup(
+        name=own.name,
+        data_folder=settings.data_folder,
+        peers=tuple(
+            i.name for i in settings.with_role("control") if i.name != own.name
+        ),
+        entries=tuple(i.name for i in settings.with_role("entry")),
+        timing=Timing(
+            heartbeat_ms=timing.heartbeat_ms,
+            election_timeout_ms=timing.election_timeout_ms,
+            snapshot_entries=timing.snapshot_entries,
+        ),
+    )
+    link_setup = link_setup_of(settings)
+    with run_control(setup, link_setup, reactor, timers) as runtime:
+        desk = ControlDesk(runtime, settings)
+        port = listen(reactor, own.operators_address, desk.site())
+        yield runtime
+        port.stopListening()
+
+
+def _ignore(message: Message) -> None:
+    log.warning("%s to itself dropped.", type(message).__name__)
--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -34,9 +34,9 @@
 )
 from gentianwall.core.state import EntryState
 from gentianwall.http.announcements import AnnouncementDesk
-from gentianwall.http.channel import CallerRequest, CallerSite
+from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
 from gentianwall.links.messages import Envelope
-from gentianwall.links.sockets import Links, open_links
+from gentianwall.links.sockets import Links, link_setup_of, open_links
 from gentianwall.logs import get_logger
 from gentianwall.metrics import Metrics
 from gentianwall.runtime.calls import CallDesk
@@ -207,7 +207,7 @@
                 for service in self.state.services.values()
             ]
             if limits:
-                self.site.body_limit_bytes = max(limits)
+                self.site.bounds = CallerBounds(body_bytes=max(limits))
 
     def _on_request(self, request: CallerRequest) -> None:
         if request.path.startswith(b"/gentianwall/"):
@@ -243,7 +243,12 @@
     runtime = EntryRuntime(settings, reactor, timers)
     with contextlib.ExitStack() as stack:
         links = stack.enter_context(
-            open_links(settings, reactor, runtime.timeline, runtime.receive)
+            open_links(
+                link_setup_of(settings),
+                reactor,
+                runtime.timeline,
+                runtime.receive,
+            )
         )
         runtime.start(links)
         name = settings.instance
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -18,6 +18,7 @@
 )
 from gentianwall.config.declaration import parse_declaration
 from gentianwall.config.schema import ConfigErrors
+from gentianwall.config.settings import Settings
 from gentianwall.control.messages import StatusReply
 from gentianwall.core.events import (
     CommandWanted,
@@ -200,8 +201,9 @@
 class ControlDesk:
     """Pages of a control instance."""
 
-    def __init__(self, runtime):
+    def __init__(self, runtime, settings: Settings):
         self._runtime = runtime
+        self._settings = settings
 
     def site(self) -> server.Site:
         """Makes the operators' site."""
@@ -211,7 +213,7 @@
             Page("/readyz", "GET", self._ready, is_open=True),
             Page("/v1/replica", "GET", self._replica),
         ]
-        token = load_token(self._runtime.settings.operator_token_file)
+        token = load_token(self._settings.operator_token_file)
         return server.Site(OperatorPages(pages, token))
 
     def _live(self, request: server.Request) -> None:
--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -118,10 +118,12 @@
             os.close(self._fd)
             self._fd = -1
 
-    def has_space(self) -> bool:
-        """Whether the disk still has room beyond the reserve."""
+    def has_space(self, reserve_bytes: int) -> bool:
+        """Whether the disk still has room beyond a reserve."""
+        if reserve_bytes == 0:
+            return True
         stat = os.statvfs(self._folder)
-        return stat.f_bavail * stat.f_frsize > FREE_SPACE_RESERVE_BYTES
+        return stat.f_bavail * stat.f_frsize > reserve_bytes
 
     def recover(self) -> Recovered | JournalDamaged:
         """Reads the state back, or gives an empty disk a new identity."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -6,11 +6,9 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from gentianwall.http.channel import (
-    BODY_TIMEOUT_S,
-    HEADER_TIMEOUT_S,
-    CallerSite,
-)
+from gentianwall.http.channel import CallerBounds, CallerSite
+
+BOUNDS = CallerBounds()
 
 
 @pytest.fixture
@@ -39,7 +37,7 @@
     _trickle(line, b"GET /x HTTP/1.1\r\nX: " + b"y" * 60, 0.5)
     assert line[1].value().startswith(b"HTTP/1.1 408 ")
     assert line[1].disconnecting
-    assert line[2].seconds() <= HEADER_TIMEOUT_S + 1
+    assert line[2].seconds() <= BOUNDS.header_timeout_s + 1
 
 
 def test_a_body_that_trickles_gets_408(line):
@@ -47,14 +45,22 @@
     line[0].dataReceived(head)
     _trickle(line, b"z" * 800, 0.5)
     assert line[1].value().startswith(b"HTTP/1.1 408 ")
-    assert line[2].seconds() <= BODY_TIMEOUT_S + 1
+    assert line[2].seconds() <= BOUNDS.body_timeout_s + 1
 
 
 def test_a_whole_request_stops_the_watch(line):
     channel, transport, clock, seen = line
     channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n")
-    clock.advance(HEADER_TIMEOUT_S / 2)
+    clock.advance(BOUNDS.header_timeout_s / 2)
     channel.dataReceived(b"\r\n")
-    clock.advance(HEADER_TIMEOUT_S)
+    clock.advance(BOUNDS.header_timeout_s)
     assert len(seen) == 1
     assert not transport.disconnecting
+
+
+@pytest.mark.parametrize("hosts", [b"", b"Host: a\r\nHost: b\r\n"])
+def test_a_request_without_exactly_one_host_gets_400(line, hosts):
+    line[0].dataReceived(b"GET /x HTTP/1.1\r\n" + hosts + b"\r\n")
+    assert line[1].value().startswith(b"HTTP/1.1 400 ")
+    assert line[1].disconnecting
+    assert not line[3]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -90,9 +90,7 @@
     journal.store([StoreEntries((_entry(index),))], Recovered("d"))
 
 
-@given(
-    start=st.integers(0, 60), length=st.integers(2, 60), fill=st.binary()
-)
+@given(start=st.integers(0, 60), length=st.integers(2, 60), fill=st.binary())
 def test_a_tail_with_torn_blocks_is_cut(start, length, fill, tmp_path_factory):
     tmp_path = tmp_path_factory.mktemp("blocks")
     journal = Journal(str(tmp_path / "data"))
