Ask a few servers at a time, wait for room at the entry, restart faster

Now: servers are asked four at a time until one is idle; a request that finds all full waits at the entry, where it takes the first that is free; the last leader may stand again at once, since only its own lease can hold; requests wait for the first configuration of a process that has just started.

--- a/gentianwall/__main__.py
+++ b/gentianwall/__main__.py
@@ -54,14 +54,6 @@
     return daemon.found_cluster(settings)
 
 
-@app.command(name="platform")
-def platform_process() -> int:
-    """Runs the process that the platform's settings file describes."""
-    from gentianwall.platform import process
-
-    return process.run()
-
-
 def main() -> None:
     """Parses the command line and exits with the command's code."""
     sys.exit(app(sys.argv[1:], result_action="return_value"))
--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -52,8 +52,8 @@
 STDOUT = 1
 # Above the sync of a disk that turned slow (25 x 5 ms), and twice the longest
 # pause measured of a process, docs/measurements/platform.md.
-ELECTION_TIMEOUT_MS = 500.0
-HEARTBEAT_MS = 100.0
+ELECTION_TIMEOUT_MS = 400.0
+HEARTBEAT_MS = 80.0
 SNAPSHOT_ENTRIES = 1000
 
 ControlHandler = Callable[[Gate], Callable[[CallerRequest], None]]
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -67,6 +67,14 @@
     at_ms: float
 
 
+@attrs.define
+class LookAgain:
+    """Tell when a request that found no room shall look again."""
+
+    call_id: int
+    at_ms: float
+
+
 @attrs.define
 class CheckServer:
     """See whether a server still takes connections."""
@@ -110,6 +118,7 @@
     | PassAnswer
     | RefuseRequest
     | StartTimer
+    | LookAgain
     | CheckServer
     | DropServer
     | TellControl
--- a/gentianwall/gateway/knowledge.py
+++ b/gentianwall/gateway/knowledge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gentianwall.control.messages import FeedNotice, FeedPoll, FeedRedirect
+from gentianwall.gateway import placing
 from gentianwall.gateway.effects import (
     DropServer,
     GatewayEffect,
@@ -19,7 +20,9 @@
 # in which it must be in force.
 POLL_MS = 400.0
 # An entry without a configuration refuses everything, so it asks more often.
-FIRST_POLL_MS = 100.0
+FIRST_POLL_MS = 50.0
+# Without an answer all are asked, less often.
+LOST_POLL_MS = 200.0
 # Three polls without an answer: the leader is gone, so all are asked.
 FEED_SILENCE_MS = 700.0
 
@@ -36,8 +39,11 @@
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
     is_heard = now_ms - state.told_ms <= FEED_SILENCE_MS
-    wait_ms = POLL_MS if state.table is not None else FIRST_POLL_MS
-    state.poll_due_ms = now_ms + (wait_ms if is_heard else FIRST_POLL_MS * 2)
+    if state.table is None:
+        wait_ms = FIRST_POLL_MS
+    else:
+        wait_ms = POLL_MS if is_heard else LOST_POLL_MS
+    state.poll_due_ms = now_ms + wait_ms
     if is_heard and state.leader:
         receivers = {state.leader}
     else:
@@ -89,6 +95,8 @@
         state.revision = notice.revision
         for record in notice.servers:
             _take_server(state, record, event.at_ms, effects)
+    if state.unrouted and state.table is not None:
+        placing.place_unrouted(state, event.at_ms, effects)
     if notice.quarantines is not None:
         state.quarantine_version = notice.quarantine_version
         state.quarantines = frozenset(notice.quarantines)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -198,6 +198,7 @@
     """Ends a request whose caller or route gives up."""
     call = state.calls.get(call_id)
     if call is None:
+        placing.refuse_unrouted(state, call_id, effects)
         return
     if call.phase is Phase.SENT:
         call.is_maybe_run = True
@@ -216,6 +217,7 @@
     effects: list[GatewayEffect],
 ) -> None:
     """Stops the work on a request that nobody waits for."""
+    state.unrouted.pop(call_id, None)
     call = state.calls.pop(call_id, None)
     if call is None:
         return
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -9,6 +9,7 @@
     CancelRequest,
     GatewayEffect,
     Log,
+    LookAgain,
     RefuseRequest,
     SendRequest,
     StartTimer,
@@ -25,9 +26,20 @@
 
 # A report this young needs no question; the speed changes every few hundred
 # milliseconds.
-FRESH_MS = 25.0
+FRESH_MS = 40.0
 # A server that is idle and of usual speed is taken without waiting for more.
 GOOD_ENOUGH = 1.2
+# One that still has a free slot is taken if no better one is found.
+CROWDED_ENOUGH = 1.8
+# Servers asked for one request before it takes the best of them.
+MAX_ASKED = 9
+# A request that waits here looks again; some server is done every 10 ms at
+# the rates of the deployments.
+LOOK_AGAIN_MS = 25.0
+# A new process learns the configuration in much less, if anyone has it.
+STARTING_MS = 5000.0
+START_WAIT_MS = 1000.0
+START_WAIT_SHARE = 0.5
 # A request that would probably miss its deadline is refused at once; the
 # expected time is an average, so it may exceed what is left a little.
 HOPELESS_SHARE = 0.9
@@ -37,11 +49,22 @@
 
 
 def on_arrived(
-    state: GatewayState, event: RequestArrived, effects: list[GatewayEffect]
+    state: GatewayState,
+    event: RequestArrived,
+    effects: list[GatewayEffect],
+    now_ms: float | None = None,
 ) -> None:
-    """Finds the route of a request and places it."""
+    """Finds the route of a request and places it.
+
+    Args:
+        state: The entry.
+        event: The request.
+        effects: Where effects go.
+        now_ms: The local clock, if the request has waited.
+    """
+    now_ms = event.at_ms if now_ms is None else now_ms
     if state.table is None:
-        _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
+        _hold_unrouted(state, event, effects)
         return
     route = state.table.find(event.host, event.path)
     if route is None:
@@ -66,9 +89,41 @@
         deadline_ms=event.at_ms + wait_ms,
     )
     state.calls[call.call_id] = call
-    state.service(name).retries.note_call(event.at_ms)
+    state.service(name).retries.note_call(now_ms)
     effects.append(StartTimer(call.call_id, call.deadline_ms))
-    place(state, call, event.at_ms, effects)
+    place(state, call, now_ms, effects)
+
+
+def _hold_unrouted(
+    state: GatewayState, event: RequestArrived, effects: list[GatewayEffect]
+) -> None:
+    """Lets a request wait for the first configuration, just after a start."""
+    wait_ms = START_WAIT_MS
+    if event.wait_ms is not None:
+        wait_ms = min(wait_ms, START_WAIT_SHARE * event.wait_ms)
+    if event.at_ms > state.started_ms + STARTING_MS:
+        _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
+        return
+    state.unrouted[event.call_id] = event
+    effects.append(StartTimer(event.call_id, event.at_ms + wait_ms))
+
+
+def place_unrouted(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Places what waited for the first configuration, in order of arrival."""
+    waiting, state.unrouted = list(state.unrouted.values()), {}
+    for event in waiting:
+        on_arrived(state, event, effects, now_ms)
+
+
+def refuse_unrouted(
+    state: GatewayState, call_id: int, effects: list[GatewayEffect]
+) -> None:
+    """Refuses a request for which no configuration came in time."""
+    event = state.unrouted.pop(call_id, None)
+    if event is not None:
+        _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
 
 
 def _refuse_unrouted(
@@ -91,26 +146,43 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    """Sends a request to the best server, after a look at a few."""
+    """Sends a request to the best server, after a look at some."""
     service = state.service(call.service)
     ranked = _ranked(state, service, call, now_ms)
+    call.asked = 0
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
-        return
-    if service.tells_load and service.health_path:
-        asked = [
-            candidate.server
-            for candidate in ranked[: placement.ASKED]
-            if now_ms - candidate.server.reported_ms > FRESH_MS
-        ]
-        if asked:
-            call.phase = Phase.ASKING
-            call.unheard = {server.name for server in asked}
-            state.asking[call.call_id] = call
-            notices = tuple(server.record.notice for server in asked)
-            effects.append(AskLoad(call.call_id, notices, service.health_path))
-            return
-    _send_best(state, service, call, ranked, now_ms, effects)
+    elif not _ask_more(state, service, call, ranked, now_ms, effects):
+        _send_best(state, service, call, ranked, now_ms, effects)
+
+
+def _ask_more(
+    state: GatewayState,
+    service: ServiceState,
+    call: RoutedCall,
+    ranked: list[Candidate],
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> bool:
+    """Asks the best servers whose reports are old; returns whether any."""
+    if not service.tells_load or not service.health_path:
+        return False
+    if call.asked >= MAX_ASKED:
+        return False
+    asked = [
+        candidate.server
+        for candidate in ranked
+        if now_ms - candidate.server.reported_ms > FRESH_MS
+    ][: placement.ASKED]
+    if not asked:
+        return False
+    call.phase = Phase.ASKING
+    call.asked += len(asked)
+    call.unheard = {server.name for server in asked}
+    state.asking[call.call_id] = call
+    notices = tuple(server.record.notice for server in asked)
+    effects.append(AskLoad(call.call_id, notices, service.health_path))
+    return True
 
 
 def on_load_known(
@@ -120,21 +192,36 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    """Sends a request once enough of the servers asked have answered."""
+    """Sends a request to a server with room, or looks further.
+
+    A few servers are asked at a time, until one is idle and of usual speed.
+    If all that were asked are full, the request waits here: it can then go to
+    whichever server is free first.
+    """
     service = state.service(call.service)
     ranked = _ranked(state, service, call, now_ms)
-    heard = [c for c in ranked if c.server.name not in call.unheard]
-    if not is_time_over and call.unheard:
-        work_ms = service.work_for(call.route)
-        fresh = [c for c in heard if now_ms - c.server.reported_ms <= FRESH_MS]
-        if not fresh or fresh[0].expected_ms > GOOD_ENOUGH * work_ms:
-            return
-        heard = fresh
-    del state.asking[call.call_id]
+    work_ms = service.work_for(call.route)
+    fresh = [c for c in ranked if now_ms - c.server.reported_ms <= FRESH_MS]
+    if fresh and fresh[0].expected_ms <= GOOD_ENOUGH * work_ms:
+        _send_best(state, service, call, fresh, now_ms, effects)
+        return
+    if call.unheard and not is_time_over:
+        return
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
         return
-    _send_best(state, service, call, heard or ranked, now_ms, effects)
+    if _ask_more(state, service, call, ranked, now_ms, effects):
+        return
+    heard = [c for c in ranked if c.server.name not in call.unheard]
+    best = fresh or heard or ranked
+    if best[0].expected_ms > CROWDED_ENOUGH * work_ms:
+        started_ms = now_ms + LOOK_AGAIN_MS + CROWDED_ENOUGH * work_ms
+        if started_ms <= call.arrived_ms + call.route.target_ms:
+            call.asked = 0
+            call.unheard = set()
+            effects.append(LookAgain(call.call_id, now_ms + LOOK_AGAIN_MS))
+            return
+    _send_best(state, service, call, best, now_ms, effects)
 
 
 def _ranked(
@@ -163,6 +250,7 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
+    state.asking.pop(call.call_id, None)
     best = ranked[0]
     left_ms = call.deadline_ms - now_ms
     is_hopeless = HOPELESS_SHARE * best.expected_ms > left_ms
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -9,6 +9,7 @@
 
 from gentianwall.config.routes import Route
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
+from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.routes import RouteTable
 
@@ -39,6 +40,7 @@
         attempt: How often it was sent.
         tried: Servers that it was sent to, or that could not be reached.
         unheard: Servers that were asked for their load and did not answer.
+        asked: How many servers were asked since it last waited.
         server: The server that has it.
         sent_ms: When it was sent there.
         expected_ms: How long it was expected to take there.
@@ -57,6 +59,7 @@
     attempt: int = 0
     tried: set[str] = attrs.field(factory=set)
     unheard: set[str] = attrs.field(factory=set)
+    asked: int = 0
     server: str = ""
     sent_ms: float = 0.0
     expected_ms: float = 0.0
@@ -121,6 +124,8 @@
         poll_due_ms: When the feed is asked for again.
         is_draining: Whether the process is about to end.
         reports: Number of the last crash report.
+        unrouted: Requests that came before the first configuration.
+        started_ms: When the process started.
     """
 
     name: str
@@ -144,6 +149,8 @@
     poll_due_ms: float = 0.0
     is_draining: bool = False
     reports: int = 0
+    unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
+    started_ms: float = 0.0
 
     @property
     def is_ready(self) -> bool:
--- a/gentianwall/links/sockets.py
+++ b/gentianwall/links/sockets.py
@@ -13,9 +13,7 @@
 
 import attrs
 import zmq
-import zmq.auth
 from twisted.internet.interfaces import IReadDescriptor
-from zmq.auth.thread import ThreadAuthenticator
 from zope.interface import implementer
 
 from gentianwall import codec
@@ -31,7 +29,7 @@
 SEND_QUEUE_MESSAGES = 10_000
 MAX_MESSAGES_PER_TURN = 512
 RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 500
+RECONNECT_MAX_MS = 150
 # Ten elections; whom nobody addressed for that long was replaced or is gone.
 UNUSED_LINK_MS = 30_000.0
 
@@ -96,7 +94,7 @@
         self._timeline = timeline
         self._receive = receive
         self._context = zmq.Context()
-        self._authenticator: ThreadAuthenticator | None = None
+        self._authenticator = None
         self._keys: KeyPair | None = None
         self._pull: zmq.Socket | None = None
         self._push: dict[str, zmq.Socket] = {}
@@ -106,6 +104,9 @@
         """Binds and connects."""
         folder = self.setup.key_folder
         if folder:
+            # Imported where links are locked: it brings in asyncio.
+            from zmq.auth.thread import ThreadAuthenticator
+
             self._keys = load_keys(folder, self.setup.name)
             self._authenticator = ThreadAuthenticator(self._context)
             self._authenticator.start()
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -9,7 +9,6 @@
 import bisect
 
 import attrs
-from aioprometheus import Counter, Gauge, Registry, render
 
 LATENCY_BUCKETS_S = [
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0,
@@ -97,10 +96,15 @@
 
     def text(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
+        # Imported once metrics are asked for: it takes 10 MB and 0.1 s.
+        from aioprometheus import render
+
         content, _ = render(self._registry(), ["text/plain"])
         return content
 
-    def _registry(self) -> Registry:
+    def _registry(self):
+        from aioprometheus import Counter, Gauge, Registry
+
         registry = Registry()
         answers = Counter(ANSWERS, "Answered calls.", registry=registry)
         refusals = Counter(REFUSALS, "Refused calls.", registry=registry)
@@ -127,7 +131,7 @@
         return registry
 
 
-def _set_buckets(seconds: Counter, name: str, numbers: ServiceNumbers) -> None:
+def _set_buckets(seconds, name: str, numbers: ServiceNumbers) -> None:
     total = 0
     bounds = [*map(str, LATENCY_BUCKETS_S), "+Inf"]
     for bound, count in zip(bounds, numbers.seconds, strict=True):
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -13,6 +13,7 @@
     SendToReplica,
     StoreEntries,
     StoreSnapshot,
+    StoreTerm,
     TakeSnapshot,
 )
 from gentianwall.replication.messages import (
@@ -145,6 +146,10 @@
         or (state.role is not Role.FOLLOWER)
     ):
         election.follow(state, term, leader, now_ms, effects)
+    if state.voted_for != leader:
+        # Kept, so that after a restart it is known whose lease may hold.
+        state.voted_for = leader
+        effects.append(StoreTerm(state.term, leader))
     state.last_contact_ms = now_ms
     election.draw_election_due(state, now_ms)
     return True
--- a/gentianwall/replication/election.py
+++ b/gentianwall/replication/election.py
@@ -144,9 +144,12 @@
 ) -> bool:
     if request.term < state.term:
         return False
-    # A leader that was heard lately may hold a lease on this promise.
+    # A leader that was heard lately may hold a lease on this promise, unless
+    # it is the one that asks. A replica that has followed a leader keeps its
+    # name as its vote of the term.
     timeout_ms = state.timing.election_timeout_ms
-    if now_ms < state.last_contact_ms + timeout_ms:
+    is_promised = now_ms < state.last_contact_ms + timeout_ms
+    if is_promised and state.voted_for != sender:
         return False
     if state.role is Role.LEADER:
         return False
--- a/gentianwall/replication/restore.py
+++ b/gentianwall/replication/restore.py
@@ -10,6 +10,9 @@
 from gentianwall.replication.messages import LogEntry, Snapshot
 from gentianwall.replication.state import ReplicaState, Timing
 
+# Links are up again within two of their shortest reconnection times.
+EARLY_ELECTION_MS = 100.0
+
 
 @attrs.define
 class Recovered:
@@ -34,7 +37,8 @@
     """Returns a follower that remembers everything it synced.
 
     It grants no vote for one election timeout, since it cannot know what it
-    promised to a leader before it stopped.
+    promised to a leader before it stopped; but for the leader itself, which
+    tries an election soon.
 
     Args:
         recovered: What the disk held.
@@ -62,6 +66,9 @@
     state.last_contact_ms = now_ms
     timeout_ms = timing.election_timeout_ms
     state.election_due_ms = now_ms + timeout_ms * (1 + state.rng.random())
+    if recovered.voted_for == name:
+        # It led last, so no other leader can hold a lease on its promise.
+        state.election_due_ms = now_ms + EARLY_ELECTION_MS
     if not peers:
         # No one else can lead, so there is no promise to wait for.
         state.last_contact_ms = float("-inf")
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -43,7 +43,6 @@
 from gentianwall.replication.replica import BatchEnded, SnapshotTaken
 from gentianwall.replication.restore import kept_of, restore_replica
 from gentianwall.replication.state import Role, Timing
-from gentianwall.runtime.operators import ControlDesk
 from gentianwall.runtime.plumbing import events_of, listen
 from gentianwall.storage.journal import (
     FREE_SPACE_RESERVE_BYTES,
@@ -305,6 +304,9 @@
     settings: Settings, reactor, timers: TimerService
 ) -> Iterator[ControlRuntime]:
     """Runs a control instance whose settings list all others."""
+    # A fleet's control instances have no operators' pages.
+    from gentianwall.runtime.operators import ControlDesk
+
     own = settings.own
     timing = settings.replication
     setup = ControlSetup(
--- a/gentianwall/runtime/exchange.py
+++ b/gentianwall/runtime/exchange.py
@@ -217,15 +217,18 @@
 
     def ask(self, effect: AskLoad) -> None:
         """Asks servers for their load, for one request."""
-        call_id = effect.call_id
+        self.look_again(effect.call_id, monotonic_ms() + ASKING_MS)
+        for notice in effect.notices:
+            if notice.key.server not in self._asked:
+                self._ask_one(notice, effect.health_path)
+
+    def look_again(self, call_id: int, at_ms: float) -> None:
+        """Tells the core when a request shall be placed by what is known."""
         self._timers.start(
             f"asking.{call_id}",
-            monotonic_ms() + ASKING_MS,
+            at_ms,
             lambda: self._handle(AskingEnded(monotonic_ms(), call_id)),
         )
-        for notice in effect.notices:
-            if notice.key.server not in self._asked:
-                self._ask_one(notice, effect.health_path)
 
     def _ask_one(self, notice: ServerNotice, health_path: str) -> None:
         name = notice.key.server
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -19,6 +19,7 @@
     DropServer,
     GatewayEffect,
     Log,
+    LookAgain,
     PassAnswer,
     RefuseRequest,
     SendRequest,
@@ -74,6 +75,7 @@
                 settings.retry_window_ms,
             ),
             seeds=settings.seed_links,
+            started_ms=monotonic_ms(),
         )
         self.exchange = Exchange(
             reactor,
@@ -142,6 +144,8 @@
                 self._start_timer(effect)
             case AskLoad():
                 self.exchange.ask(effect)
+            case LookAgain():
+                self.exchange.look_again(effect.call_id, effect.at_ms)
             case SendRequest():
                 self.exchange.send(effect)
             case PassAnswer():
