Load only what a role needs; the last leader tries elections in succession

Cause: after everything lost power, control instances took 1.0 s to load and the last leader's only early election went out before links were up. Ruled out: missing compiled code (a trial shows that it is found). A service whose servers never answered is asked by one check first, so its first requests are placed.

--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -20,8 +20,9 @@
 from gentianwall.http.operators import TokenFileError
 from gentianwall.links.keys import KeyFileError
 from gentianwall.logs import get_logger, set_up
-from gentianwall.runtime.control import ControlFailedError, run_listed_control
+from gentianwall.runtime.control import run_listed_control
 from gentianwall.runtime.entry import EntryRuntime, run_entry
+from gentianwall.runtime.plumbing import ControlFailedError
 from gentianwall.storage.journal import Journal, JournalNotEmpty
 from gentianwall.timers import TimerService, monotonic_ms
 
--- /dev/null
+++ b/gentianwall/commands/fleet_control.py
@@ -0,0 +1,105 @@
+"""Runs a control instance of a fleet."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+from twisted.internet import reactor
+
+from gentianwall.commands.signals import on_end_signals
+from gentianwall.config.fleet import FleetSettings
+from gentianwall.http.channel import CallerRequest, CallerSite
+from gentianwall.logs import get_logger
+from gentianwall.replication.state import Timing
+from gentianwall.runtime.control import (
+    ControlRuntime,
+    ControlSetup,
+    run_control,
+)
+from gentianwall.runtime.gate import GATE_TICK_MS, Gate
+from gentianwall.runtime.plumbing import fleet_links, listen
+from gentianwall.storage.journal import Journal, JournalNotEmpty
+from gentianwall.timers import TimerService
+
+log = get_logger("fleet")
+
+# A control instance answers what it was asked, then ends.
+CONTROL_END_MS = 300.0
+# Above the sync of a disk that turned slow (25 x 5 ms), and twice the longest
+# pause measured of a process, docs/measurements/platform.md.
+ELECTION_TIMEOUT_MS = 400.0
+HEARTBEAT_MS = 80.0
+SNAPSHOT_ENTRIES = 1000
+# Members that were learned are asked as well from then on.
+MEMBERS_MS = 1000.0
+
+
+@contextlib.contextmanager
+def run(
+    settings: FleetSettings,
+    control_handler: Callable[[Gate], Callable[[CallerRequest], None]],
+    timers: TimerService,
+) -> Iterator[Callable[[FleetSettings], None]]:
+    """Runs a control instance; yields what takes changed settings."""
+    name = settings.link_address
+    _found_if_first(settings)
+    setup = ControlSetup(
+        name=name,
+        data_folder=settings.data_folder,
+        peers=tuple(seed for seed in settings.seed_links if seed != name),
+        timing=Timing(
+            heartbeat_ms=HEARTBEAT_MS,
+            election_timeout_ms=ELECTION_TIMEOUT_MS,
+            snapshot_entries=SNAPSHOT_ENTRIES,
+        ),
+        target_voters=settings.voters,
+        is_replaceable=True,
+        free_space_bytes=0,
+    )
+    links = fleet_links(settings)
+    with run_control(setup, links, reactor, timers) as runtime:
+        gate = Gate(runtime)
+        site = CallerSite(control_handler(gate), lambda request: None)
+        port = listen(reactor, settings.control_address, site)
+        on_end_signals(lambda: _end_control(port))
+
+        def reload(changed: FleetSettings) -> None:
+            _note_peers(runtime, changed)
+
+        def note_members() -> None:
+            _note_peers(runtime, settings)
+
+        with (
+            timers.every("gate.tick", GATE_TICK_MS, gate.tick),
+            timers.every("gate.members", MEMBERS_MS, note_members),
+        ):
+            yield reload
+
+
+def _found_if_first(settings: FleetSettings) -> None:
+    """Founds the cluster, if this is one of its seeds at their first start."""
+    name = settings.link_address
+    if not settings.is_first_start or name not in settings.seed_links:
+        return
+    founders = tuple(sorted(settings.seed_links))
+    founded = Journal(settings.data_folder).found(name, founders)
+    if isinstance(founded, JournalNotEmpty):
+        log.info("Started again before the first start was over.")
+    else:
+        log.info("Founded together with %s.", " ".join(founders))
+
+
+def _note_peers(runtime: ControlRuntime, settings: FleetSettings) -> None:
+    """Keeps the list of control instances that may be asked."""
+    replica = runtime.state.replica
+    names = {*replica.peers, *settings.seed_links}
+    names |= {member.replica for member in replica.members}
+    names.discard(replica.name)
+    replica.peers = tuple(sorted(names))
+    runtime.links.close_unused()
+
+
+def _end_control(port) -> None:
+    port.stopListening()
+    reactor.callLater(CONTROL_END_MS / 1000.0, reactor.stop)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -240,8 +240,12 @@
             _pause(state, server, event.at_ms, effects)
         else:
             server.is_ill = not event.is_well
+            service = state.services[state.places[server.name]]
             if event.report is not None:
+                service.tells_load = True
                 server.note_report(event.report, event.at_ms)
+            elif service.tells_load is None:
+                service.tells_load = False
     for call in list(state.asking.values()):
         if event.server in call.unheard:
             call.unheard.discard(event.server)
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -165,7 +165,7 @@
     effects: list[GatewayEffect],
 ) -> bool:
     """Asks the best servers whose reports are old; returns whether any."""
-    if not service.tells_load or not service.health_path:
+    if service.tells_load is False or not service.health_path:
         return False
     if call.asked >= MAX_ASKED:
         return False
@@ -173,7 +173,7 @@
         candidate.server
         for candidate in ranked
         if now_ms - candidate.server.reported_ms > FRESH_MS
-    ][: placement.ASKED]
+    ][: placement.ASKED if service.tells_load else 1]
     if not asked:
         return False
     call.phase = Phase.ASKING
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -77,7 +77,8 @@
         retries: What may be sent twice.
         health_path: Path of the health check; empty for none.
         servers: Its servers by name.
-        tells_load: Whether its servers tell their load.
+        tells_load: Whether its servers tell their load; None while no
+            server has answered.
         work_ms: Time of a request at an idle, usual server; 0 while unknown.
     """
 
@@ -85,7 +86,7 @@
     retries: RetryWindow
     health_path: str = ""
     servers: dict[str, RoutedServer] = attrs.field(factory=dict)
-    tells_load: bool = False
+    tells_load: bool | None = None
     work_ms: float = 0.0
 
     def work_for(self, route: Route) -> float:
--- a/gentianwall/platform/process.py
+++ b/gentianwall/platform/process.py
@@ -7,7 +7,6 @@
 from gentianwall.commands import fleet
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.http.dialect import Dialect
-from gentianwall.platform.control_api import ControlApi
 
 SETTINGS_VARIABLE = "GENTIANWALL_NODE_FILE"
 SETTINGS_PATH = "/etc/gentianwall/boot.conf"
@@ -28,6 +27,11 @@
 def run() -> int:
     """Runs the process that the platform's settings file describes."""
     path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
-    return fleet.run_from_file(
-        path, DIALECT, lambda gate: ControlApi(gate).handle
-    )
+    return fleet.run_from_file(path, DIALECT, _load_control_api)
+
+
+def _load_control_api():
+    """Loads the calls to control instances, which entries do without."""
+    from gentianwall.platform.control_api import ControlApi
+
+    return lambda gate: ControlApi(gate).handle
--- a/gentianwall/replication/election.py
+++ b/gentianwall/replication/election.py
@@ -14,7 +14,12 @@
     VoteReply,
     VoteRequest,
 )
-from gentianwall.replication.state import Progress, ReplicaState, Role
+from gentianwall.replication.state import (
+    EARLY_ELECTION_MS,
+    Progress,
+    ReplicaState,
+    Role,
+)
 
 
 def draw_election_due(state: ReplicaState, now_ms: float) -> None:
@@ -35,6 +40,8 @@
         state.term = term
         state.voted_for = ""
         effects.append(StoreTerm(term, ""))
+    if leader:
+        state.early_until_ms = float("-inf")
     was_leader = state.role is Role.LEADER
     is_news = was_leader or leader != state.leader
     if was_leader:
@@ -67,6 +74,8 @@
         Whether this replica leads at once, as the only member.
     """
     draw_election_due(state, now_ms)
+    if now_ms < state.early_until_ms:
+        state.election_due_ms = now_ms + EARLY_ELECTION_MS
     state.role = Role.TRIAL
     state.leader = ""
     return _count_vote(state, state.name, now_ms, effects)
--- a/gentianwall/replication/restore.py
+++ b/gentianwall/replication/restore.py
@@ -8,10 +8,12 @@
 
 from gentianwall.replication import appending
 from gentianwall.replication.messages import LogEntry, Snapshot
-from gentianwall.replication.state import ReplicaState, Timing
-
-# Links are up again within two of their shortest reconnection times.
-EARLY_ELECTION_MS = 100.0
+from gentianwall.replication.state import (
+    EARLY_ELECTION_MS,
+    EARLY_ELECTIONS_MS,
+    ReplicaState,
+    Timing,
+)
 
 
 @attrs.define
@@ -68,6 +70,7 @@
     state.election_due_ms = now_ms + timeout_ms * (1 + state.rng.random())
     if recovered.voted_for == name:
         # It led last, so no other leader can hold a lease on its promise.
+        state.early_until_ms = now_ms + EARLY_ELECTIONS_MS
         state.election_due_ms = now_ms + EARLY_ELECTION_MS
     if not peers:
         # No one else can lead, so there is no promise to wait for.
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -43,7 +43,11 @@
 from gentianwall.replication.replica import BatchEnded, SnapshotTaken
 from gentianwall.replication.restore import kept_of, restore_replica
 from gentianwall.replication.state import Role, Timing
-from gentianwall.runtime.plumbing import events_of, listen
+from gentianwall.runtime.plumbing import (
+    ControlFailedError,
+    events_of,
+    listen,
+)
 from gentianwall.storage.journal import (
     FREE_SPACE_RESERVE_BYTES,
     Journal,
@@ -65,10 +69,6 @@
 GATE_ANSWERS = (CommandReply, CommandRefused, ReadReply)
 
 
-class ControlFailedError(Exception):
-    """The control instance cannot start; nothing unsynced was promised."""
-
-
 @attrs.frozen(kw_only=True)
 class ControlSetup:
     """What a control instance is told at its start.
@@ -81,6 +81,8 @@
         timing: Time limits of the log.
         target_voters: How many replicas vote; 0 for all that join.
         server_silence_ms: Time after which a server counts as silent.
+        is_replaceable: Whether it joins with an empty disk if its journal is
+            damaged; else it does not start.
         free_space_bytes: Free space below which no command is taken; 0 to
             take commands until a write is refused.
     """
@@ -92,6 +94,7 @@
     timing: Timing = attrs.field(factory=Timing)
     target_voters: int = 0
     server_silence_ms: float = DEFAULT_SERVER_SILENCE_MS
+    is_replaceable: bool = False
     free_space_bytes: int = FREE_SPACE_RESERVE_BYTES
 
 
@@ -122,6 +125,11 @@
             ControlFailedError: The journal is damaged.
         """
         recovered = self.journal.recover()
+        is_damaged = isinstance(recovered, JournalDamaged)
+        if is_damaged and self.setup.is_replaceable:
+            log.error("%s. It joins with an empty disk.", recovered)
+            self.journal.set_aside()
+            recovered = self.journal.recover()
         if isinstance(recovered, JournalDamaged):
             raise ControlFailedError(str(recovered))
         setup = self.setup
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -32,11 +32,11 @@
 from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
 from gentianwall.http.dialect import Dialect
 from gentianwall.links.messages import Envelope
-from gentianwall.links.sockets import Links, LinkSetup, open_links
+from gentianwall.links.sockets import Links, open_links
 from gentianwall.logs import EventLog
 from gentianwall.metrics import Metrics
 from gentianwall.runtime.exchange import Exchange
-from gentianwall.runtime.plumbing import events_of, listen
+from gentianwall.runtime.plumbing import events_of, fleet_links, listen
 from gentianwall.timeline import Timeline
 from gentianwall.timers import TimerService, monotonic_ms
 
@@ -222,20 +222,3 @@
         )
         yield runtime
         runtime.stop_listening()
-
-
-# Half of the 2 s in which a change must be in force, so that a link that went
-# silent is dialled anew in time.
-LINK_HEARTBEAT_MS = 300
-LINK_SILENCE_MS = 900
-
-
-def fleet_links(settings: FleetSettings) -> LinkSetup:
-    """Returns links whose names are addresses."""
-    return LinkSetup(
-        name=settings.link_address,
-        address=settings.link_address,
-        is_open=True,
-        heartbeat_ms=LINK_HEARTBEAT_MS,
-        silence_ms=LINK_SILENCE_MS,
-    )
--- a/gentianwall/runtime/plumbing.py
+++ b/gentianwall/runtime/plumbing.py
@@ -4,13 +4,23 @@
 
 from collections.abc import Iterator
 
+from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.settings import Address, parse_address
 from gentianwall.core.events import MessageArrived
 from gentianwall.links.messages import Envelope
+from gentianwall.links.sockets import LinkSetup
 from gentianwall.timeline import Timeline
 from gentianwall.timers import monotonic_ms, wall_ms
 
 LISTEN_BACKLOG = 1024
+# Half of the 2 s in which a change must be in force, so that a link that went
+# silent is dialled anew in time.
+LINK_HEARTBEAT_MS = 300
+LINK_SILENCE_MS = 900
+
+
+class ControlFailedError(Exception):
+    """The control instance cannot start; nothing unsynced was promised."""
 
 
 def listen(reactor, address: str, factory):
@@ -36,3 +46,14 @@
             sent_ms=envelope.sent_ms,
             message=envelope.message,
         )
+
+
+def fleet_links(settings: FleetSettings) -> LinkSetup:
+    """Returns links whose names are addresses."""
+    return LinkSetup(
+        name=settings.link_address,
+        address=settings.link_address,
+        is_open=True,
+        heartbeat_ms=LINK_HEARTBEAT_MS,
+        silence_ms=LINK_SILENCE_MS,
+    )
--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -138,6 +138,14 @@
         self._number, path = files[-1]
         return self._read(path)
 
+    def set_aside(self) -> None:
+        """Renames what is damaged, so that the folder counts as empty."""
+        self.close()
+        for pattern in ("journal-*", "snapshot-*"):
+            for path in self._folder.glob(pattern):
+                path.rename(path.with_name(f"damaged-{path.name}"))
+        self._sync_folder()
+
     def found(
         self, replica: str, founders: tuple[str, ...] = ()
     ) -> Recovered | JournalNotEmpty:
