--- a/gentianwall/replication/joining.py
+++ b/gentianwall/replication/joining.py
@@ -106,14 +106,16 @@
             continue
         if progress.match_index < max(1, state.commit_index):
             continue
-        change = _step_towards(state, learner, progress, now_ms)
+        if now_ms - progress.acked_ms > VOTER_SILENCE_MS:
+            continue
+        change = _step_towards(state, learner, now_ms)
         if change is not None:
             return change
     return None
 
 
 def _step_towards(
-    state: ReplicaState, learner: Member, progress: Progress, now_ms: float
+    state: ReplicaState, learner: Member, now_ms: float
 ) -> ChangeMembers | None:
     """Returns the next change on the way to a learner that votes."""
     members = state.members
@@ -122,8 +124,6 @@
         return _change_to(others)  # Its old disk leaves first.
     if state.target_voters == 0 or len(members) < state.target_voters:
         return _change_to([*members, learner])
-    if now_ms - progress.acked_ms > VOTER_SILENCE_MS:
-        return None
     for member in members:
         if _is_silent(state, member, now_ms):
             return _change_to([m for m in members if m != member])
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,175 @@
+"""The platform's bodies are decoded whole or refused."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from gentianwall.config.routes import RouteConfiguration, RouteKind
+from gentianwall.config.schema import ConfigErrors
+from gentianwall.platform.announcements import (
+    Announcement,
+    BadAnnouncement,
+    Departure,
+    decode_departure,
+    decode_heartbeat,
+)
+from gentianwall.platform.operators import decode_configuration
+from gentianwall.routing.reports import SpeedReport, parse_speed_report
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "pa",
+    "version": "v1",
+    "maxConcurrency": 4,
+    "state": "ready",
+    "warmupLeftMs": 250,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "host": "Jepu9.example",
+    "pathPrefix": "/lepu270/",
+    "routeType": "safe",
+    "timeoutMs": 600,
+    "targetLatencyMs": 200,
+    "priority": 2,
+    "trafficSplit": [
+        {"service": "huvo11a", "weight": 90},
+        {"service": "kafi81c", "weight": 10},
+    ],
+    "maxAttempts": 2,
+}
+
+
+def _beat(**changes):
+    return json.dumps({**BEAT, **changes}).encode()
+
+
+def _document(version="r7", **changes):
+    spec = {k: v for k, v in {**ROUTE, **changes}.items() if v is not None}
+    health = {"healthPath": "/healthz", "maxConns": 260}
+    return {
+        "version": version,
+        "resources": [
+            {"type": "routes", "metadata": {"name": "r"}, "spec": spec},
+            {
+                "type": "services",
+                "metadata": {"name": "huvo11a"},
+                "spec": health,
+            },
+            {
+                "type": "services",
+                "metadata": {"name": "kafi81c"},
+                "spec": health,
+            },
+            {
+                "type": "limits",
+                "metadata": {},
+                "spec": {"maxHeaderBytes": 100, "idleTimeoutMs": 9000},
+            },
+        ],
+    }
+
+
+def test_a_heartbeat_is_decoded_into_what_it_holds():
+    decoded = decode_heartbeat("i-1", _beat(state="draining"))
+    assert isinstance(decoded, Announcement)
+    notice = decoded.notice
+    assert (notice.key.service, notice.key.server) == ("huvo11a", "i-1")
+    assert (notice.host, notice.port) == ("10.128.0.9", 8080)
+    assert (notice.slots, notice.state) == (4, "draining")
+    assert notice.incarnation == 1700000000000
+    assert (decoded.sequence, decoded.warmup_ms) == (4, 250.0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"address": "nowhere"},
+        {"maxConcurrency": "4"},
+        {"maxConcurrency": True},
+        {"maxConcurrency": 0},
+        {"sequence": None},
+        {"service": 5},
+        {"service": ""},
+        {"born": 17.5},
+        {"born": "1700000000000"},
+        {"warmupLeftMs": "soon"},
+    ],
+)
+def test_a_forged_heartbeat_names_no_server(change):
+    decoded = decode_heartbeat("i-1", _beat(**change))
+    assert isinstance(decoded, BadAnnouncement)
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff", b"[" * 9999])
+def test_bytes_that_cannot_be_read_are_refused(body):
+    assert isinstance(decode_heartbeat("i-1", body), BadAnnouncement)
+    assert isinstance(decode_configuration(body), ConfigErrors)
+
+
+def test_a_farewell_may_be_empty():
+    assert decode_departure("i-1", b"") == Departure("i-1", 0)
+    assert decode_departure("i-1", b'{"born": 7}') == Departure("i-1", 7)
+    assert isinstance(decode_departure("", b""), BadAnnouncement)
+
+
+def test_a_configuration_is_decoded_into_what_it_holds():
+    decoded = decode_configuration(json.dumps(_document()).encode())
+    assert isinstance(decoded, RouteConfiguration)
+    route = decoded.routes[0]
+    assert decoded.number == 7
+    assert (route.host, route.kind) == ("jepu9.example", RouteKind.SAFE)
+    assert (route.timeout_ms, route.target_ms) == (600.0, 200.0)
+    assert [t.weight for t in route.targets] == [90.0, 10.0]
+    assert decoded.limits.header_bytes == 100
+    assert decoded.limits.header_timeout_ms == 3000.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"host": ""},
+        {"pathPrefix": "lepu270/"},
+        {"routeType": "odd"},
+        {"targetLatencyMs": 60_600},
+        {"trafficSplit": [{"service": "huvo11a", "weight": -1}]},
+        {"trafficSplit": [{"service": "none", "weight": 1}]},
+        {"trafficSplit": None},
+        {"timeoutMs": "600"},
+    ],
+)
+def test_an_invalid_configuration_is_refused(change):
+    body = json.dumps(_document(**change)).encode()
+    assert isinstance(decode_configuration(body), ConfigErrors)
+
+
+@pytest.mark.parametrize("version", ["7", "r", "r-7", "r7x", 7, None])
+def test_a_version_is_r_and_a_number(version):
+    body = json.dumps(_document(version=version)).encode()
+    assert isinstance(decode_configuration(body), ConfigErrors)
+
+
+def test_a_configuration_that_is_cut_short_is_refused():
+    body = json.dumps(_document()).encode()
+    for end in range(0, len(body), 7):
+        assert isinstance(decode_configuration(body[:end]), ConfigErrors)
+
+
+@pytest.mark.parametrize(
+    ("text", "report"),
+    [
+        ("3,0,8", SpeedReport(3, 0, 8, 1.0)),
+        ("3,2,8,400", SpeedReport(3, 2, 8, 4.0)),
+        ("3,2", None),
+        ("a,b,c", None),
+        ("-1,0,2", None),
+        ("1,0,0", None),
+    ],
+)
+def test_a_load_report_is_read_or_ignored(text, report):
+    assert parse_speed_report(text) == report
