Refuse early what would be late while no slot is free

Cause: in bursts nearly all answers came late: requests queued at full servers until 1.3 times as many as could be served in time were all late. Now: a free slot is always used; a queue only where the answer still comes in time; else the caller is told at once when to come back. How long a caller has waited before is seen from its deadline against the route's usual one.

--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -4,6 +4,7 @@
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway import placement
+from gentianwall.gateway.admission import LOOK_AGAIN_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     AskLoad,
     CancelRequest,
@@ -29,13 +30,8 @@
 FRESH_MS = 40.0
 # A server that is idle and of usual speed is taken without waiting for more.
 GOOD_ENOUGH = 1.2
-# One that still has a free slot is taken if no better one is found.
-CROWDED_ENOUGH = 1.8
 # Servers asked for one request before it takes the best of them.
 MAX_ASKED = 9
-# A request that waits here looks again; some server is done every 10 ms at
-# the rates of the deployments.
-LOOK_AGAIN_MS = 25.0
 # A new process learns the configuration in much less, if anyone has it.
 STARTING_MS = 5000.0
 START_WAIT_MS = 1000.0
@@ -80,6 +76,7 @@
     wait_ms = route.timeout_ms
     if event.wait_ms is not None:
         wait_ms = min(wait_ms, event.wait_ms)
+    waited_ms = state.waits.waited_ms(route, event.wait_ms)
     call = RoutedCall(
         call_id=event.call_id,
         request_id=event.request_id,
@@ -87,6 +84,7 @@
         service=name,
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + wait_ms,
+        target_at_ms=event.at_ms + route.target_ms - waited_ms,
     )
     state.calls[call.call_id] = call
     state.service(name).retries.note_call(now_ms)
@@ -214,14 +212,15 @@
         return
     heard = [c for c in ranked if c.server.name not in call.unheard]
     best = fresh or heard or ranked
-    if best[0].expected_ms > CROWDED_ENOUGH * work_ms:
-        started_ms = now_ms + LOOK_AGAIN_MS + CROWDED_ENOUGH * work_ms
-        if started_ms <= call.arrived_ms + call.route.target_ms:
+    match admit(call, best[0], work_ms, now_ms):
+        case Verdict.SEND:
+            _send_best(state, service, call, best, now_ms, effects)
+        case Verdict.WAIT:
             call.asked = 0
             call.unheard = set()
             effects.append(LookAgain(call.call_id, now_ms + LOOK_AGAIN_MS))
-            return
-    _send_best(state, service, call, best, now_ms, effects)
+        case Verdict.REFUSE:
+            refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
 
 
 def _ranked(
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gentianwall.config.routes import Route
+from gentianwall.gateway.admission import UsualWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
 from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.servers import RoutedServer
@@ -36,6 +37,7 @@
         service: The service that it goes to.
         arrived_ms: When it arrived.
         deadline_ms: When the caller or the route gives up.
+        target_at_ms: Until when an answer is worth most.
         phase: Where it stands.
         attempt: How often it was sent.
         tried: Servers that it was sent to, or that could not be reached.
@@ -55,6 +57,7 @@
     service: str
     arrived_ms: float
     deadline_ms: float
+    target_at_ms: float
     phase: Phase = Phase.ASKING
     attempt: int = 0
     tried: set[str] = attrs.field(factory=set)
@@ -125,6 +128,7 @@
         poll_due_ms: When the feed is asked for again.
         is_draining: Whether the process is about to end.
         reports: Number of the last crash report.
+        waits: How long callers of each route usually wait.
         unrouted: Requests that came before the first configuration.
         started_ms: When the process started.
     """
@@ -150,6 +154,7 @@
     poll_due_ms: float = 0.0
     is_draining: bool = False
     reports: int = 0
+    waits: UsualWaits = attrs.field(factory=UsualWaits)
     unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
     started_ms: float = 0.0
 
