--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -147,7 +147,7 @@
     """Sends a request to the best server, after a look at some."""
     service = state.service(call.service)
     ranked = _ranked(state, service, call, now_ms)
-    call.asked = 0
+    call.asked.clear()
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
     elif not _ask_more(state, service, call, ranked, now_ms, effects):
@@ -165,18 +165,19 @@
     """Asks the best servers whose reports are old; returns whether any."""
     if service.tells_load is False or not service.health_path:
         return False
-    if call.asked >= MAX_ASKED:
+    if len(call.asked) >= MAX_ASKED:
         return False
     asked = [
         candidate.server
         for candidate in ranked
         if now_ms - candidate.server.reported_ms > FRESH_MS
+        and candidate.server.name not in call.asked
     ][: placement.ASKED if service.tells_load else 1]
     if not asked:
         return False
     call.phase = Phase.ASKING
-    call.asked += len(asked)
     call.unheard = {server.name for server in asked}
+    call.asked |= call.unheard
     state.asking[call.call_id] = call
     notices = tuple(server.record.notice for server in asked)
     effects.append(AskLoad(call.call_id, notices, service.health_path))
@@ -216,8 +217,8 @@
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
         case Verdict.WAIT:
-            call.asked = 0
-            call.unheard = set()
+            call.asked.clear()
+            call.unheard.clear()
             effects.append(LookAgain(call.call_id, now_ms + LOOK_AGAIN_MS))
         case Verdict.REFUSE:
             refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -42,7 +42,7 @@
         attempt: How often it was sent.
         tried: Servers that it was sent to, or that could not be reached.
         unheard: Servers that were asked for their load and did not answer.
-        asked: How many servers were asked since it last waited.
+        asked: Servers that were asked since it last waited.
         server: The server that has it.
         sent_ms: When it was sent there.
         expected_ms: How long it was expected to take there.
@@ -62,7 +62,7 @@
     attempt: int = 0
     tried: set[str] = attrs.field(factory=set)
     unheard: set[str] = attrs.field(factory=set)
-    asked: int = 0
+    asked: set[str] = attrs.field(factory=set)
     server: str = ""
     sent_ms: float = 0.0
     expected_ms: float = 0.0
