--- a/gentianwall/gateway/placement.py
+++ b/gentianwall/gateway/placement.py
@@ -15,10 +15,12 @@
 # Expected times this close are equal; entries that see the same reports then
 # do not all pick the same server.
 EQUAL_SHARE = 0.1
-# The own failure domain is preferred while it costs at most this factor, and
-# the request is still answered well inside its target.
-NEAR_FACTOR = 1.3
-NEAR_TARGET_SHARE = 0.7
+# A server of another failure domain counts as so much slower: the way there
+# takes a few ms of some hundred, and links between domains are dear. It is
+# below the factor of a shared server, so that an idle one far away is taken.
+FAR_FACTOR = 1.3
+# Large bodies go far only for a server that is several times quicker.
+FAR_UPLOAD_FACTOR = 2.0
 
 
 @attrs.frozen
@@ -36,12 +38,26 @@
     cost: float
 
 
+@attrs.frozen
+class Nearness:
+    """How servers of other failure domains count.
+
+    Attributes:
+        failure_domain: Where the entry stands.
+        far_factor: How much slower servers elsewhere count.
+    """
+
+    failure_domain: str
+    far_factor: float
+
+
 def rank(
     servers: Iterable[RoutedServer],
     avoid: frozenset[str] | set[str],
     work_ms: float,
     now_ms: float,
     rng: random.Random,
+    near: Nearness,
 ) -> list[Candidate]:
     """Returns the servers that may get a request, the best first.
 
@@ -53,6 +69,7 @@
         work_ms: Time of such a request at an idle, usual server.
         now_ms: The local clock.
         rng: Orders equals.
+        near: How servers of other failure domains count.
     """
     usable = [
         server
@@ -66,21 +83,8 @@
         expected_ms = server.expected_ms(now_ms, work_ms)
         cost = expected_ms * server.penalty(now_ms)
         cost *= 1.0 + EQUAL_SHARE * rng.random()
+        if server.record.notice.failure_domain != near.failure_domain:
+            cost *= near.far_factor
         ranked.append(Candidate(server, expected_ms, cost))
     ranked.sort(key=lambda candidate: candidate.cost)
     return ranked
-
-
-def prefer_near(
-    ranked: list[Candidate], failure_domain: str, target_ms: float
-) -> list[Candidate]:
-    """Puts the best server of the own failure domain first, if it will do."""
-    for place, candidate in enumerate(ranked):
-        if candidate.server.record.notice.failure_domain != failure_domain:
-            continue
-        is_close = candidate.cost <= NEAR_FACTOR * ranked[0].cost
-        is_quick = candidate.cost <= NEAR_TARGET_SHARE * target_ms
-        if place and (is_close and is_quick):
-            return [candidate, *ranked[:place], *ranked[place + 1 :]]
-        break
-    return ranked
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway import placement
 from gentianwall.gateway.admission import LOOK_AGAIN_MS, Verdict, admit
@@ -230,15 +231,17 @@
     call: RoutedCall,
     now_ms: float,
 ) -> list[Candidate]:
-    ranked = placement.rank(
+    is_upload = call.route.kind is RouteKind.UPLOAD
+    far_factor = (
+        placement.FAR_UPLOAD_FACTOR if is_upload else placement.FAR_FACTOR
+    )
+    return placement.rank(
         service.servers.values(),
         call.tried,
         service.work_for(call.route),
         now_ms,
         state.rng,
-    )
-    return placement.prefer_near(
-        ranked, state.failure_domain, call.route.target_ms
+        placement.Nearness(state.failure_domain, far_factor),
     )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -378,3 +378,21 @@
     entry.see(DrainStarted(entry.now_ms))
     assert not entry.state.is_ready
     assert _of(entry.arrive(), fx.SendRequest)
+
+
+def test_the_own_failure_domain_is_preferred_unless_it_is_crowded(entry):
+    far = _server("f", 3)
+    far = attrs.evolve(
+        far, notice=attrs.evolve(far.notice, failure_domain="y", port=81)
+    )
+    entry.learn(far, configuration=None)
+    entry.tell("f", IDLE)
+    for name in "ab":
+        entry.tell(name, SpeedReport(0, 0, 2, 1.2))
+    (sent,) = _of(entry.arrive(), fx.SendRequest)
+    assert sent.notice.key.server in "ab"
+    for name in "ab":
+        entry.tell(name, SpeedReport(1, 0, 2))
+    entry.tell("f", IDLE)
+    (sent,) = _of(entry.arrive(), fx.SendRequest)
+    assert sent.notice.key.server == "f"
