--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -11,14 +11,14 @@
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.http.channel import CallerRequest, CallerSite
 from gentianwall.logs import get_logger
-from gentianwall.replication.state import Timing
+from gentianwall.replication.state import Role, Timing
 from gentianwall.runtime.control import (
     ControlRuntime,
     ControlSetup,
     run_control,
 )
 from gentianwall.runtime.gate import GATE_TICK_MS, Gate
-from gentianwall.runtime.plumbing import fleet_links, listen
+from gentianwall.runtime.plumbing import fleet_links, listen, listen_metrics
 from gentianwall.storage.journal import Journal, JournalNotEmpty
 from gentianwall.timers import TimerService
 
@@ -63,6 +63,8 @@
         site = CallerSite(control_handler(gate), lambda request: None)
         port = listen(reactor, settings.control_address, site)
         on_end_signals(lambda: _end_control(port))
+        if settings.metrics_port:
+            listen_metrics(reactor, settings, lambda: _metrics_text(runtime))
 
         def reload(changed: FleetSettings) -> None:
             _note_peers(runtime, changed)
@@ -77,6 +79,31 @@
             yield reload
 
 
+def _metrics_text(runtime: ControlRuntime) -> bytes:
+    """Renders what a control instance holds now."""
+    replica = runtime.state.replica
+    registry = replica.register.registry
+    numbered = replica.register.numbered
+    runtime.metrics.gauges.update(
+        {
+            "term": replica.term,
+            "is_leader": int(replica.role is Role.LEADER),
+            "is_voter": int(replica.is_member),
+            "commit_index": replica.commit_index,
+            "voters": len(replica.members),
+            "journal_bytes": runtime.journal.size_bytes,
+            "is_disk_refusing": int(bool(runtime.unstored)),
+            "configuration_number": (
+                numbered.configuration.number if numbered else -1
+            ),
+            "servers_revision": registry.revision,
+            "servers": sum(s.is_present for s in registry.servers.values()),
+            "entries_heard": len(runtime.state.feed.subscribers),
+        }
+    )
+    return runtime.metrics.text()
+
+
 def _found_if_first(settings: FleetSettings) -> None:
     """Founds the cluster, if this is one of its seeds at their first start."""
     name = settings.link_address
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -84,6 +84,8 @@
     effects.append(PassAnswer(call.call_id))
     fields = {
         "id": call.request_id,
+        "service": call.service,
+        "kind": call.route.kind.value,
         "server": call.server,
         "status": event.status,
         "attempt": call.attempt,
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -322,6 +322,7 @@
         "reason": reason.name.lower(),
         "executed": executed.value,
         "service": call.service,
+        "kind": call.route.kind.value,
         "servers": len(state.service(call.service).servers),
         "attempt": call.attempt,
         "server": call.server,
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -25,6 +25,8 @@
 CHARGES = "gentianwall_charges_total"
 SECONDS = "gentianwall_call_seconds_bucket"
 STATE = "gentianwall_state"
+REQUESTS = "gentianwall_requests_total"
+REQUEST_SECONDS = "gentianwall_request_seconds_bucket"
 
 
 @attrs.define
@@ -58,10 +60,31 @@
     tier: str
 
 
+@attrs.frozen
+class RequestKey:
+    """How a routed request ended.
+
+    Attributes:
+        service: The service that it was for; empty where no route was found.
+        kind: What may be repeated of it.
+        outcome: `answered` or `refused`.
+        reason: The status passed on, or why it was refused.
+        attempts: How often it was sent.
+    """
+
+    service: str
+    kind: str
+    outcome: str
+    reason: str
+    attempts: int
+
+
 class Metrics:
     """Everything that a process counts."""
 
     def __init__(self):
+        self.requests: dict[RequestKey, int] = {}
+        self.request_seconds: dict[tuple[str, str], list[float]] = {}
         self.services: dict[str, ServiceNumbers] = {}
         self.charges: dict[ChargeKey, float] = {}
         self.gauges: dict[str, float] = {}
@@ -87,6 +110,18 @@
                 key = ChargeKey(OTHER_CALLERS, tier)
             self.charges[key] = self.charges.get(key, 0.0) + price
 
+    def note_request(self, key: RequestKey, taken_s: float) -> None:
+        """Counts a routed request and its time.
+
+        Services, kinds and reasons come from the configuration and from this
+        program, so their number is bounded.
+        """
+        self.requests[key] = self.requests.get(key, 0) + 1
+        buckets = self.request_seconds.setdefault(
+            (key.service, key.outcome), [0] * (len(LATENCY_BUCKETS_S) + 1)
+        )
+        buckets[bisect.bisect_left(LATENCY_BUCKETS_S, taken_s)] += 1
+
     def note_refusal(self, service: str, reason: str) -> None:
         """Counts a refused call; unknown services share one line."""
         if service not in self.services and len(self.services) >= MAX_SERVICES:
@@ -120,7 +155,20 @@
                 refusals.set({"service": name, "reason": reason}, count)
             attempts.set({"service": name}, numbers.attempts)
             probes.set({"service": name}, numbers.probes)
-            _set_buckets(seconds, name, numbers)
+            _set_cumulative(seconds, {"service": name}, numbers.seconds)
+        requests = Counter(
+            REQUESTS, "Routed requests by how they ended.", registry=registry
+        )
+        for key, count in self.requests.items():
+            requests.set(attrs.asdict(key), count)
+        request_seconds = Counter(
+            REQUEST_SECONDS,
+            "Routed requests by time to their end, cumulative.",
+            registry=registry,
+        )
+        for (service, outcome), buckets in self.request_seconds.items():
+            labels = {"service": service, "outcome": outcome}
+            _set_cumulative(request_seconds, labels, buckets)
         charges = Counter(CHARGES, "Charged.", registry=registry)
         for key, price in self.charges.items():
             labels = {"caller": key.caller, "tier": key.tier}
@@ -131,9 +179,9 @@
         return registry
 
 
-def _set_buckets(seconds, name: str, numbers: ServiceNumbers) -> None:
+def _set_cumulative(counter, labels: dict[str, str], buckets) -> None:
     total = 0
     bounds = [*map(str, LATENCY_BUCKETS_S), "+Inf"]
-    for bound, count in zip(bounds, numbers.seconds, strict=True):
+    for bound, count in zip(bounds, buckets, strict=True):
         total += count
-        seconds.set({"service": name, "le": bound}, total)
+        counter.set({**labels, "le": bound}, total)
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -34,9 +34,14 @@
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import Links, open_links
 from gentianwall.logs import EventLog
-from gentianwall.metrics import Metrics
+from gentianwall.metrics import Metrics, RequestKey
 from gentianwall.runtime.exchange import Exchange
-from gentianwall.runtime.plumbing import events_of, fleet_links, listen
+from gentianwall.runtime.plumbing import (
+    events_of,
+    fleet_links,
+    listen,
+    listen_metrics,
+)
 from gentianwall.timeline import Timeline
 from gentianwall.timers import TimerService, monotonic_ms
 
@@ -103,6 +108,8 @@
         self._readiness_port = listen(
             self.reactor, settings.readiness_address, readiness
         )
+        if settings.metrics_port:
+            listen_metrics(self.reactor, settings, self.metrics_text)
         self.tick()
 
     def _tell_readiness(self, request: CallerRequest) -> None:
@@ -163,6 +170,7 @@
 
     def _note(self, effect: Log) -> None:
         self.log.write(effect.event, effect.fields)
+        self._count(effect)
         if effect.event == "configuration_in_force":
             limits = self.state.table.configuration.limits
             self.site.bounds = CallerBounds(
@@ -173,6 +181,44 @@
                 idle_timeout_s=limits.idle_timeout_ms / 1000.0,
             )
 
+    def _count(self, effect: Log) -> None:
+        fields = effect.fields
+        match effect.event:
+            case "answered":
+                reason, taken_ms = str(fields["status"]), fields["total_ms"]
+            case "refused":
+                reason = fields["reason"]
+                taken_ms = fields.get("after_ms", 0)
+            case _:
+                return
+        key = RequestKey(
+            service=fields.get("service", ""),
+            kind=fields.get("kind", ""),
+            outcome=effect.event,
+            reason=reason,
+            attempts=fields.get("attempt", 0),
+        )
+        self.metrics.note_request(key, taken_ms / 1000.0)
+
+    def metrics_text(self) -> bytes:
+        """Renders what is counted, and what is held now."""
+        state = self.state
+        self.metrics.gauges.update(
+            {
+                "configuration_number": state.number,
+                "servers_revision": state.revision,
+                "servers": len(state.places),
+                "requests_in_flight": len(self.exchange.calls),
+                "callers_connections": len(self.site.channels),
+                "entries_known": state.entries,
+                "is_ready": int(state.is_ready),
+                "feed_age_ms": min(monotonic_ms() - state.told_ms, 1e9),
+                "log_lines_dropped": self.log.writer.dropped,
+                "log_lines_suppressed": self.log.suppressed,
+            }
+        )
+        return self.metrics.text()
+
     def _start_timer(self, effect: StartTimer) -> None:
         call_id = effect.call_id
         self.timers.start(
--- a/gentianwall/runtime/plumbing.py
+++ b/gentianwall/runtime/plumbing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.settings import Address, parse_address
 from gentianwall.core.events import MessageArrived
+from gentianwall.http.channel import CallerRequest, CallerSite
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import LinkSetup
 from gentianwall.timeline import Timeline
@@ -32,6 +33,20 @@
     )
 
 
+def listen_metrics(reactor, settings: FleetSettings, text: Callable[[], bytes]):
+    """Serves metrics as text at `GET /metrics`; returns the port."""
+
+    def answer(request: CallerRequest) -> None:
+        if request.path == b"/metrics":
+            headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+            request.answer(200, headers, text())
+        else:
+            request.answer(404, [], b"")
+
+    address = f"{settings.host}:{settings.metrics_port}"
+    return listen(reactor, address, CallerSite(answer, lambda request: None))
+
+
 def events_of(
     envelopes: list[Envelope], timeline: Timeline
 ) -> Iterator[MessageArrived]:
--- /dev/null
+++ b/harness/fleet.py
@@ -0,0 +1,320 @@
+"""A fleet as real processes on loopback, with stand-ins for its users.
+
+The stand-ins speak the users' protocol (their page "What gentianwall speaks"):
+servers by its parts "Backends" and "Service discovery", the operator by "The
+operator's API", callers by "Requests". Each machine has an address of its own
+in 127.0.0.0/8, since ports are the same on all of them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+
+CONTROL_PORT = 9544
+FRONT_PORT = 9548
+READY_PORT = 9542
+CONTROL_LINK_PORT = 9540
+LINK_PORT = 9555
+METRICS_PORT = 9102
+SERVER_PORT = 9080
+HOST = "shop.example"
+START_S = 15.0
+
+
+class FleetError(AssertionError):
+    """The fleet did not do what was waited for."""
+
+
+def wait_until(what: str, check: Callable[[], bool], limit_s=START_S) -> float:
+    """Waits until a check holds; returns how long that took."""
+    started_s = time.monotonic()
+    while not check():
+        if time.monotonic() - started_s > limit_s:
+            raise FleetError(f"not within {limit_s} s: {what}")
+        time.sleep(0.02)
+    return time.monotonic() - started_s
+
+
+@attrs.define
+class Answer:
+    """What came back; status 0 where nothing did."""
+
+    status: int
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+
+
+def call(
+    host: str,
+    port: int,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 3.0,
+) -> Answer:
+    """Makes one request on a connection of its own."""
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        content = answer.read()
+        return Answer(answer.status, dict(answer.getheaders()), content)
+    except (OSError, http.client.HTTPException):
+        return Answer(0)
+    finally:
+        connection.close()
+
+
+@attrs.define
+class StandInServer:
+    """A server that signs its answers and counts what it ran."""
+
+    name: str
+    service: str
+    host: str
+    work_s: float = 0.02
+    ran: list[str] = attrs.field(factory=list)
+    _born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    _sequence: int = 0
+    _running: int = 0
+
+    def handler(self) -> type[http.server.BaseHTTPRequestHandler]:
+        """Makes the class that answers its requests."""
+        stand_in = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args) -> None:
+                """Says nothing."""
+
+            def do_GET(self) -> None:
+                """Answers a request or a health check."""
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                expected = self.headers.get("X-Gentianwall-Expect-Instance")
+                if self.path == "/healthz":
+                    self._send(200, b"", {})
+                elif expected not in (None, stand_in.name):
+                    self._send(421, b"", {"X-Gentianwall-Not-Executed": "1"})
+                else:
+                    self._run()
+
+            do_POST = do_GET
+
+            def _run(self) -> None:
+                request_id = self.headers["X-Gentianwall-Request-Id"]
+                stand_in._running += 1
+                stand_in.ran.append(request_id)
+                time.sleep(stand_in.work_s)
+                stand_in._running -= 1
+                signed = {
+                    "X-Gentianwall-Request-Id": request_id,
+                    "X-Gentianwall-Server-Stamp": f"stamp-{request_id}",
+                }
+                body = f"{stand_in.name} {self.path}".encode()
+                self._send(200, body, signed)
+
+            def _send(self, status, body, headers) -> None:
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(body)))
+                self.send_header("X-Gentianwall-Instance-Id", stand_in.name)
+                load = f"{stand_in._running},0,4,100"
+                self.send_header("X-Gentianwall-Server-Load", load)
+                for name, value in headers.items():
+                    self.send_header(name, value)
+                self.end_headers()
+                self.wfile.write(body)
+
+        return Handler
+
+    def heartbeat(self, state: str = "ready") -> bytes:
+        """Returns the body of its next heartbeat."""
+        self._sequence += 1
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": f"{self.host}:{SERVER_PORT}",
+                "zone": "z",
+                "version": "v1",
+                "maxConcurrency": 4,
+                "state": state,
+                "warmupLeftMs": 0,
+                "sequence": self._sequence,
+                "born": self._born_ms,
+            }
+        ).encode()
+
+
+@contextlib.contextmanager
+def running(server: StandInServer) -> Iterator[StandInServer]:
+    """Lets a stand-in server answer for as long as the context lasts."""
+    address = (server.host, SERVER_PORT)
+    http_server = http.server.ThreadingHTTPServer(address, server.handler())
+    thread = threading.Thread(target=http_server.serve_forever, daemon=True)
+    thread.start()
+    try:
+        yield server
+    finally:
+        http_server.shutdown()
+        http_server.server_close()
+
+
+@attrs.define
+class Node:
+    """One process of the fleet and its settings."""
+
+    host: str
+    role: str
+    folder: pathlib.Path
+    process: subprocess.Popen | None = None
+
+
+class Fleet:
+    """Control instances and entries as processes."""
+
+    def __init__(self, folder: pathlib.Path, controls: int, entries: int):
+        self.folder = folder
+        self.controls = [
+            Node(f"127.0.1.{n}", "control", folder / f"c{n}")
+            for n in range(1, controls + 1)
+        ]
+        self.entries = [
+            Node(f"127.0.2.{n}", "entry", folder / f"e{n}")
+            for n in range(1, entries + 1)
+        ]
+
+    def start(self, node: Node, is_first_start: bool = False) -> None:
+        """Starts a process; its settings are written anew."""
+        node.folder.mkdir(parents=True, exist_ok=True)
+        seeds = [f"{c.host}:{CONTROL_PORT}" for c in self.controls[:3]]
+        lines = [
+            f'name = "{node.folder.name}"',
+            f'role = "{node.role}"',
+            'failure_domain = "z"',
+            f'host = "{node.host}"',
+            f"link_port = {LINK_PORT}",
+            f"control_link_port = {CONTROL_LINK_PORT}",
+            f"seeds = {json.dumps(seeds)}",
+            f"metrics_port = {METRICS_PORT}",
+            f"is_first_start = {json.dumps(is_first_start)}",
+        ]
+        if node.role == "entry":
+            lines += [
+                f'callers_address = "{node.host}:{FRONT_PORT}"',
+                f'readiness_address = "{node.host}:{READY_PORT}"',
+            ]
+        else:
+            lines += [
+                f'control_address = "{node.host}:{CONTROL_PORT}"',
+                f'data_folder = "{node.folder / "data"}"',
+            ]
+        settings = node.folder / "settings.toml"
+        settings.write_text("\n".join(lines) + "\n")
+        with (node.folder / "log").open("ab") as log:
+            node.process = subprocess.Popen(
+                [sys.executable, "-m", "gentianwall.platform"],
+                env={**os.environ, "GENTIANWALL_NODE_FILE": str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, node: Node) -> None:
+        """Ends a process at once."""
+        node.process.kill()
+        node.process.wait()
+
+    def wipe(self, node: Node) -> None:
+        """Empties the disk of a process that does not run."""
+        shutil.rmtree(node.folder / "data")
+
+    def signal(self, node: Node, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        node.process.send_signal(number)
+
+    def stop(self) -> None:
+        """Ends all processes that were started here."""
+        for node in [*self.controls, *self.entries]:
+            if node.process is not None and node.process.poll() is None:
+                node.process.kill()
+                node.process.wait()
+
+    def put(self, node: Node, document: dict, timeout_s=3.0) -> int:
+        """Offers a configuration to a control instance."""
+        return self._rpc(
+            node, "config.replace", json.dumps(document).encode(), timeout_s
+        ).status
+
+    def read(self, node: Node, timeout_s=3.0) -> Answer:
+        """Reads the configuration from a control instance."""
+        return self._rpc(node, "config.get", b"", timeout_s)
+
+    def beat(self, node: Node, server: StandInServer, state="ready") -> int:
+        """Announces a server to a control instance."""
+        query = f"instances.heartbeat&of={server.name}"
+        return self._rpc(node, query, server.heartbeat(state)).status
+
+    def leave(self, node: Node, server: StandInServer) -> int:
+        """Says a server's farewell to a control instance."""
+        return self._rpc(
+            node, f"instances.deregister&of={server.name}", b""
+        ).status
+
+    def _rpc(self, node, query, body, timeout_s=3.0) -> Answer:
+        path = f"/rpc?call={query}"
+        return call(
+            node.host, CONTROL_PORT, "POST", path, body, timeout_s=timeout_s
+        )
+
+    def ask(
+        self, node: Node, request_id: str, path="/orders/x", method="POST"
+    ) -> Answer:
+        """Sends a caller's request to an entry."""
+        headers = {
+            "Host": HOST,
+            "X-Gentianwall-Request-Id": request_id,
+            "X-Gentianwall-Deadline-Ms": "2000",
+        }
+        body = b"order" if method == "POST" else b""
+        return call(node.host, FRONT_PORT, method, path, body, headers)
+
+    def is_ready(self, node: Node) -> bool:
+        """Whether an entry says that it is ready."""
+        return call(node.host, READY_PORT, "GET", "/readyz").status == 200
+
+
+def document(number: int, service: str = "orders") -> dict:
+    """Returns a configuration with one route to a service."""
+    route = {
+        "host": HOST,
+        "pathPrefix": "/orders/",
+        "routeType": "non_idempotent",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+    spec = {"healthPath": "/healthz", "maxConns": 99}
+    return {
+        "version": f"r{number}",
+        "resources": [
+            {"type": "routes", "metadata": {"name": "r"}, "spec": route},
+            {"type": "services", "metadata": {"name": service}, "spec": spec},
+            {"type": "limits", "metadata": {}, "spec": {}},
+        ],
+    }
