--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -31,6 +31,8 @@
 ELECTION_TIMEOUT_MS = 400.0
 HEARTBEAT_MS = 80.0
 SNAPSHOT_ENTRIES = 1000
+# A heartbeat may come seconds late, and a restart takes about as long.
+SILENT_HEARTBEATS = 5
 # Members that were learned are asked as well from then on.
 MEMBERS_MS = 1000.0
 
@@ -54,6 +56,7 @@
             snapshot_entries=SNAPSHOT_ENTRIES,
         ),
         target_voters=settings.voters,
+        server_silence_ms=SILENT_HEARTBEATS * settings.server_heartbeat_ms,
         is_replaceable=True,
         free_space_bytes=0,
     )
--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -44,8 +44,9 @@
     if runtime.state.is_draining:
         return
     now_ms = monotonic_ms()
-    limit_ms = now_ms + runtime.settings.grace_ms - END_BEFORE_KILL_MS
-    deaf_ms = now_ms + min(UNREADY_MS, runtime.settings.grace_ms / 2)
+    grace_ms = runtime.settings.grace_s * 1000.0
+    limit_ms = now_ms + grace_ms - END_BEFORE_KILL_MS
+    deaf_ms = now_ms + min(UNREADY_MS, grace_ms / 2)
     runtime.begin_drain()
 
     def close() -> None:
--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -59,8 +59,8 @@
     server_heartbeat_ms: int = option(
         "Time between heartbeats of a server.", 1500, minimum=10
     )
-    grace_ms: int = option(
-        "Time between the signal to end and the kill.", 6000, minimum=100
+    grace_s: float = option(
+        "Time between the signal to end and the kill.", 6.0, minimum=0.1
     )
     retry_ratio: float = option(
         "Retries per call of a service, over all entries.",
@@ -73,13 +73,8 @@
         20.0,
         minimum=0.0,
     )
-    retry_window_ms: int = option(
-        "Window of the retry budget.", 10_000, minimum=100
-    )
-    address_reuse_ms: int = option(
-        "Time after which a server's address may belong to another one.",
-        2000,
-        minimum=0,
+    retry_window_s: float = option(
+        "Window of the retry budget.", 10.0, minimum=0.1
     )
 
     @property
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -228,6 +228,11 @@
     """One request on its way to a server and back.
 
     Calls `on_answer` or `on_failure` exactly once, unless it is cancelled.
+
+    Attributes:
+        request: What is sent.
+        is_reused: Whether it was sent on a connection that had been idle.
+        started_ms: When it began.
     """
 
     def __init__(
@@ -241,6 +246,7 @@
         on_failure: Callable[[FailureKind], None],
     ):
         self.request = request
+        self.is_reused = False
         self.started_ms = monotonic_ms()
         self._pool = pool
         self._request_id = request_id
@@ -256,6 +262,7 @@
     def start(self) -> None:
         """Takes an idle connection or opens one."""
         connection = self._pool.take_idle(self.request.is_idempotent)
+        self.is_reused = connection is not None
         if connection is not None:
             self._send(connection)
         else:
--- a/gentianwall/runtime/exchange.py
+++ b/gentianwall/runtime/exchange.py
@@ -249,14 +249,26 @@
             self._asked.pop(name, None)
             self._handle(self._told(notice, answer))
 
+        pool = self.pool_of(notice)
+
+        def failed(kind: FailureKind) -> None:
+            if kind is FailureKind.LOST and attempt.is_reused:
+                # The server forgot an idle connection; that tells nothing.
+                pool.close_idle()
+                self._timers.cancel(f"asked.{name}")
+                self._asked.pop(name, None)
+                self._ask_one(notice, health_path)
+            else:
+                told(None)
+
         attempt = Attempt(
-            self.pool_of(notice),
+            pool,
             request,
             "",
             ASK_LIMIT_BYTES,
             float("inf"),
             told,
-            lambda kind: told(None),
+            failed,
         )
         self._asked[name] = attempt
         self._timers.start(
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -77,7 +77,7 @@
             retry_limits=RetryLimits(
                 settings.retry_ratio,
                 settings.retry_slack,
-                settings.retry_window_ms,
+                settings.retry_window_s * 1000.0,
             ),
             seeds=settings.seed_links,
             started_ms=monotonic_ms(),
