Share the slack of retries only by a number of entries that is known

Cause: a new leader counts the entries that have polled it, so its first notices say one or two, and an entry took the whole slack for itself; one that starts anew has also forgotten what it spent. Now: a lower number of entries counts after three windows, and a new process has no slack for its first 3 s. Also: slowness learned from answers.

--- a/gentianwall/gateway/budget.py
+++ b/gentianwall/gateway/budget.py
@@ -37,11 +37,12 @@
 
     Attributes:
         limits: Limits over all entries.
-        entries: How many entries share the slack.
+        entries: How many entries share the slack; 0 while that is not known,
+            which leaves none of it.
     """
 
     limits: RetryLimits
-    entries: int = 1
+    entries: int = 0
     _buckets: deque[list] = attrs.field(factory=deque)
 
     def note_call(self, now_ms: float) -> None:
@@ -53,8 +54,9 @@
         bucket = self._bucket(now_ms)
         calls = sum(b[1] for b in self._buckets)
         retries = sum(b[2] for b in self._buckets)
-        slack = SLACK_SHARE * self.limits.slack / max(1, self.entries)
-        allowed = RATIO_SHARE * self.limits.ratio * calls + slack
+        allowed = RATIO_SHARE * self.limits.ratio * calls
+        if self.entries:
+            allowed += SLACK_SHARE * self.limits.slack / self.entries
         if retries + 1 > allowed:
             return False
         bucket[2] += 1
--- a/gentianwall/gateway/knowledge.py
+++ b/gentianwall/gateway/knowledge.py
@@ -21,6 +21,10 @@
 POLL_MS = 400.0
 # An entry without a configuration refuses everything, so it asks more often.
 FIRST_POLL_MS = 50.0
+# Three retry windows: by then what was spent under the old number is past.
+FEWER_ENTRIES_MS = 30_000.0
+# A new leader has heard all entries that live within this time.
+COUNTED_MS = 3000.0
 # Without an answer all are asked, less often.
 LOST_POLL_MS = 200.0
 # Three polls without an answer: the leader is gone, so all are asked.
@@ -88,7 +92,7 @@
     state.told_ms = event.at_ms
     state.leader = event.sender
     state.controls = notice.controls
-    _note_entries(state, notice.entries)
+    _note_entries(state, notice.entries, event.at_ms)
     if notice.configuration is not None and notice.number > state.number:
         _take_configuration(state, notice, effects)
     if notice.revision > state.revision:
@@ -102,10 +106,20 @@
         state.quarantines = frozenset(notice.quarantines)
 
 
-def _note_entries(state: GatewayState, entries: int) -> None:
-    state.entries = max(1, entries)
+def _note_entries(state: GatewayState, entries: int, now_ms: float) -> None:
+    """Takes the number of entries over, but a lower one only after a while.
+
+    A leader that is new has heard only some of them yet.
+    """
+    if state.first_told_ms is None:
+        state.first_told_ms = now_ms
+    is_old = now_ms - state.entries_ms > FEWER_ENTRIES_MS
+    if entries >= state.entries or is_old:
+        state.entries = max(1, entries)
+        state.entries_ms = now_ms
+    is_known = now_ms - state.first_told_ms > COUNTED_MS
     for service in state.services.values():
-        service.retries.entries = state.entries
+        service.retries.entries = state.entries if is_known else 0
 
 
 def _take_configuration(
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -47,7 +47,8 @@
     call = state.calls.get(event.call_id)
     if call is None or call.attempt != event.attempt:
         return
-    server = _returned(state, call)
+    server = state.server(call.server)
+    sent = server.own.pop(call.call_id, None) if server is not None else None
     service = state.service(call.service)
     if server is not None and event.report is not None:
         service.tells_load = True
@@ -68,7 +69,7 @@
             placing.place(state, call, event.at_ms, effects)
             return
     elif server is not None:
-        server.note_good(event.at_ms)
+        server.note_good(sent, event.at_ms)
         taken_ms = event.at_ms - call.sent_ms
         service.note_work(taken_ms / max(1.0, call.slowness), call.route)
     _pass(state, call, event, effects)
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -18,7 +18,7 @@
 )
 from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.placement import Candidate
-from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.servers import RoutedServer, Sent
 from gentianwall.gateway.state import (
     GatewayState,
     Phase,
@@ -277,7 +277,7 @@
     call.sent_ms = now_ms
     call.expected_ms = expected_ms
     call.slowness = server.slowness(now_ms)
-    server.own[call.call_id] = now_ms
+    server.own[call.call_id] = Sent(now_ms, max(1.0, expected_ms))
     left_ms = call.deadline_ms - now_ms
     effects.append(
         SendRequest(
--- a/gentianwall/gateway/servers.py
+++ b/gentianwall/gateway/servers.py
@@ -35,6 +35,21 @@
 # A server that says it is ill may lie, so it is only put behind others.
 ILL_FACTOR = 2.0
 SILENT_FACTOR = 1.5
+# Four answers find a server that is slow without telling so.
+LAG_WEIGHT = 0.3
+# A server counts as slow beyond this; the times of requests spread by 0.3.
+LAG_DEADBAND = 1.7
+MAX_LAG = 8.0
+# A slow server is tried again after a few seconds.
+LAG_FADE_MS = 3000.0
+
+
+@attrs.frozen
+class Sent:
+    """A request that a server has: when it was sent, and its expected time."""
+
+    at_ms: float
+    expected_ms: float
 
 
 @attrs.define
@@ -47,7 +62,9 @@
         report: Its last report, if it tells its load.
         reported_ms: When that report came.
         own_at_report: Requests of this entry that it held then.
-        own: When each of this entry's requests was sent there, by call id.
+        own: This entry's requests there, by call id.
+        lag: Moving ratio of the time of answers to what was expected.
+        lagged_ms: When the last answer came.
         failure_rate: Moving share of failures.
         failed_ms: When it failed last.
         pauses: Pauses since its last good answer.
@@ -60,7 +77,9 @@
     report: SpeedReport | None = None
     reported_ms: float = float("-inf")
     own_at_report: int = 0
-    own: dict[int, float] = attrs.field(factory=dict)
+    own: dict[int, Sent] = attrs.field(factory=dict)
+    lag: float = 1.0
+    lagged_ms: float = float("-inf")
     failure_rate: float = 0.0
     failed_ms: float = float("-inf")
     pauses: int = 0
@@ -83,14 +102,25 @@
 
     def slowness(self, now_ms: float) -> float:
         """Returns how much longer than usual work takes there."""
-        slowness = 1.0
+        slowness = self._hidden_slowness(now_ms)
         if self.report is not None:
             fade = math.exp(-(now_ms - self.reported_ms) / REPORT_FADE_MS)
-            slowness += (self.report.slowness - 1.0) * fade
+            slowness *= 1.0 + (self.report.slowness - 1.0) * fade
         if now_ms < self.warm_at_ms:
             slowness *= COLD_FACTOR
         return slowness
 
+    def _hidden_slowness(self, now_ms: float) -> float:
+        """Returns how much slower it is than it tells, by its answers.
+
+        A request that is overdue counts before it is answered.
+        """
+        fade = math.exp(-(now_ms - self.lagged_ms) / LAG_FADE_MS)
+        lag = 1.0 + (self.lag - 1.0) * fade
+        for sent in self.own.values():
+            lag = max(lag, (now_ms - sent.at_ms) / sent.expected_ms)
+        return min(lag, MAX_LAG) if lag > LAG_DEADBAND else 1.0
+
     def expected_ms(self, now_ms: float, work_ms: float) -> float:
         """Returns how long a request sent now probably takes.
 
@@ -126,8 +156,12 @@
         self.reported_ms = now_ms
         self.own_at_report = len(self.own)
 
-    def note_good(self, now_ms: float) -> None:
+    def note_good(self, sent: Sent | None, now_ms: float) -> None:
         """Takes note of a good answer."""
+        if sent is not None:
+            ratio = min(MAX_LAG, (now_ms - sent.at_ms) / sent.expected_ms)
+            self.lag += LAG_WEIGHT * (ratio - self.lag)
+            self.lagged_ms = now_ms
         self.failure_rate *= 1.0 - FAILURE_WEIGHT
         self.pauses = 0
         self.paused_until_ms = float("-inf")
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -124,6 +124,8 @@
         calls: Requests that wait, by id.
         asking: Those of them that wait for load reports.
         entries: How many entries there are.
+        entries_ms: When that number was told or confirmed.
+        first_told_ms: When the feed was first heard.
         told_ms: When the feed was last heard.
         poll_due_ms: When the feed is asked for again.
         is_draining: Whether the process is about to end.
@@ -150,6 +152,8 @@
     calls: dict[int, RoutedCall] = attrs.field(factory=dict)
     asking: dict[int, RoutedCall] = attrs.field(factory=dict)
     entries: int = 1
+    entries_ms: float = float("-inf")
+    first_told_ms: float | None = None
     told_ms: float = float("-inf")
     poll_due_ms: float = 0.0
     is_draining: bool = False
@@ -167,7 +171,7 @@
         """Returns the state of a service; new ones start empty."""
         service = self.services.get(name)
         if service is None:
-            retries = RetryWindow(self.retry_limits, self.entries)
+            retries = RetryWindow(self.retry_limits)
             service = self.services[name] = ServiceState(name, retries)
         return service
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -89,10 +89,18 @@
         effects = reduce_gateway(self.state, event)
         return [e for e in effects if not isinstance(e, fx.Log)]
 
-    def learn(self, *servers, number=7, configuration=CONFIGURATION):
+    def learn(self, *servers, number=7, configuration=CONFIGURATION, entries=1):
         revision = max((s.revision for s in servers), default=0)
         notice = FeedNotice(
-            3, number, configuration, revision, servers, 0, None, ("c1",), 1
+            3,
+            number,
+            configuration,
+            revision,
+            servers,
+            0,
+            None,
+            ("c1",),
+            entries,
         )
         return self.see(FeedArrived(self.now_ms, "c1", notice))
 
@@ -134,6 +142,14 @@
         )
 
 
+def _share_slack(entry):
+    """Lets the entry know for long how many share the slack of retries."""
+    entry.now_ms += 4000.0
+    entry.learn(configuration=None)
+    for name in "ab":
+        entry.tell(name, IDLE)
+
+
 def _of(effects, kind):
     return [effect for effect in effects if isinstance(effect, kind)]
 
@@ -240,6 +256,7 @@
 
 
 def test_a_refused_request_goes_to_another_server_once(entry):
+    _share_slack(entry)
     (first,) = _of(entry.arrive(RouteKind.NON_IDEMPOTENT), fx.SendRequest)
     (second,) = _of(entry.answer(503, is_refusal=True), fx.SendRequest)
     assert second.attempt == 2
@@ -263,15 +280,36 @@
 
 
 def test_a_safe_request_is_sent_again_within_the_budget(entry):
+    _share_slack(entry)
+    assert 0 < _retries(entry, 40) <= 0.2 * 40 + 20
+
+
+def _retries(entry, calls):
+    """Counts the retries among calls that all lose their server."""
     sent = 0
-    for _ in range(40):
+    for _ in range(calls):
         entry.arrive()
         for name in "ab":
             entry.state.server(name).paused_until_ms = float("-inf")
             entry.tell(name, IDLE)
         sent += len(_of(entry.fail(FailureKind.LOST), fx.SendRequest))
         entry.see(CallerGone(entry.now_ms, entry.last_call))
-    assert 0 < sent <= 0.2 * 40 + 20
+    return sent
+
+
+def test_a_new_entry_spends_nothing_of_a_slack_it_cannot_share(entry):
+    assert _retries(entry, 40) <= 0.2 * 40
+
+
+def test_a_new_leader_that_has_heard_few_entries_frees_no_slack(entry):
+    entry.now_ms += 4000.0
+    entry.learn(configuration=None, entries=40)
+    entry.now_ms += 1000.0
+    entry.learn(configuration=None, entries=1)
+    assert _retries(entry, 40) <= 0.2 * 40 + 20.0 / 40
+    entry.now_ms += 60_000.0
+    entry.learn(configuration=None, entries=1)
+    assert _retries(entry, 40) > 0.2 * 40 + 20.0 / 40
 
 
 def test_a_server_that_was_not_reached_did_not_run_it(entry):
@@ -296,6 +334,7 @@
 
 
 def test_a_late_answer_to_an_older_attempt_changes_nothing(entry):
+    _share_slack(entry)
     entry.arrive()
     entry.fail(FailureKind.LOST)
     assert entry.answer(200, attempt=1) == []
