--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,137 @@
+"""Only a leader under its lease tells what is in force."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from gentianwall.claims.commands import (
+    AnnounceServer,
+    MarkSilent,
+    Noop,
+    PutConfiguration,
+)
+from gentianwall.claims.register import apply_command
+from gentianwall.config.routes import CallerLimits, RouteConfiguration
+from gentianwall.control.messages import (
+    CommandRefused,
+    FeedNotice,
+    FeedPoll,
+    FeedRedirect,
+    ReadReply,
+    ReadRequest,
+    ServersHeard,
+)
+from gentianwall.core import feed
+from gentianwall.core.control import ControlState, reduce_control
+from gentianwall.core.events import MessageArrived
+from gentianwall.membership.messages import ServerKey, ServerNotice
+from gentianwall.replication.messages import LogEntry, Member
+from gentianwall.replication.replica import BatchEnded
+from gentianwall.replication.state import (
+    Progress,
+    ReplicaState,
+    Role,
+    Timing,
+)
+
+NOW_MS = 10_000.0
+SERVER = ServerNotice(ServerKey("s", "i-1"), "10.0.0.1", 80, 2, "z", 1, "up")
+
+
+@pytest.fixture
+def control():
+    """A leader under its lease that holds configuration 7 and a server."""
+    replica = ReplicaState(
+        "a", "d-a", ("b", "c"), Timing(), random.Random(1), target_voters=3
+    )
+    replica.members = replica.applied_members = tuple(
+        Member(name, f"d-{name}") for name in "abc"
+    )
+    replica.role = Role.LEADER
+    replica.leader = "a"
+    replica.term = 1
+    replica.lease_anchor_ms = NOW_MS
+    replica.lead_since_ms = 0.0
+    replica.log.entries.append(LogEntry(1, 1, Noop()))
+    replica.commit_index = replica.applied_index = 1
+    replica.progress = {
+        name: Progress(f"d-{name}", 2, match_index=1, acked_ms=NOW_MS)
+        for name in "bc"
+    }
+    configuration = RouteConfiguration(7, (), (), CallerLimits())
+    put = PutConfiguration(configuration, b"seven", 0)
+    apply_command(replica.register, put)
+    apply_command(replica.register, AnnounceServer(SERVER, 1, 0.0, 0))
+    return ControlState(replica, ())
+
+
+def _send(control, message, at_ms=NOW_MS, sender="e"):
+    event = MessageArrived(at_ms, 0, sender, "boot", 0.0, message)
+    return [effect.message for effect in reduce_control(control, event)]
+
+
+def _lease_over(control):
+    return NOW_MS + control.replica.timing.lease_ms + 1.0
+
+
+def test_a_read_under_the_lease_is_the_operators_own_text(control):
+    (reply,) = _send(control, ReadRequest("q"))
+    assert reply == ReadReply("q", 7, b"seven")
+
+
+def test_a_leader_whose_lease_is_over_answers_no_read(control):
+    (reply,) = _send(control, ReadRequest("q"), _lease_over(control))
+    assert isinstance(reply, CommandRefused)
+
+
+def test_a_leader_whose_lease_is_over_tells_entries_nothing(control):
+    poll = FeedPoll(-1, 0, 0, False)
+    assert _send(control, poll, _lease_over(control)) == []
+
+
+def test_a_follower_names_the_leader(control):
+    control.replica.role = Role.FOLLOWER
+    control.replica.leader = "b"
+    (reply,) = _send(control, FeedPoll(-1, 0, 0, False))
+    assert reply == FeedRedirect("b")
+    (reply,) = _send(control, ReadRequest("q"))
+    assert reply == CommandRefused("q", "b", False)
+
+
+def test_an_entry_is_told_only_what_it_lacks(control):
+    (all_of_it,) = _send(control, FeedPoll(-1, 0, 0, False))
+    assert isinstance(all_of_it, FeedNotice)
+    assert all_of_it.configuration.number == 7
+    assert [server.name for server in all_of_it.servers] == ["i-1"]
+    (nothing,) = _send(control, FeedPoll(7, 1, 0, True))
+    assert nothing.configuration is None
+    assert nothing.servers == ()
+
+
+def test_a_change_is_pushed_to_those_that_polled_lately(control):
+    _send(control, FeedPoll(7, 1, 0, True))
+    apply_command(control.replica.register, MarkSilent("i-1", 1, 0))
+    effects = reduce_control(control, BatchEnded(NOW_MS + 50.0))
+    (notice,) = [e.message for e in effects if hasattr(e, "message")]
+    assert notice.servers[0].notice.state == "silent"
+    assert reduce_control(control, BatchEnded(NOW_MS + 60.0)) == []
+
+
+def test_a_server_is_silent_only_after_the_whole_time_under_one_leader(control):
+    replica = control.replica
+    state = control.feed
+    state.server_silence_ms = 1000.0
+    assert feed.silent_servers(state, replica, NOW_MS) == []
+    late_ms = NOW_MS + 1200.0
+    replica.lease_anchor_ms = late_ms
+    (command,) = feed.silent_servers(state, replica, late_ms)
+    assert command == MarkSilent("i-1", 1, 0)
+    feed.on_servers_heard(state, ServersHeard(("i-1",)), late_ms)
+    state.silence_due_ms = 0.0
+    assert feed.silent_servers(state, replica, late_ms) == []
+    replica.lead_since_ms = late_ms + 500.0
+    replica.lease_anchor_ms = late_ms + 1200.0
+    state.silence_due_ms = 0.0
+    assert feed.silent_servers(state, replica, late_ms + 1200.0) == []
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -271,6 +271,7 @@
     "failure", [FailureKind.LOST, FailureKind.SHORT, FailureKind.CROSSED]
 )
 def test_what_may_have_run_is_never_sent_again(entry, kind, failure):
+    _share_slack(entry)
     entry.arrive(kind)
     effects = entry.fail(failure)
     assert not _of(effects, fx.SendRequest)
