--- a/examples/first_try.py
+++ b/examples/first_try.py
@@ -1,4 +1,6 @@
-"""Starts a standalone daemon and three servers, and tells how to call them.
+"""Starts a standalone daemon and servers of three services.
+
+One answers look-ups, one takes orders that must run once, one takes uploads.
 
 Ctrl-C ends all of it.
 """
@@ -15,6 +17,7 @@
 HERE = pathlib.Path(__file__).parent
 DATA = HERE.parent / "data"
 STARTUP_S = 20.0
+SERVERS = {"die-ledger": 3, "order-desk": 2, "scan-vault": 1}
 
 
 def main() -> int:
@@ -22,8 +25,9 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     commands = [
         ["-m", "gentianwall", "--standalone", "--data", str(DATA)],
-        *([str(HERE / "standin_server.py"), "--name", f"server-{n}"]
-          for n in (1, 2, 3)),
+        *([str(HERE / "standin_server.py"), "--name", f"{service}-{n}",
+           "--service", service]
+          for service, count in SERVERS.items() for n in range(1, count + 1)),
     ]  # fmt: skip
     processes = [
         subprocess.Popen([sys.executable, *command], start_new_session=True)
@@ -33,7 +37,8 @@
         if not _put_in_force():
             print("The declaration could not be applied; see above.")
             return 1
-        _wait_for("http://127.0.0.1:8080/die-ledger/dies/42")
+        for service in SERVERS:
+            _wait_for(f"http://127.0.0.1:8080/{service}/")
         print(
             "\nThe system runs.\n"
             "  callers:    http://127.0.0.1:8080\n"
@@ -41,6 +46,11 @@
             "  data:       " + str(DATA) + "\n\n"
             "Try:\n"
             "  curl -i http://127.0.0.1:8080/die-ledger/dies/42\n"
+            "  curl -i -H 'Idempotency-Key: k-1' -d 'die 42' "
+            "http://127.0.0.1:8080/order-desk/orders\n"
+            "    (send it twice: it runs once)\n"
+            "  head -c 500000 /dev/zero | curl -i --data-binary @- "
+            "http://127.0.0.1:8080/scan-vault/scans\n"
             "  .venv/bin/gentianwallctl status\n"
             "  .venv/bin/gentianwallctl timeline\n\n"
             "Ctrl-C ends it.",
--- a/gentianwall/config/reference.py
+++ b/gentianwall/config/reference.py
@@ -9,12 +9,19 @@
 import attrs
 
 from gentianwall.config.declaration import Declaration
+from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.questionnaire import Answers
 from gentianwall.config.settings import Settings
 
 PAGES = (
     ("Declaration", "What operators apply, the same for all.", Declaration),
     ("Settings of a process", "Read once, when it starts.", Settings),
+    (
+        "Settings of a fleet's process",
+        "Read when it starts and when the file changes; only seeds change "
+        "without a restart.",
+        FleetSettings,
+    ),
     ("Answers to the questionnaire", "What a team says.", Answers),
 )
 
