--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -13,6 +13,7 @@
 
 from gentianwall import __version__
 from gentianwall.commands import apply as applying
+from gentianwall.commands import explain as explaining
 from gentianwall.commands import timeline as timelines
 from gentianwall.commands.apply import ExitCode
 from gentianwall.config.schema import ConfigErrors
@@ -223,6 +224,41 @@
     return _fail(str(reply.content.get("title")), ExitCode.BAD_INPUT)
 
 
+@app.command
+def explain(
+    request_id: Annotated[
+        str, cyclopts.Parameter(help="The request; empty with --from-s.")
+    ] = "",
+    /,
+    *files: Annotated[
+        pathlib.Path,
+        cyclopts.Parameter(help="Logs of all processes; else standard input."),
+    ],
+    from_s: Annotated[
+        float, cyclopts.Parameter(help="Beliefs from this time of day on.")
+    ] = 0.0,
+    to_s: Annotated[
+        float, cyclopts.Parameter(help="Beliefs up to this time of day.")
+    ] = float("inf"),
+) -> int:
+    """Tells a request's story from structured logs, over all processes."""
+    lines: list[str] = []
+    try:
+        for file in files:
+            lines += file.read_text(errors="replace").splitlines()
+    except OSError as error:
+        print(error)
+        return ExitCode.BAD_INPUT
+    if not files:
+        lines = sys.stdin.read().splitlines()
+    if request_id:
+        found = explaining.explain_request(lines, request_id)
+    else:
+        found = explaining.explain_range(lines, from_s, to_s)
+    print(explaining.render(found))
+    return ExitCode.IN_FORCE if found else ExitCode.BAD_INPUT
+
+
 @app.command
 def timeline(
     *,
--- a/gentianwall/logs.py
+++ b/gentianwall/logs.py
@@ -116,7 +116,7 @@
     def __init__(self, instance: str, writer: BoundedWriter):
         self.writer = writer
         self.suppressed = 0
-        self._instance = instance
+        self._instance = _value(instance)
         self._second = 0
         self._counts: dict[str, int] = {}
 
