A randomized fault soak of a fleet of real processes

Faults from outside overlap: kills, freezes, SIGTERM, SIGHUP, a wiped disk, all control instances at once, and a proxy before the servers.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test lint fuzz bench docs lock clean
+.PHONY: run test lint fuzz bench soak docs lock clean
 
 run: $(READY)
 	$(BIN)/python examples/first_try.py
@@ -26,6 +26,14 @@
 bench: $(READY)
 	$(BIN)/python -m benchmarks.decisions
 
+SEED ?= 1
+SEEDS ?= 1
+SECONDS_LIMIT ?= 20
+
+soak: $(READY)
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) \
+		--seconds-limit $(SECONDS_LIMIT)
+
 docs: $(READY)
 	$(BIN)/mkdocs build --strict
 
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -160,11 +160,20 @@
         ).encode()
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    """Lets callers break off without a word."""
+
+    def handle_error(self, request, client_address) -> None:
+        """Reports anything but a connection that ended."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 @contextlib.contextmanager
 def running(server: StandInServer) -> Iterator[StandInServer]:
     """Lets a stand-in server answer for as long as the context lasts."""
     address = (server.host, SERVER_PORT)
-    http_server = http.server.ThreadingHTTPServer(address, server.handler())
+    http_server = _Server(address, server.handler())
     thread = threading.Thread(target=http_server.serve_forever, daemon=True)
     thread.start()
     try:
@@ -187,14 +196,20 @@
 class Fleet:
     """Control instances and entries as processes."""
 
-    def __init__(self, folder: pathlib.Path, controls: int, entries: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        controls: int,
+        entries: int,
+        block: int = 0,
+    ):
         self.folder = folder
         self.controls = [
-            Node(f"127.0.1.{n}", "control", folder / f"c{n}")
+            Node(f"127.{block}.1.{n}", "control", folder / f"c{n}")
             for n in range(1, controls + 1)
         ]
         self.entries = [
-            Node(f"127.0.2.{n}", "entry", folder / f"e{n}")
+            Node(f"127.{block}.2.{n}", "entry", folder / f"e{n}")
             for n in range(1, entries + 1)
         ]
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of a fleet of real processes."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,46 @@
+"""The command line of the soak: `python -m soak --help`."""
+
+from __future__ import annotations
+
+import sys
+from typing import Annotated
+
+import cyclopts
+
+app = cyclopts.App(
+    name="soak", help="Harms a fleet of real processes and checks promises."
+)
+
+
+@app.default
+def soak(
+    *,
+    seed: Annotated[int, cyclopts.Parameter(help="First seed.")] = 1,
+    seeds: Annotated[int, cyclopts.Parameter(help="How many seeds.")] = 1,
+    seconds_limit: Annotated[
+        float, cyclopts.Parameter(help="Seconds of faults for each seed.")
+    ] = 20.0,
+    verbose: Annotated[
+        bool, cyclopts.Parameter(help="Print the faults of each seed.")
+    ] = False,
+) -> int:
+    """Plays seeds; exits with 1 if any broke a promise."""
+    from soak.run import run_seed
+
+    failed = 0
+    for number in range(seed, seed + seeds):
+        run = run_seed(number, seconds_limit)
+        violations = run.seen.violations
+        failed += bool(violations)
+        verdict = "BROKEN" if violations else "kept"
+        statuses = dict(sorted(run.seen.statuses.items()))
+        print(f"seed {number}: {verdict}, {len(run.log)} faults, {statuses}")
+        if violations or verbose:
+            print("\n".join(run.log))
+        for violation in violations:
+            print(f"  {violation}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app(sys.argv[1:], result_action="return_value"))
