--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -172,6 +172,22 @@
     _carry(state, reduce_replica(state.replica, proposed), event, effects)
 
 
+def _is_read_refused(
+    state: ControlState,
+    event: MessageArrived,
+    request_id: str,
+    effects: list[ControlEffect],
+) -> bool:
+    """Refuses a read that may not be current; names who may answer it."""
+    replica = state.replica
+    if replica.can_read(event.at_ms):
+        return False
+    leader = "" if replica.role is Role.LEADER else replica.leader
+    refused = CommandRefused(request_id, leader, False)
+    effects.append(SendMessage(event.sender, refused))
+    return True
+
+
 def _on_read(
     state: ControlState,
     event: MessageArrived,
@@ -180,10 +196,7 @@
 ) -> None:
     """Answers with the numbered configuration, if it is surely the newest."""
     replica = state.replica
-    if not replica.can_read(event.at_ms):
-        leader = "" if replica.role is Role.LEADER else replica.leader
-        refused = CommandRefused(request.request_id, leader, False)
-        effects.append(SendMessage(event.sender, refused))
+    if _is_read_refused(state, event, request.request_id, effects):
         return
     reply = feed.read_reply(replica, request.request_id)
     effects.append(SendMessage(event.sender, reply))
@@ -297,10 +310,7 @@
     effects: list[ControlEffect],
 ) -> None:
     replica = state.replica
-    if not replica.can_read(event.at_ms):
-        leader = "" if replica.role is Role.LEADER else replica.leader
-        refused = CommandRefused(request.request_id, leader, False)
-        effects.append(SendMessage(event.sender, refused))
+    if _is_read_refused(state, event, request.request_id, effects):
         return
     register = replica.register
     reply = StatusReply(
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -77,10 +77,10 @@
 
 @attrs.define
 class CheckServer:
-    """See whether a server still takes connections."""
+    """See whether a server that lost a request still takes connections."""
 
+    call_id: int
     notice: ServerNotice
-    fingerprint_call_id: int
 
 
 @attrs.define
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -72,7 +72,6 @@
     Attributes:
         at_ms: When.
         server: The server.
-        call_id: The request that it was asked for; 0 for none.
         is_answered: Whether it answered.
         is_well: Whether it says that it is well.
         is_other: Whether another server answered at its address.
@@ -81,7 +80,6 @@
 
     at_ms: float
     server: str
-    call_id: int
     is_answered: bool
     is_well: bool
     is_other: bool
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -115,7 +115,7 @@
     call.is_maybe_run = True
     _blame(server, event.at_ms)
     if server is not None and event.kind is FailureKind.LOST:
-        effects.append(CheckServer(server.record.notice, call.call_id))
+        effects.append(CheckServer(call.call_id, server.record.notice))
     again(state, call, REASONS[event.kind], event.at_ms, effects)
 
 
--- a/gentianwall/platform/control_api.py
+++ b/gentianwall/platform/control_api.py
@@ -21,10 +21,6 @@
 log = get_logger("control-api")
 
 JSON_TYPE = (b"Content-Type", b"application/json")
-HEARTBEAT = "instances.heartbeat"
-DEPARTURE = "instances.deregister"
-PUT = "config.replace"
-GET = "config.get"
 
 
 class ControlApi:
--- a/gentianwall/runtime/exchange.py
+++ b/gentianwall/runtime/exchange.py
@@ -291,21 +291,20 @@
         return LoadTold(
             at_ms=monotonic_ms(),
             server=name,
-            call_id=0,
             is_answered=answer is not None,
             is_well=answer is not None and answer.status < 400,
             is_other=is_other,
             report=report,
         )
 
-    def check(self, effect: CheckServer, service: str) -> None:
-        """Sees whether a server still takes connections."""
-        call = self.calls.get(effect.fingerprint_call_id)
+    def check(self, effect: CheckServer) -> None:
+        """Sees whether a server that lost a request takes connections."""
+        call = self.calls.get(effect.call_id)
         if call is None:
             return
         fingerprint = _fingerprint(call.request)
         pool = self.pool_of(effect.notice)
-        server = effect.notice.key.server
+        service, server = effect.notice.key.service, effect.notice.key.server
         pool.connect(
             pool.put_idle,
             lambda: self._handle(
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -162,7 +162,7 @@
             case CancelRequest():
                 self.exchange.cancel(effect)
             case CheckServer():
-                self.exchange.check(effect, effect.notice.key.service)
+                self.exchange.check(effect)
             case DropServer():
                 self.exchange.drop(effect.server)
             case TellControl():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -120,7 +120,7 @@
 
     def tell(self, name, report, is_well=True, is_other=False):
         return self.see(
-            LoadTold(self.now_ms, name, 0, True, is_well, is_other, report)
+            LoadTold(self.now_ms, name, True, is_well, is_other, report)
         )
 
     def answer(self, status=200, is_refusal=False, is_sound=True, attempt=1):
@@ -388,7 +388,7 @@
 
 def test_a_silent_server_that_fails_is_forgotten(entry):
     entry.learn(_server("a", 3, "silent"), configuration=None)
-    entry.see(LoadTold(entry.now_ms, "a", 0, False, False, False, None))
+    entry.see(LoadTold(entry.now_ms, "a", False, False, False, None))
     assert entry.state.server("a") is None
 
 
