--- /dev/null
+++ b/tests/test_fleet_settings.py
@@ -0,0 +1,85 @@
+"""Settings of a fleet's process are checked, and taken over when changed."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from gentianwall.commands.fleet import SettingsWatcher
+from gentianwall.config.fleet import FleetSettings, load_fleet_settings
+from gentianwall.config.schema import ConfigErrors
+
+LINES = {
+    "name": '"e"',
+    "role": '"entry"',
+    "failure_domain": '"z"',
+    "host": '"10.0.0.1"',
+    "link_port": "7002",
+    "control_link_port": "7001",
+    "seeds": '["10.0.0.2:8000", "10.0.0.3:8000"]',
+    "callers_address": '"10.0.0.1:8080"',
+    "readiness_address": '"10.0.0.1:8081"',
+}
+
+
+def _write(path, **changes):
+    lines = {**LINES, **changes}
+    text = "".join(f"{k} = {v}\n" for k, v in lines.items() if v is not None)
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.fixture
+def file(tmp_path):
+    return tmp_path / "settings.toml"
+
+
+def test_names_of_links_follow_from_addresses(file):
+    settings = load_fleet_settings(_write(file, disks_lost_at_once="2"))
+    assert isinstance(settings, FleetSettings)
+    assert settings.link_address == "10.0.0.1:7002"
+    assert settings.seed_links == ("10.0.0.2:7001", "10.0.0.3:7001")
+    assert settings.voters == 5
+
+
+@pytest.mark.parametrize(
+    ("change", "option"),
+    [
+        ({"role": '"both"'}, "role"),
+        ({"seeds": '["nowhere"]'}, "seeds[0]"),
+        ({"callers_address": None}, "callers_address"),
+        ({"link_port": "70000"}, "link_port"),
+        ({"role": '"control"'}, "control_address"),
+        ({"surprise": "1"}, "surprise"),
+    ],
+)
+def test_what_is_wrong_is_named(file, change, option):
+    errors = load_fleet_settings(_write(file, **change))
+    assert isinstance(errors, ConfigErrors)
+    assert option in [problem.option for problem in errors.problems]
+
+
+def test_a_file_that_changes_without_a_signal_is_taken_over_once(file):
+    path = _write(file)
+    taken = []
+    watcher = SettingsWatcher(path, load_fleet_settings(path), taken.append)
+    watcher.check()
+    assert taken == []
+    _write(file, seeds='["10.0.0.9:8000"]')
+    os.utime(file, ns=(1, 1))
+    watcher.check()
+    watcher.check()
+    assert [settings.seeds for settings in taken] == [("10.0.0.9:8000",)]
+
+
+def test_a_file_that_is_wrong_changes_nothing(file):
+    path = _write(file)
+    taken = []
+    watcher = SettingsWatcher(path, load_fleet_settings(path), taken.append)
+    file.write_text("seeds = [")
+    watcher.read()
+    assert taken == []
+    file.unlink()
+    watcher.check()
+    assert taken == []
