A fleet has the product's own interface: TOML routes, gentianwallctl, tokens

On the way a decoder fault was found: a figure of Infinity in a configuration raised OverflowError, which no handler caught; NaN as a weight passed the check "below 0".

Built: `gentianwalld fleet`, control pages (PUT and GET of numbered routes in TOML; announcements as at an entry with a count), tokens of operators and servers, `gentianwallctl routes check|put|show`, their reference and pages. The seam is the one the adapter used: a handler made from the gate.

Ruled out: a sequence of announcements taken from the clock of the control instance (its jumps could keep a silent server from coming back); a second set of rules for routes (both readers end in check_configuration).

Before: 2 of the new decoder cases failed (inf as priority: OverflowError; inf as warm-up: taken). After: tests of platform, fleet, routes, questionnaire and the new test_fleet_routes (real processes with the product's own names) pass; operators and servers features pass (24 scenarios).

--- a/examples/standin_server.py
+++ b/examples/standin_server.py
@@ -130,6 +130,7 @@
         self.entries = options.entries.split(",")
         self.turn = 0
         self.incarnation = time.time_ns() // 1000
+        self.sequence = 0
         self.state = "up"
 
     def repeat(self) -> None:
@@ -139,7 +140,9 @@
 
     def announce(self, method: str = "PUT") -> None:
         """Sends one announcement; a failed one is tried at the next entry."""
+        self.sequence += 1
         content = {
+            "sequence": self.sequence,
             "address": "127.0.0.1",
             "port": self.port,
             "slots": self.options.slots,
--- a/gentianwall/__main__.py
+++ b/gentianwall/__main__.py
@@ -54,6 +54,27 @@
     return daemon.found_cluster(settings)
 
 
+@app.command(name="fleet")
+def fleet(
+    *,
+    settings: Annotated[
+        str, cyclopts.Parameter(help="Settings of one process of the fleet.")
+    ],
+) -> int:
+    """Runs a process of a fleet whose members are found at run time."""
+    from gentianwall.commands import fleet as fleets
+    from gentianwall.http.dialect import Dialect
+
+    return fleets.run_from_file(settings, Dialect(), _load_control_pages)
+
+
+def _load_control_pages():
+    """Loads the pages of control instances, which entries do without."""
+    from gentianwall.http.control_pages import make_control_pages
+
+    return make_control_pages
+
+
 def main() -> None:
     """Parses the command line and exits with the command's code."""
     sys.exit(app(sys.argv[1:], result_action="return_value"))
--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -17,7 +17,7 @@
     Settings,
     load_settings,
 )
-from gentianwall.http.operators import TokenFileError
+from gentianwall.http.tokens import TokenFileError
 from gentianwall.links.keys import KeyFileError
 from gentianwall.logs import get_logger, set_up
 from gentianwall.runtime.control import run_listed_control
--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -7,7 +7,7 @@
 import os
 import signal
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -17,10 +17,15 @@
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.http.channel import CallerRequest
 from gentianwall.http.dialect import Dialect
+from gentianwall.http.tokens import TokenFileError
 from gentianwall.logs import BoundedWriter, EventLog, get_logger
 from gentianwall.runtime.plumbing import ControlFailedError
 from gentianwall.timers import TimerService
 
+if TYPE_CHECKING:
+    # Entries do without what a control instance loads.
+    from gentianwall.runtime.gate import Gate
+
 log = get_logger("fleet")
 
 EXIT_OK = 0
@@ -30,20 +35,22 @@
 GC_ALLOCATIONS = 5000
 STDOUT = 1
 RequestHandler = Callable[[CallerRequest], None]
+ControlHandler = Callable[["Gate", FleetSettings], RequestHandler]
 
 
 def run_from_file(
     path: str,
     dialect: Dialect,
-    control_handler: Callable[[], Callable[[Any], RequestHandler]],
+    control_handler: Callable[[], ControlHandler],
 ) -> int:
     """Runs the process that a settings file describes.
 
     Args:
         path: The settings file.
         dialect: How headers are named.
-        control_handler: Loads what makes, from the gate of a control
-            instance, the handler of servers' and operators' requests.
+        control_handler: Loads what makes, from the gate and the settings of
+            a control instance, the handler of servers' and operators'
+            requests.
     """
     settings = load_fleet_settings(path)
     if isinstance(settings, ConfigErrors):
@@ -89,6 +96,9 @@
     except ControlFailedError as error:
         log.error("%s.", error)
         return EXIT_FAILED
+    except TokenFileError as error:
+        log.error("Token file: %s.", error)
+        return EXIT_BAD_INPUT
     except CannotListenError as error:
         log.error("Address %s:%s is taken.", error.interface, error.port)
         return EXIT_FAILED
--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -39,7 +39,9 @@
 @contextlib.contextmanager
 def run(
     settings: FleetSettings,
-    control_handler: Callable[[Gate], Callable[[CallerRequest], None]],
+    control_handler: Callable[
+        [Gate, FleetSettings], Callable[[CallerRequest], None]
+    ],
     timers: TimerService,
 ) -> Iterator[Callable[[FleetSettings], None]]:
     """Runs a control instance; yields what takes changed settings."""
@@ -62,7 +64,7 @@
     links = fleet_links(settings)
     with run_control(setup, links, reactor, timers) as runtime:
         gate = Gate(runtime)
-        site = CallerSite(control_handler(gate), lambda request: None)
+        site = CallerSite(control_handler(gate, settings), lambda request: None)
         port = listen(reactor, settings.control_address, site)
         on_end_signals(lambda: _end_control(port))
         if settings.metrics_port:
--- /dev/null
+++ b/gentianwall/commands/routes.py
@@ -0,0 +1,80 @@
+"""Puts and reads the numbered configuration of a fleet."""
+
+from __future__ import annotations
+
+import pathlib
+
+import attrs
+
+from gentianwall.commands.apply import ExitCode
+from gentianwall.config.route_file import parse_route_file
+from gentianwall.config.routes import RouteConfiguration
+from gentianwall.config.schema import ConfigErrors, ConfigProblem
+from gentianwall.ctl.client import OperatorClient, Reply, Unreachable
+
+PATH = "/gentianwall/v1/routes"
+
+
+@attrs.frozen
+class RoutesResult:
+    """What became of a command, and what to print."""
+
+    code: ExitCode
+    message: str
+
+
+def read_routes(path: str) -> RouteConfiguration | ConfigErrors:
+    """Reads and checks a file."""
+    return _parse(_read(path))
+
+
+def _read(path: str) -> bytes | ConfigErrors:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        return ConfigErrors((ConfigProblem(path, str(error.strerror)),))
+
+
+def _parse(document: bytes | ConfigErrors) -> RouteConfiguration | ConfigErrors:
+    if isinstance(document, ConfigErrors):
+        return document
+    return parse_route_file(document)
+
+
+def put_routes(client: OperatorClient, path: str) -> RoutesResult:
+    """Puts a file; sending it again is safe whatever became of it."""
+    document = _read(path)
+    configuration = _parse(document)
+    if isinstance(configuration, ConfigErrors):
+        return RoutesResult(ExitCode.BAD_INPUT, str(configuration))
+    reply = client.put(PATH, document)
+    if isinstance(reply, Unreachable):
+        return RoutesResult(ExitCode.UNKNOWN, reply.reason)
+    if reply.status == 200:
+        message = f"number {configuration.number} is in force"
+        return RoutesResult(ExitCode.IN_FORCE, message)
+    return _failure(reply)
+
+
+def get_routes(client: OperatorClient) -> RoutesResult:
+    """Reads the configuration in force, as it was put."""
+    reply = client.get(PATH)
+    if isinstance(reply, Unreachable):
+        return RoutesResult(ExitCode.FAILED, reply.reason)
+    if reply.status == 200:
+        return RoutesResult(ExitCode.IN_FORCE, reply.content["document"])
+    return _failure(reply)
+
+
+def _failure(reply: Reply) -> RoutesResult:
+    """Tells what a refusal means."""
+    codes = {
+        400: ExitCode.BAD_INPUT,
+        409: ExitCode.CONFLICT,
+        503: ExitCode.UNKNOWN,
+    }
+    lines = [str(reply.content.get("title", reply.status))]
+    lines += reply.content.get("problems", [])
+    return RoutesResult(
+        codes.get(reply.status, ExitCode.FAILED), "\n".join(lines)
+    )
--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -56,6 +56,16 @@
     control_address: str = option(
         "IP:PORT for servers and operators, at a control instance.", ""
     )
+    operator_token_file: str = option(
+        "File with the operators' bearer token, at a control instance; empty "
+        "allows anyone.",
+        "",
+    )
+    server_token_folder: str = option(
+        "Folder with one token file per service, at a control instance; empty "
+        "lets any server announce itself.",
+        "",
+    )
     server_heartbeat_ms: int = option(
         "Time between heartbeats of a server.", 1500, minimum=10
     )
--- a/gentianwall/config/reference.py
+++ b/gentianwall/config/reference.py
@@ -11,6 +11,7 @@
 from gentianwall.config.declaration import Declaration
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.questionnaire import Answers
+from gentianwall.config.route_file import RouteFile
 from gentianwall.config.settings import Settings
 
 PAGES = (
@@ -22,6 +23,11 @@
         "without a restart.",
         FleetSettings,
     ),
+    (
+        "Routes of a fleet",
+        "A numbered configuration, for `gentianwallctl routes`.",
+        RouteFile,
+    ),
     ("Answers to the questionnaire", "What a team says.", Answers),
 )
 
@@ -72,7 +78,10 @@
             return "list of tables", item, "[]"
         return f"list of {item.__name__}", None, ""
     if origin is dict:
-        return "tables by name", typing.get_args(hint)[1], ".NAME"
+        item = typing.get_args(hint)[1]
+        if attrs.has(item):
+            return "tables by name", item, ".NAME"
+        return f"{item.__name__} by name", None, ".NAME"
     if attrs.has(hint):
         return "table", hint, ""
     return hint.__name__, None, ""
--- a/gentianwall/config/routes.py
+++ b/gentianwall/config/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import attrs
 
@@ -116,6 +117,10 @@
 def _check_route(route: Route, services: set[str]) -> list[ConfigProblem]:
     where = f"routes.{route.name}"
     problems = []
+    figures = [route.timeout_ms, route.target_ms]
+    figures += [target.weight for target in route.targets]
+    if not all(math.isfinite(figure) for figure in figures):
+        problems.append(ConfigProblem(where, "all figures must be finite"))
     if not route.host:
         problems.append(ConfigProblem(f"{where}.host", "must not be empty"))
     if not route.path_prefix.startswith("/"):
--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -14,6 +14,7 @@
 from gentianwall import __version__
 from gentianwall.commands import apply as applying
 from gentianwall.commands import explain as explaining
+from gentianwall.commands import routes as routing
 from gentianwall.commands import timeline as timelines
 from gentianwall.commands.apply import ExitCode
 from gentianwall.config.schema import ConfigErrors
@@ -27,6 +28,10 @@
     help="Operates gentianwall: declarations, status, time line.",
     version=__version__,
 )
+routes_app = cyclopts.App(
+    name="routes", help="Numbered configurations of a fleet's routes."
+)
+app.command(routes_app)
 
 
 @cyclopts.Parameter(name="*")
@@ -224,6 +229,36 @@
     return _fail(str(reply.content.get("title")), ExitCode.BAD_INPUT)
 
 
+@routes_app.command(name="check")
+def check_routes(path: str) -> int:
+    """Checks a configuration of routes and sends nothing."""
+    result = routing.read_routes(path)
+    if isinstance(result, ConfigErrors):
+        return _fail(str(result), ExitCode.BAD_INPUT)
+    print("valid")
+    return ExitCode.IN_FORCE
+
+
+@routes_app.command(name="put")
+def put_routes(path: str, *, common: Common = COMMON) -> int:
+    """Puts a configuration of routes in force, if its number is the highest.
+
+    Exit codes: 0 in force, 2 bad input, 3 a higher number or another content
+    under the same number is held, 5 unknown: put the same file again.
+    """
+    result = routing.put_routes(common.client(), path)
+    show(attrs.asdict(result), result.message, common.format)
+    return result.code
+
+
+@routes_app.command(name="show")
+def show_routes(*, common: Common = COMMON) -> int:
+    """Prints the configuration of routes in force, as it was put."""
+    result = routing.get_routes(common.client())
+    show(attrs.asdict(result), result.message, common.format)
+    return result.code
+
+
 @app.command
 def explain(
     request_id: Annotated[
--- a/gentianwall/ctl/client.py
+++ b/gentianwall/ctl/client.py
@@ -48,6 +48,10 @@
         """Posts to the first instance that answers with a decision."""
         return self._ask("POST", path, body, headers)
 
+    def put(self, path: str, body: bytes) -> Reply | Unreachable:
+        """Puts to the first instance that answers with a decision."""
+        return self._ask("PUT", path, body, {})
+
     def get_each(self, path: str) -> dict[str, Reply | Unreachable]:
         """Gets a page of every instance."""
         return {
--- a/gentianwall/http/announcements.py
+++ b/gentianwall/http/announcements.py
@@ -6,10 +6,8 @@
 
 from __future__ import annotations
 
-import hmac
 import ipaddress
 import json
-import pathlib
 import re
 from collections.abc import Callable
 
@@ -19,6 +17,7 @@
 from gentianwall.core.events import EntryEvent, ServerAnnounced
 from gentianwall.http.channel import CallerRequest
 from gentianwall.http.problems import plain_problem
+from gentianwall.http.tokens import is_server_allowed
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.timers import monotonic_ms
 
@@ -51,18 +50,18 @@
 
     def handle_request(self, request: CallerRequest) -> None:
         """Answers an announcement."""
-        match = PATH.fullmatch(request.path.decode("latin-1"))
-        if match is None:
+        key = key_of(request.path)
+        if key is None:
             request.answer_problem(plain_problem(404, "no such page"))
             return
         if request.method not in (b"PUT", b"DELETE"):
             request.answer_problem(plain_problem(405, "use PUT or DELETE"))
             return
-        key = ServerKey(match.group(1), match.group(2))
-        if not self._is_allowed(key.service, request):
+        given = request.header(b"Authorization")
+        if not is_server_allowed(self._token_folder, key.service, given):
             request.answer_problem(plain_problem(401, "wrong token"))
             return
-        notice = _parse(key, request)
+        notice = parse_announcement(key, request)
         if isinstance(notice, BadAnnouncement):
             problem = plain_problem(
                 400, "bad announcement", problems=list(notice.problems)
@@ -96,23 +95,29 @@
                 )
                 request.answer_problem(problem)
 
-    def _is_allowed(self, service: str, request: CallerRequest) -> bool:
-        if not self._token_folder:
-            return True
-        path = pathlib.Path(self._token_folder) / service
-        try:
-            token = path.read_text(encoding="utf-8").strip()
-        except OSError:
-            return False
-        given = request.header(b"Authorization").removeprefix("Bearer ")
-        return bool(token) and hmac.compare_digest(
-            token.encode(), given.encode()
-        )
-
-
-def _parse(
+
+def key_of(path: bytes) -> ServerKey | None:
+    """Returns the server that a path names, or nothing."""
+    match = PATH.fullmatch(path.decode("latin-1"))
+    return ServerKey(match[1], match[2]) if match else None
+
+
+def read_sequence(request: CallerRequest) -> int | BadAnnouncement:
+    """Reads the count of announcements, by which late ones are told.
+
+    The body was read by `parse_announcement` before.
+    """
+    sequence = json.loads(request.body).get("sequence")
+    if not _is_whole(sequence, 0, 2**62):
+        reason = "sequence must be a whole number, 0 or more"
+        return BadAnnouncement((reason,))
+    return sequence
+
+
+def parse_announcement(
     key: ServerKey, request: CallerRequest
 ) -> ServerNotice | BadAnnouncement:
+    """Reads what a server says of itself, or all that is wrong with it."""
     is_leaving = request.method == b"DELETE"
     if is_leaving and not request.body:
         # Without a body the last known incarnation leaves.
--- a/gentianwall/http/operators.py
+++ b/gentianwall/http/operators.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import hmac
 import json
-import pathlib
 from collections.abc import Callable
 
 import attrs
 from twisted.web import resource, server
 
 from gentianwall.http.problems import CONTENT_TYPE
+from gentianwall.http.tokens import is_bearer
 
 MAX_DECLARATION_BYTES = 4 * 1024 * 1024
 
@@ -32,29 +31,6 @@
     is_open: bool = False
 
 
-class TokenFileError(Exception):
-    """The token file is missing, empty or open to others."""
-
-
-def load_token(path: str) -> bytes:
-    """Reads the operators' token; empty when none is wanted.
-
-    Raises:
-        TokenFileError: The file cannot be used.
-    """
-    if not path:
-        return b""
-    file = pathlib.Path(path)
-    if not file.exists():
-        raise TokenFileError(f"{path} is missing")
-    if file.stat().st_mode & 0o077:
-        raise TokenFileError(f"{path} may be read by others; use mode 600")
-    token = file.read_bytes().strip()
-    if not token:
-        raise TokenFileError(f"{path} is empty")
-    return token
-
-
 class OperatorPages(resource.Resource):
     """Finds the page of a request and checks the token."""
 
@@ -80,8 +56,7 @@
 
     def _is_allowed(self, request: server.Request) -> bool:
         given = request.getHeader(b"Authorization") or b""
-        given = given.removeprefix(b"Bearer ")
-        return not self._token or hmac.compare_digest(self._token, given)
+        return is_bearer(self._token, given.decode("latin-1"))
 
 
 def send_json(request: server.Request, status: int, content: object) -> None:
--- a/gentianwall/platform/announcements.py
+++ b/gentianwall/platform/announcements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 import attrs
@@ -67,8 +68,10 @@
     if not _is(incarnation, int) or incarnation < 0:
         return BadAnnouncement("born must be a whole number")
     warmup_ms = table.get("warmupLeftMs", 0)
-    if isinstance(warmup_ms, bool) or not isinstance(warmup_ms, int | float):
-        return BadAnnouncement("warmupLeftMs must be a number")
+    is_number = isinstance(warmup_ms, int | float)
+    is_number = is_number and not isinstance(warmup_ms, bool)
+    if not is_number or not math.isfinite(warmup_ms):
+        return BadAnnouncement("warmupLeftMs must be a finite number")
     if not server or not table["service"] or table["maxConcurrency"] < 1:
         return BadAnnouncement("names no server to use")
     notice = ServerNotice(
--- a/gentianwall/platform/operators.py
+++ b/gentianwall/platform/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from gentianwall.config.routes import (
@@ -141,8 +142,9 @@
 
 def _amount(table: dict, key: str, where: str, usual: float) -> float:
     value = table.get(key, usual)
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value):
         raise _UnreadableError(
-            f"{where}.{key}", f"must be a number, not {value!r}"
+            f"{where}.{key}", f"must be a finite number, not {value!r}"
         )
     return float(value)
--- a/gentianwall/platform/process.py
+++ b/gentianwall/platform/process.py
@@ -34,4 +34,4 @@
     """Loads the calls to control instances, which entries do without."""
     from gentianwall.platform.control_api import ControlApi
 
-    return lambda gate: ControlApi(gate).handle
+    return lambda gate, settings: ControlApi(gate).handle
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -30,10 +30,10 @@
     MAX_DECLARATION_BYTES,
     OperatorPages,
     Page,
-    load_token,
     send_json,
     send_text,
 )
+from gentianwall.http.tokens import load_token
 from gentianwall.membership.messages import ServerKey
 from gentianwall.timers import monotonic_ms, wall_ms
 
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -193,6 +193,16 @@
     process: subprocess.Popen | None = None
 
 
+def platform_command(settings: pathlib.Path) -> list[str]:
+    """Starts a process as the platform does, which tells it the file."""
+    return ["gentianwall.platform"]
+
+
+def own_command(settings: pathlib.Path) -> list[str]:
+    """Starts a process with the product's own names and formats."""
+    return ["gentianwall", "fleet", "--settings", str(settings)]
+
+
 class Fleet:
     """Control instances and entries as processes."""
 
@@ -202,8 +212,11 @@
         controls: int,
         entries: int,
         block: int = 0,
+        command: Callable[[pathlib.Path], list[str]] = platform_command,
     ):
         self.folder = folder
+        self.command = command
+        self.control_settings: list[str] = []
         self.controls = [
             Node(f"127.{block}.1.{n}", "control", folder / f"c{n}")
             for n in range(1, controls + 1)
@@ -234,6 +247,7 @@
                 f'readiness_address = "{node.host}:{READY_PORT}"',
             ]
         else:
+            lines += self.control_settings
             lines += [
                 f'control_address = "{node.host}:{CONTROL_PORT}"',
                 f'data_folder = "{node.folder / "data"}"',
@@ -242,7 +256,7 @@
         settings.write_text("\n".join(lines) + "\n")
         with (node.folder / "log").open("ab") as log:
             node.process = subprocess.Popen(
-                [sys.executable, "-m", "gentianwall.platform"],
+                [sys.executable, "-m", *self.command(settings)],
                 env={**os.environ, "GENTIANWALL_NODE_FILE": str(settings)},
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/tests/test_fleet_routes.py
@@ -0,0 +1,183 @@
+"""A fleet with the product's own names: TOML, `gentianwallctl`, tokens."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from gentianwall.commands.apply import ExitCode
+from gentianwall.commands.routes import get_routes, put_routes
+from gentianwall.ctl.client import OperatorClient
+from harness.fleet import (
+    CONTROL_PORT,
+    FRONT_PORT,
+    Fleet,
+    call,
+    own_command,
+    wait_until,
+)
+
+STAND_IN = pathlib.Path(__file__).parent.parent / "examples/standin_server.py"
+TOKEN = "only-for-operators"
+SERVER_PAGE = "/gentianwall/v1/services/orders/servers/"
+
+
+def _text(number: int, path_prefix: str = "/") -> str:
+    return f"""number = {number}
+
+[services.orders]
+
+[routes.orders]
+host = "shop.example"
+path_prefix = "{path_prefix}"
+kind = "non_idempotent"
+timeout_ms = 2000
+targets = {{ orders = 1 }}
+"""
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Three control instances that want a token, and an entry."""
+    token = tmp_path / "token"
+    token.write_text(TOKEN)
+    token.chmod(0o600)
+    tokens = tmp_path / "tokens"
+    tokens.mkdir()
+    (tokens / "orders").write_text("only-for-orders")
+    fleet = Fleet(tmp_path, controls=3, entries=1, command=own_command)
+    fleet.control_settings = [
+        f'operator_token_file = "{token}"',
+        f'server_token_folder = "{tokens}"',
+    ]
+    try:
+        for node in [*fleet.entries, *fleet.controls]:
+            fleet.start(node, is_first_start=True)
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def client(fleet):
+    """A client of the operators."""
+    return OperatorClient(tuple(_addresses(fleet)), TOKEN)
+
+
+@pytest.fixture
+def put(client, tmp_path):
+    """Puts a configuration and returns what became of it."""
+
+    def put(text):
+        file = tmp_path / "routes.toml"
+        file.write_text(text)
+        return put_routes(client, str(file))
+
+    wait_until(
+        "the first is in force", lambda: put(_text(1)).code == ExitCode.IN_FORCE
+    )
+    return put
+
+
+@pytest.fixture
+def server(fleet):
+    """A server of the only service, as the page for servers describes it."""
+    command = [sys.executable, str(STAND_IN), "--name", "i-1"]
+    command += ["--service", "orders", "--token", "only-for-orders"]
+    command += ["--entries", ",".join(_addresses(fleet))]
+    process = subprocess.Popen(command)
+    yield process
+    process.kill()
+    process.wait()
+
+
+def _addresses(fleet):
+    return [f"{node.host}:{CONTROL_PORT}" for node in fleet.controls]
+
+
+def _order(fleet, path="/orders/1"):
+    headers = {"Host": "shop.example", "Gentianwall-Request-Id": "r-1"}
+    host = fleet.entries[0].host
+    return call(host, FRONT_PORT, "POST", path, b"order", headers)
+
+
+def test_orders_are_served_and_leavers_get_none(fleet, put, server):
+    wait_until("it serves", lambda: _order(fleet).status == 200)
+    answer = _order(fleet)
+    assert json.loads(answer.body)["server"] == "i-1"
+    assert answer.headers["Gentianwall-Request-Id"] == "r-1"
+    server.terminate()
+    server.wait(10)
+    answer = _order(fleet)
+    assert answer.status == 503
+    assert json.loads(answer.body)["executed"] == "no"
+
+
+def test_the_highest_number_is_in_force(fleet, put, client):
+    assert put(_text(3, "/new/")).code == ExitCode.IN_FORCE
+    assert put(_text(3, "/new/")).code == ExitCode.IN_FORCE  # A resend.
+    assert put(_text(2)).code == ExitCode.CONFLICT
+    assert put(_text(3, "/other/")).code == ExitCode.CONFLICT
+    result = get_routes(client)
+    assert (result.code, result.message) == (
+        ExitCode.IN_FORCE,
+        _text(3, "/new/"),
+    )
+    wait_until("in force", lambda: _order(fleet).status == 404)
+
+
+def test_a_wrong_configuration_is_refused_with_every_problem(put, client):
+    wrong = _text(9).replace("timeout_ms = 2000", "timeout_ms = -1")
+    wrong = wrong.replace('"non_idempotent"', '"odd"')
+    result = put(wrong)
+    assert result.code == ExitCode.BAD_INPUT
+    assert "line 9: routes.orders.timeout_ms" in result.message
+    assert "line 8: routes.orders.kind" in result.message
+    assert get_routes(client).message == _text(1)
+
+
+def test_strangers_change_nothing(fleet, put, client):
+    host = fleet.controls[0].host
+    routes = "/gentianwall/v1/routes"
+    body = _text(9).encode()
+    assert call(host, CONTROL_PORT, "PUT", routes, body).status == 401
+    assert call(host, CONTROL_PORT, "GET", routes).status == 401
+    page = f"{SERVER_PAGE}i-9"
+    assert call(host, CONTROL_PORT, "PUT", page, b"{}").status == 401
+    assert call(host, CONTROL_PORT, "POST", page).status == 405
+    assert call(host, CONTROL_PORT, "GET", "/else").status == 404
+    assert get_routes(client).message == _text(1)
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"sequence": None}, "sequence"),
+        ({"address": "nowhere"}, "address"),
+        ({"port": 0}, "port"),
+        ({"slots": 0}, "slots"),
+    ],
+)
+def test_a_bad_announcement_says_what_is_wrong(fleet, put, change, reason):
+    content = {
+        "address": "127.0.0.1",
+        "port": 9,
+        "slots": 1,
+        "incarnation": 1,
+        "sequence": 1,
+        **change,
+    }
+    answer = call(
+        fleet.controls[0].host,
+        CONTROL_PORT,
+        "PUT",
+        f"{SERVER_PAGE}i-9",
+        json.dumps(content).encode(),
+        {"Authorization": "Bearer only-for-orders"},
+    )
+    assert answer.status == 400
+    assert reason in json.loads(answer.body)["problems"][0]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 import pytest
 
@@ -99,6 +100,7 @@
         {"born": 17.5},
         {"born": "1700000000000"},
         {"warmupLeftMs": "soon"},
+        {"warmupLeftMs": math.inf},
     ],
 )
 def test_a_forged_heartbeat_names_no_server(change):
@@ -141,6 +143,10 @@
         {"trafficSplit": [{"service": "none", "weight": 1}]},
         {"trafficSplit": None},
         {"timeoutMs": "600"},
+        {"timeoutMs": math.inf},
+        {"priority": math.inf},
+        {"maxAttempts": math.nan},
+        {"trafficSplit": [{"service": "huvo11a", "weight": math.nan}]},
     ],
 )
 def test_an_invalid_configuration_is_refused(change):
