Keep to the connections that a server takes from all entries

Cause: a service's most_connections was read, checked and then used by nobody; a server resets connections beyond it.

Each entry keeps to an equal part, since entries do not tell each other. A server at its part stays out while others are left; if none is, the request is refused as overloaded. Ruled out: limiting the pool (a request would then wait where nothing decides about it).

--- a/gentianwall/gateway/knowledge.py
+++ b/gentianwall/gateway/knowledge.py
@@ -129,7 +129,9 @@
     state.number = notice.number
     state.table = RouteTable(configuration)
     for declared in configuration.services:
-        state.service(declared.name).health_path = declared.health_path
+        service = state.service(declared.name)
+        service.health_path = declared.health_path
+        service.most_connections = declared.most_connections
     fields = {"number": notice.number, "routes": len(configuration.routes)}
     effects.append(Log("configuration_in_force", fields))
 
--- a/gentianwall/gateway/placement.py
+++ b/gentianwall/gateway/placement.py
@@ -58,10 +58,12 @@
     now_ms: float,
     rng: random.Random,
     near: Nearness,
+    most_own: int,
 ) -> list[Candidate]:
     """Returns the servers that may get a request, the best first.
 
-    Servers that lost their connection stay out while others are left.
+    Servers that lost their connection, or have as many requests of this entry
+    as it may open connections, stay out while others are left.
 
     Args:
         servers: Servers of the service.
@@ -70,6 +72,7 @@
         now_ms: The local clock.
         rng: Orders equals.
         near: How servers of other failure domains count.
+        most_own: Requests that this entry may have at a server.
     """
     usable = [
         server
@@ -77,9 +80,13 @@
         if server.record.notice.state in ("up", "silent")
         and server.name not in avoid
     ]
-    rested = [s for s in usable if s.paused_until_ms <= now_ms]
+    better = [
+        server
+        for server in usable
+        if server.paused_until_ms <= now_ms and len(server.own) < most_own
+    ]
     ranked = []
-    for server in rested or usable:
+    for server in better or usable:
         expected_ms = server.expected_ms(now_ms, work_ms)
         cost = expected_ms * server.penalty(now_ms)
         cost *= 1.0 + EQUAL_SHARE * rng.random()
--- a/gentianwall/gateway/placing.py
+++ b/gentianwall/gateway/placing.py
@@ -242,6 +242,7 @@
         now_ms,
         state.rng,
         placement.Nearness(state.failure_domain, far_factor),
+        service.most_own(state.entries),
     )
 
 
@@ -257,7 +258,11 @@
     best = ranked[0]
     left_ms = call.deadline_ms - now_ms
     is_hopeless = HOPELESS_SHARE * best.expected_ms > left_ms
-    if is_hopeless or best.server.is_full(now_ms):
+    is_full = best.server.is_full(now_ms) or (
+        len(best.server.own)
+        >= state.service(call.service).most_own(state.entries)
+    )
+    if is_hopeless or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
     _send(call, best.server, best.expected_ms, now_ms, effects)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -4,6 +4,7 @@
 
 import enum
 import random
+import sys
 
 import attrs
 
@@ -81,6 +82,8 @@
         tells_load: Whether its servers tell their load; None while no
             server has answered.
         work_ms: Time of a request at an idle, usual server; 0 while unknown.
+        most_connections: Connections that a server takes from all entries; 0
+            sets no limit.
     """
 
     name: str
@@ -89,6 +92,16 @@
     servers: dict[str, RoutedServer] = attrs.field(factory=dict)
     tells_load: bool | None = None
     work_ms: float = 0.0
+    most_connections: int = 0
+
+    def most_own(self, entries: int) -> int:
+        """Returns how many connections an entry may have to one server.
+
+        Entries do not tell each other, so each keeps to an equal part.
+        """
+        if not self.most_connections:
+            return sys.maxsize
+        return max(1, self.most_connections // max(1, entries))
 
     def work_for(self, route: Route) -> float:
         """Returns the time of a request of a route."""
--- /dev/null
+++ b/harness/gateway_entry.py
@@ -0,0 +1,152 @@
+"""An entry's decisions, event by event, without sockets or clocks."""
+
+from __future__ import annotations
+
+import random
+
+from gentianwall.config.routes import (
+    CallerLimits,
+    Route,
+    RouteConfiguration,
+    RoutedService,
+    RouteKind,
+    RouteTarget,
+)
+from gentianwall.control.messages import FeedNotice
+from gentianwall.gateway import effects as fx
+from gentianwall.gateway.budget import RetryLimits
+from gentianwall.gateway.events import (
+    FeedArrived,
+    LoadTold,
+    RequestArrived,
+    ServerAnswered,
+    ServerFailed,
+)
+from gentianwall.gateway.reducer import reduce_gateway
+from gentianwall.gateway.state import GatewayState
+from gentianwall.membership.messages import ServerKey, ServerNotice
+from gentianwall.membership.registry import RegisteredServer
+from gentianwall.routing.reports import SpeedReport
+
+IDLE = SpeedReport(0, 0, 2)
+FULL = SpeedReport(2, 3, 2)
+
+
+def server(name, revision, state="up", incarnation=1, port=80):
+    """Returns a server as the control instances hold it."""
+    notice = ServerNotice(
+        ServerKey("s", name), "10.0.0.1", port, 2, "z", incarnation, state
+    )
+    return RegisteredServer(notice, 1, 0.0, revision)
+
+
+def route(kind):
+    """Returns a route of a kind to the only service."""
+    return Route(
+        f"r-{kind.value}",
+        "a.example",
+        f"/{kind.value}/",
+        kind,
+        1000.0,
+        400.0,
+        1,
+        2,
+        (RouteTarget("s", 1.0),),
+    )
+
+
+CONFIGURATION = RouteConfiguration(
+    7,
+    tuple(route(kind) for kind in RouteKind),
+    (RoutedService("s", "/h", 9),),
+    CallerLimits(),
+)
+
+
+class Entry:
+    """An entry with its effects gathered."""
+
+    def __init__(self):
+        self.now_ms = 1000.0
+        self.state = GatewayState(
+            "e",
+            "z",
+            random.Random(1),
+            RetryLimits(0.2, 20.0, 10_000.0),
+            seeds=("c1", "c2"),
+            started_ms=1000.0,
+        )
+        self.last_call = 0
+
+    def see(self, event):
+        """Takes an event; returns the effects but for log lines."""
+        effects = reduce_gateway(self.state, event)
+        return [e for e in effects if not isinstance(e, fx.Log)]
+
+    def learn(self, *servers, number=7, configuration=CONFIGURATION, entries=1):
+        """Tells it servers, and the configuration."""
+        revision = max((s.revision for s in servers), default=0)
+        notice = FeedNotice(
+            3,
+            number,
+            configuration,
+            revision,
+            servers,
+            0,
+            None,
+            ("c1",),
+            entries,
+        )
+        return self.see(FeedArrived(self.now_ms, "c1", notice))
+
+    def arrive(self, kind=RouteKind.SAFE, wait_ms=1000.0, fingerprint=""):
+        """Lets a request arrive."""
+        self.last_call += 1
+        return self.see(
+            RequestArrived(
+                self.now_ms,
+                self.last_call,
+                f"id-{self.last_call}",
+                "a.example",
+                f"/{kind.value}/x",
+                wait_ms,
+                fingerprint,
+            )
+        )
+
+    def tell(self, name, report, is_well=True, is_other=False):
+        """Tells it what a server says of itself."""
+        return self.see(
+            LoadTold(self.now_ms, name, True, is_well, is_other, report)
+        )
+
+    def answer(self, status=200, is_refusal=False, is_sound=True, attempt=1):
+        """Lets a server answer the last request."""
+        return self.see(
+            ServerAnswered(
+                self.now_ms,
+                self.last_call,
+                attempt,
+                status,
+                is_refusal,
+                is_sound,
+                IDLE,
+            )
+        )
+
+    def fail(self, kind, attempt=1):
+        """Lets an attempt of the last request fail."""
+        return self.see(
+            ServerFailed(self.now_ms, self.last_call, attempt, kind)
+        )
+
+
+def of(effects, kind):
+    """Returns the effects of a kind."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def refusal_of(effects):
+    """Returns the only refusal."""
+    (refused,) = of(effects, fx.RefuseRequest)
+    return refused.refusal
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,146 +2,36 @@
 
 from __future__ import annotations
 
-import random
-
 import attrs
 import pytest
 
 from gentianwall.config.routes import (
-    CallerLimits,
-    Route,
-    RouteConfiguration,
-    RoutedService,
     RouteKind,
-    RouteTarget,
 )
-from gentianwall.control.messages import FeedNotice, FeedPoll, FeedRedirect
+from gentianwall.control.messages import FeedPoll, FeedRedirect
 from gentianwall.core.events import CallerGone, DrainStarted, FailureKind, Tick
 from gentianwall.core.refusals import Executed, RefusalReason
 from gentianwall.gateway import effects as fx
-from gentianwall.gateway.budget import RetryLimits
 from gentianwall.gateway.events import (
     AskingEnded,
     FeedArrived,
     LoadTold,
     RequestArrived,
-    ServerAnswered,
     ServerDead,
-    ServerFailed,
     TimeUp,
 )
-from gentianwall.gateway.reducer import reduce_gateway
-from gentianwall.gateway.state import GatewayState
-from gentianwall.membership.messages import ServerKey, ServerNotice
-from gentianwall.membership.registry import RegisteredServer
 from gentianwall.routing.reports import SpeedReport
-
-IDLE = SpeedReport(0, 0, 2)
-FULL = SpeedReport(2, 3, 2)
-
-
-def _server(name, revision, state="up", incarnation=1, port=80):
-    notice = ServerNotice(
-        ServerKey("s", name), "10.0.0.1", port, 2, "z", incarnation, state
-    )
-    return RegisteredServer(notice, 1, 0.0, revision)
-
-
-def _route(kind):
-    return Route(
-        f"r-{kind.value}",
-        "a.example",
-        f"/{kind.value}/",
-        kind,
-        1000.0,
-        400.0,
-        1,
-        2,
-        (RouteTarget("s", 1.0),),
-    )
-
-
-CONFIGURATION = RouteConfiguration(
-    7,
-    tuple(_route(kind) for kind in RouteKind),
-    (RoutedService("s", "/h", 9),),
-    CallerLimits(),
+from harness.gateway_entry import (
+    CONFIGURATION,
+    FULL,
+    IDLE,
+    Entry,
+    of,
+    refusal_of,
+    server,
 )
 
 
-class Entry:
-    """An entry with its effects gathered."""
-
-    def __init__(self):
-        self.now_ms = 1000.0
-        self.state = GatewayState(
-            "e",
-            "z",
-            random.Random(1),
-            RetryLimits(0.2, 20.0, 10_000.0),
-            seeds=("c1", "c2"),
-            started_ms=1000.0,
-        )
-        self.last_call = 0
-
-    def see(self, event):
-        """Takes an event; returns the effects but for log lines."""
-        effects = reduce_gateway(self.state, event)
-        return [e for e in effects if not isinstance(e, fx.Log)]
-
-    def learn(self, *servers, number=7, configuration=CONFIGURATION, entries=1):
-        revision = max((s.revision for s in servers), default=0)
-        notice = FeedNotice(
-            3,
-            number,
-            configuration,
-            revision,
-            servers,
-            0,
-            None,
-            ("c1",),
-            entries,
-        )
-        return self.see(FeedArrived(self.now_ms, "c1", notice))
-
-    def arrive(self, kind=RouteKind.SAFE, wait_ms=1000.0, fingerprint=""):
-        self.last_call += 1
-        return self.see(
-            RequestArrived(
-                self.now_ms,
-                self.last_call,
-                f"id-{self.last_call}",
-                "a.example",
-                f"/{kind.value}/x",
-                wait_ms,
-                fingerprint,
-            )
-        )
-
-    def tell(self, name, report, is_well=True, is_other=False):
-        return self.see(
-            LoadTold(self.now_ms, name, True, is_well, is_other, report)
-        )
-
-    def answer(self, status=200, is_refusal=False, is_sound=True, attempt=1):
-        return self.see(
-            ServerAnswered(
-                self.now_ms,
-                self.last_call,
-                attempt,
-                status,
-                is_refusal,
-                is_sound,
-                IDLE,
-            )
-        )
-
-    def fail(self, kind, attempt=1):
-        return self.see(
-            ServerFailed(self.now_ms, self.last_call, attempt, kind)
-        )
-
-
 def _share_slack(entry):
     """Lets the entry know for long how many share the slack of retries."""
     entry.now_ms += 4000.0
@@ -150,20 +40,11 @@
         entry.tell(name, IDLE)
 
 
-def _of(effects, kind):
-    return [effect for effect in effects if isinstance(effect, kind)]
-
-
-def _refusal(effects):
-    (refused,) = _of(effects, fx.RefuseRequest)
-    return refused.refusal
-
-
 @pytest.fixture
 def entry():
     """An entry with two servers whose loads were just told."""
     entry = Entry()
-    entry.learn(_server("a", 1), _server("b", 2))
+    entry.learn(server("a", 1), server("b", 2))
     for name in "ab":
         entry.tell(name, IDLE)
     return entry
@@ -172,15 +53,15 @@
 def test_requests_wait_for_the_first_configuration_in_order():
     entry = Entry()
     for _ in range(2):
-        assert not _of(entry.arrive(), fx.RefuseRequest)
-    effects = entry.learn(_server("a", 1))
-    assert [e.call_id for e in _of(effects, fx.AskLoad)] == [1, 2]
+        assert not of(entry.arrive(), fx.RefuseRequest)
+    effects = entry.learn(server("a", 1))
+    assert [e.call_id for e in of(effects, fx.AskLoad)] == [1, 2]
 
 
 def test_what_waited_too_long_for_it_is_told_to_come_back():
     entry = Entry()
     entry.arrive()
-    refusal = _refusal(entry.see(TimeUp(2000.0, 1)))
+    refusal = refusal_of(entry.see(TimeUp(2000.0, 1)))
     assert refusal.reason is RefusalReason.NOT_READY
     assert refusal.executed is Executed.NO
     assert refusal.retry_after_ms > 0
@@ -189,16 +70,16 @@
 def test_an_entry_that_never_learned_it_refuses_at_once():
     entry = Entry()
     entry.now_ms += 60_000.0
-    assert _refusal(entry.arrive()).reason is RefusalReason.NOT_READY
+    assert refusal_of(entry.arrive()).reason is RefusalReason.NOT_READY
 
 
 def test_no_route_is_404_and_never_503(entry):
     event = RequestArrived(1000.0, 5, "i", "b.example", "/safe/", 9.0, "")
-    assert _refusal(entry.see(event)).status == 404
+    assert refusal_of(entry.see(event)).status == 404
 
 
 def test_an_idle_server_of_usual_speed_is_taken_at_once(entry):
-    (sent,) = _of(entry.arrive(), fx.SendRequest)
+    (sent,) = of(entry.arrive(), fx.SendRequest)
     assert sent.left_ms == 1000.0
     assert sent.is_idempotent
 
@@ -206,16 +87,16 @@
 def test_a_request_goes_to_the_server_whose_fresh_report_is_best(entry):
     entry.tell("a", FULL)
     for _ in range(2):
-        (sent,) = _of(entry.arrive(), fx.SendRequest)
+        (sent,) = of(entry.arrive(), fx.SendRequest)
         assert sent.notice.key.server == "b"
 
 
 def test_old_reports_are_asked_for_again(entry):
     entry.now_ms += 200.0
-    (asked,) = _of(entry.arrive(), fx.AskLoad)
+    (asked,) = of(entry.arrive(), fx.AskLoad)
     assert {n.key.server for n in asked.notices} == {"a", "b"}
-    assert not _of(entry.tell("a", FULL), fx.SendRequest)
-    (sent,) = _of(entry.tell("b", IDLE), fx.SendRequest)
+    assert not of(entry.tell("a", FULL), fx.SendRequest)
+    (sent,) = of(entry.tell("b", IDLE), fx.SendRequest)
     assert sent.notice.key.server == "b"
 
 
@@ -223,7 +104,7 @@
     entry.now_ms += 200.0
     entry.arrive()
     effects = entry.see(AskingEnded(entry.now_ms + 12.0, entry.last_call))
-    assert _of(effects, fx.SendRequest)
+    assert of(effects, fx.SendRequest)
 
 
 def test_a_burst_on_full_servers_is_refused_early_with_a_return(entry):
@@ -231,12 +112,12 @@
         entry.tell(name, SpeedReport(2, 4, 2))
     entry.state.service("s").work_ms = 160.0
     effects = entry.arrive()
-    while _of(effects, fx.LookAgain):
+    while of(effects, fx.LookAgain):
         entry.now_ms = effects[-1].at_ms
         for name in "ab":
             entry.tell(name, SpeedReport(2, 4, 2))
         effects = entry.see(AskingEnded(entry.now_ms, entry.last_call))
-    refusal = _refusal(effects)
+    refusal = refusal_of(effects)
     assert refusal.reason is RefusalReason.OVERLOADED
     assert refusal.retry_after_ms > 0
     assert entry.now_ms - 1000.0 <= 0.15 * 400.0
@@ -245,23 +126,23 @@
 def test_what_is_late_already_still_gets_a_free_slot(entry):
     entry.state.service("s").work_ms = 160.0
     entry.arrive(wait_ms=1000.0)
-    (sent,) = _of(entry.arrive(wait_ms=300.0), fx.SendRequest)
+    (sent,) = of(entry.arrive(wait_ms=300.0), fx.SendRequest)
     assert sent.left_ms == 300.0
 
 
 def test_what_cannot_be_answered_before_its_deadline_is_refused(entry):
     entry.state.service("s").work_ms = 160.0
-    refusal = _refusal(entry.arrive(wait_ms=50.0))
+    refusal = refusal_of(entry.arrive(wait_ms=50.0))
     assert refusal.reason is RefusalReason.OVERLOADED
 
 
 def test_a_refused_request_goes_to_another_server_once(entry):
     _share_slack(entry)
-    (first,) = _of(entry.arrive(RouteKind.NON_IDEMPOTENT), fx.SendRequest)
-    (second,) = _of(entry.answer(503, is_refusal=True), fx.SendRequest)
+    (first,) = of(entry.arrive(RouteKind.NON_IDEMPOTENT), fx.SendRequest)
+    (second,) = of(entry.answer(503, is_refusal=True), fx.SendRequest)
     assert second.attempt == 2
     assert second.notice.key.server != first.notice.key.server
-    refusal = _refusal(entry.answer(503, is_refusal=True, attempt=2))
+    refusal = refusal_of(entry.answer(503, is_refusal=True, attempt=2))
     assert refusal.reason is RefusalReason.SERVER_REFUSED
     assert refusal.executed is Executed.NO
 
@@ -274,8 +155,8 @@
     _share_slack(entry)
     entry.arrive(kind)
     effects = entry.fail(failure)
-    assert not _of(effects, fx.SendRequest)
-    refusal = _refusal(effects)
+    assert not of(effects, fx.SendRequest)
+    refusal = refusal_of(effects)
     assert refusal.executed is Executed.UNKNOWN
     assert refusal.status in (502, 504)
 
@@ -293,7 +174,7 @@
         for name in "ab":
             entry.state.server(name).paused_until_ms = float("-inf")
             entry.tell(name, IDLE)
-        sent += len(_of(entry.fail(FailureKind.LOST), fx.SendRequest))
+        sent += len(of(entry.fail(FailureKind.LOST), fx.SendRequest))
         entry.see(CallerGone(entry.now_ms, entry.last_call))
     return sent
 
@@ -316,22 +197,22 @@
 def test_a_server_that_was_not_reached_did_not_run_it(entry):
     entry.arrive(RouteKind.NON_IDEMPOTENT)
     effects = entry.fail(FailureKind.NOT_CONNECTED)
-    (sent,) = _of(effects, fx.SendRequest)
+    (sent,) = of(effects, fx.SendRequest)
     assert sent.attempt == 1
     effects = entry.fail(FailureKind.NOT_CONNECTED)
-    assert _refusal(effects).executed is Executed.NO
+    assert refusal_of(effects).executed is Executed.NO
 
 
 def test_a_success_that_is_not_the_servers_own_is_not_passed_on(entry):
     entry.arrive(RouteKind.NON_IDEMPOTENT)
     effects = entry.answer(200, is_sound=False)
-    assert not _of(effects, fx.PassAnswer)
-    assert _refusal(effects).status == 502
+    assert not of(effects, fx.PassAnswer)
+    assert refusal_of(effects).status == 502
 
 
 def test_a_failure_that_ran_is_passed_on_as_it_is(entry):
     entry.arrive(RouteKind.NON_IDEMPOTENT)
-    assert _of(entry.answer(500), fx.PassAnswer)
+    assert of(entry.answer(500), fx.PassAnswer)
 
 
 def test_a_late_answer_to_an_older_attempt_changes_nothing(entry):
@@ -339,13 +220,13 @@
     entry.arrive()
     entry.fail(FailureKind.LOST)
     assert entry.answer(200, attempt=1) == []
-    assert _of(entry.answer(200, attempt=2), fx.PassAnswer)
+    assert of(entry.answer(200, attempt=2), fx.PassAnswer)
 
 
 def test_the_work_stops_when_the_caller_leaves(entry):
     entry.arrive()
     effects = entry.see(CallerGone(entry.now_ms, entry.last_call))
-    assert _of(effects, fx.CancelRequest)
+    assert of(effects, fx.CancelRequest)
     assert not entry.state.server("a").own
     assert not entry.state.server("b").own
 
@@ -353,8 +234,8 @@
 def test_time_up_is_504_once_it_was_sent(entry):
     entry.arrive()
     effects = entry.see(TimeUp(entry.now_ms + 1000.0, entry.last_call))
-    assert _of(effects, fx.CancelRequest)
-    assert _refusal(effects).status == 504
+    assert of(effects, fx.CancelRequest)
+    assert refusal_of(effects).status == 504
 
 
 def test_an_old_notice_never_takes_the_configuration_back(entry):
@@ -366,48 +247,48 @@
 
 @pytest.mark.parametrize("state", ["draining", "left"])
 def test_a_draining_server_gets_no_request(entry, state):
-    entry.learn(_server("a", 3, state), configuration=None)
+    entry.learn(server("a", 3, state), configuration=None)
     for _ in range(4):
-        (sent,) = _of(entry.arrive(), fx.SendRequest)
+        (sent,) = of(entry.arrive(), fx.SendRequest)
         assert sent.notice.key.server == "b"
 
 
 def test_a_new_start_of_a_server_is_a_new_server(entry):
     entry.state.server("a").note_failure(entry.now_ms)
-    effects = entry.learn(_server("a", 3, incarnation=2), configuration=None)
-    assert _of(effects, fx.DropServer)
+    effects = entry.learn(server("a", 3, incarnation=2), configuration=None)
+    assert of(effects, fx.DropServer)
     assert entry.state.server("a").failure_rate == 0.0
 
 
 def test_another_server_at_the_address_gets_nothing(entry):
     entry.tell("a", None, is_other=True)
     for _ in range(3):
-        (sent,) = _of(entry.arrive(), fx.SendRequest)
+        (sent,) = of(entry.arrive(), fx.SendRequest)
         assert sent.notice.key.server == "b"
 
 
 def test_a_silent_server_that_fails_is_forgotten(entry):
-    entry.learn(_server("a", 3, "silent"), configuration=None)
+    entry.learn(server("a", 3, "silent"), configuration=None)
     entry.see(LoadTold(entry.now_ms, "a", False, False, False, None))
     assert entry.state.server("a") is None
 
 
 def test_a_crash_is_reported_and_a_quarantined_request_refused(entry):
     dead = ServerDead(entry.now_ms, "a", "s", "f" * 32)
-    (told,) = _of(entry.see(dead), fx.TellControl)
+    (told,) = of(entry.see(dead), fx.TellControl)
     assert told.receiver == "c1"
     assert told.message.command.fingerprint == "f" * 32
     entry.state.quarantines = frozenset(["f" * 32])
-    refusal = _refusal(entry.arrive(fingerprint="f" * 32))
+    refusal = refusal_of(entry.arrive(fingerprint="f" * 32))
     assert refusal.reason is RefusalReason.QUARANTINED
     assert refusal.executed is Executed.NO
 
 
 def test_all_control_instances_are_asked_once_the_leader_is_silent(entry):
     effects = entry.see(Tick(entry.now_ms + 500.0))
-    assert [e.receiver for e in _of(effects, fx.TellControl)] == ["c1"]
+    assert [e.receiver for e in of(effects, fx.TellControl)] == ["c1"]
     effects = entry.see(Tick(entry.now_ms + 2000.0))
-    polls = _of(effects, fx.TellControl)
+    polls = of(effects, fx.TellControl)
     assert [e.receiver for e in polls] == ["c1", "c2"]
     assert polls[0].message == FeedPoll(7, 2, 0, True)
     entry.see(FeedArrived(3100.0, "c2", FeedRedirect("c9")))
@@ -417,11 +298,11 @@
 def test_a_draining_entry_turns_unready_and_still_serves(entry):
     entry.see(DrainStarted(entry.now_ms))
     assert not entry.state.is_ready
-    assert _of(entry.arrive(), fx.SendRequest)
+    assert of(entry.arrive(), fx.SendRequest)
 
 
 def test_the_own_failure_domain_is_preferred_unless_it_is_crowded(entry):
-    far = _server("f", 3)
+    far = server("f", 3)
     far = attrs.evolve(
         far, notice=attrs.evolve(far.notice, failure_domain="y", port=81)
     )
@@ -429,10 +310,10 @@
     entry.tell("f", IDLE)
     for name in "ab":
         entry.tell(name, SpeedReport(0, 0, 2, 1.2))
-    (sent,) = _of(entry.arrive(), fx.SendRequest)
+    (sent,) = of(entry.arrive(), fx.SendRequest)
     assert sent.notice.key.server in "ab"
     for name in "ab":
         entry.tell(name, SpeedReport(1, 0, 2))
     entry.tell("f", IDLE)
-    (sent,) = _of(entry.arrive(), fx.SendRequest)
+    (sent,) = of(entry.arrive(), fx.SendRequest)
     assert sent.notice.key.server == "f"
