--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -42,11 +42,11 @@
     return Usage(
         (int(fields[11]) + int(fields[12])) / TICKS_PER_S,
         pages * PAGE_BYTES / BYTES_PER_MB,
-        _gauge(text, "link_sent_bytes"),
-        _gauge(text, "link_received_bytes"),
+        _held(text, "link_sent_bytes_total"),
+        _held(text, "link_received_bytes_total"),
     )
 
 
-def _gauge(text: str, name: str) -> float:
-    match = re.search(rf'gentianwall_state{{of="{name}"}} (\S+)', text)
+def _held(text: str, name: str) -> float:
+    match = re.search(rf"^gentianwall_{name} (\S+)", text, re.MULTILINE)
     return float(match.group(1)) if match else 0.0
--- a/gentianwall/commands/explain.py
+++ b/gentianwall/commands/explain.py
@@ -22,6 +22,9 @@
         "fleet",
     )
 )
+# How a request ends at an entry, and a process.
+ENDS = frozenset(("answered", "refused", "caller_gone"))
+LIFE = frozenset(("started", "draining", "stopped"))
 # Beliefs shown around a request, before its first and after its last line.
 AROUND_S = 1.0
 
@@ -66,6 +69,9 @@
 ) -> tuple[LogLine, ...]:
     """Returns a request's lines, with what was believed of its servers.
 
+    Where a process tells no end of the request, its own next ends and starts
+    follow: the request was probably lost with it.
+
     Args:
         lines: Lines of any processes, in any order.
         request_id: The request.
@@ -84,7 +90,25 @@
         and first_s <= line.at_s <= last_s
         and line.fields.get("server") in servers
     ]
-    return _in_order([*own, *around])
+    return _in_order([*own, *around, *_lost_with(own, parsed)])
+
+
+def _lost_with(own: list[LogLine], parsed: list[LogLine]) -> list[LogLine]:
+    """Returns the next starts and ends of processes that told no end."""
+    found = []
+    for node in {line.node for line in own}:
+        last = max((o for o in own if o.node == node), key=lambda o: o.at_s)
+        if last.event in ENDS:
+            continue
+        later = [
+            line
+            for line in parsed
+            if line.node == node
+            and line.event in LIFE
+            and line.at_s >= last.at_s
+        ]
+        found += _in_order(later)[: len(LIFE)]
+    return found
 
 
 def explain_range(
--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -88,7 +88,7 @@
     replica = runtime.state.replica
     registry = replica.register.registry
     numbered = replica.register.numbered
-    runtime.metrics.gauges.update(
+    runtime.metrics.held.update(
         {
             "term": replica.term,
             "is_leader": int(replica.role is Role.LEADER),
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -204,7 +204,8 @@
     def metrics_text(self) -> bytes:
         """Renders what is counted, and what is held now."""
         state = self.state
-        self.metrics.gauges.update(
+        feed_age_ms = monotonic_ms() - state.told_ms
+        self.metrics.held.update(
             {
                 "configuration_number": state.number,
                 "servers_revision": state.revision,
@@ -213,9 +214,9 @@
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
                 "is_ready": int(state.is_ready),
-                "feed_age_ms": min(monotonic_ms() - state.told_ms, 1e9),
-                "log_lines_dropped": self.log.writer.dropped,
-                "log_lines_suppressed": self.log.suppressed,
+                "feed_age_seconds": min(feed_age_ms, 1e9) / 1000.0,
+                "log_lines_dropped_total": self.log.writer.dropped,
+                "log_lines_suppressed_total": self.log.suppressed,
             }
         )
         return self.metrics.text()
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -248,10 +248,10 @@
 
     def metrics(request: server.Request) -> None:
         links = runtime.links
-        gauges = runtime.metrics.gauges
-        gauges["link_sent_bytes"] = links.sent_bytes
-        gauges["link_received_bytes"] = links.received_bytes
-        gauges["malformed_messages"] = links.malformed
+        held = runtime.metrics.held
+        held["link_sent_bytes_total"] = links.sent_bytes
+        held["link_received_bytes_total"] = links.received_bytes
+        held["malformed_messages_total"] = links.malformed
         send_text(request, 200, runtime.metrics.text())
 
     def timeline(request: server.Request) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -103,10 +103,12 @@
     text = call(entry.host, METRICS_PORT, "GET", "/metrics").body.decode()
     assert 'reason="200"' in text
     assert 'reason="no_route"' in text
-    assert 'gentianwall_state{of="servers"} 1' in text
+    assert "\ngentianwall_servers 1" in text
+    assert "\ngentianwall_request_seconds_count{" in text
+    assert 'kind="non_idempotent"' in text
     leader = _leader(fleet)
     text = call(leader.host, METRICS_PORT, "GET", "/metrics").body.decode()
-    assert 'gentianwall_state{of="is_leader"} 1' in text
+    assert "\ngentianwall_is_leader 1" in text
 
 
 def test_every_control_instance_reads_the_newest_and_refuses_what_is_bad(
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,68 @@
+"""Each metric has its help, its page and values that add up."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+from gentianwall.metrics import (
+    COUNTED,
+    HELD,
+    LATENCY_BUCKETS_S,
+    Metrics,
+    RequestKey,
+)
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs/operators/metrics.md"
+
+
+@pytest.fixture
+def text():
+    """All metrics as they are served."""
+    metrics = Metrics()
+    for taken_s in (0.0004, 0.3, 99.0):
+        key = RequestKey("orders", "safe", "answered", "200", 1)
+        metrics.note_request(key, taken_s)
+    metrics.note_answer("orders", "soon", "planner", 2.0, 0.25)
+    metrics.note_refusal("orders", "overloaded")
+    metrics.held.update(dict.fromkeys(HELD, 3.0))
+    return metrics.text().decode()
+
+
+def test_each_metric_has_a_help_text_and_stands_on_the_page(text):
+    page = PAGE.read_text()
+    served = set(re.findall(r"^# HELP (\S+) \S", text, re.MULTILINE))
+    assert served == {*COUNTED, *(f"gentianwall_{name}" for name in HELD)}
+    assert set(re.findall(r"`(gentianwall_\w+)`", page)) == served
+
+
+def test_totals_are_counters_and_the_rest_gauges(text):
+    kinds = dict(re.findall(r"^# TYPE (\S+) (\S+)", text, re.MULTILINE))
+    for name in HELD:
+        is_total = name.endswith("_total")
+        kind = "counter" if is_total else "gauge"
+        assert kinds[f"gentianwall_{name}"] == kind
+
+
+def test_a_histogram_adds_up(text):
+    labels = 'kind="safe",outcome="answered",service="orders"'
+    lines = [
+        line
+        for line in text.splitlines()
+        if line.startswith("gentianwall_request_seconds")
+    ]
+    values = {line.split(" ")[0]: float(line.split(" ")[1]) for line in lines}
+    assert values[f"gentianwall_request_seconds_count{{{labels}}}"] == 3
+    total_s = values[f"gentianwall_request_seconds_sum{{{labels}}}"]
+    assert total_s == pytest.approx(99.3004)
+    buckets = [
+        value
+        for name, value in values.items()
+        if name.startswith("gentianwall_request_seconds_bucket")
+    ]
+    assert len(buckets) == len(LATENCY_BUCKETS_S) + 1
+    assert buckets == sorted(buckets)
+    assert buckets[0] == 1
+    assert buckets[-1] == 3
