--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -89,6 +89,7 @@
     host: str
     work_s: float = 0.02
     ran: list[str] = attrs.field(factory=list)
+    expected: list[str | None] = attrs.field(factory=list)
     _born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     _sequence: int = 0
     _running: int = 0
@@ -120,6 +121,9 @@
                 request_id = self.headers["X-Gentianwall-Request-Id"]
                 stand_in._running += 1
                 stand_in.ran.append(request_id)
+                stand_in.expected.append(
+                    self.headers["X-Gentianwall-Expect-Instance"]
+                )
                 time.sleep(stand_in.work_s)
                 stand_in._running -= 1
                 signed = {
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,6 +94,8 @@
     assert answer.headers["X-Gentianwall-Server-Stamp"] == "stamp-q-1"
     assert fleet.ask(fleet.entries[0], "q-2", "/other/").status == 404
     assert server.ran.count("q-1") == 1
+    # Another server at the address would know that it is not meant.
+    assert set(server.expected) == {"i-1"}
 
 
 def test_metrics_tell_how_requests_ended_and_what_is_held(fleet, server):
