Split the parts of the runs in virtual time from the runs

They are moved as they were; `python -m benchmarks.burst` runs through with them. Ruled out: a change of behaviour.

--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -10,7 +10,8 @@
 import collections
 
 from benchmarks.decisions import COOPERATIVE, MINT, POLICIES
-from benchmarks.shifting_load import WARM_MS, Faults, Run
+from benchmarks.load_parts import Faults
+from benchmarks.shifting_load import WARM_MS, Run
 
 LOAD = 0.7
 BURST_START_MS = 3000.0
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,7 +12,8 @@
 
 import attrs
 
-from benchmarks.shifting_load import Faults, Outcome, Run, User
+from benchmarks.load_parts import Faults, Outcome, User
+from benchmarks.shifting_load import Run
 from gentianwall.config.declaration import (
     MeasuringSettings,
     ServiceSettings,
