--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -15,7 +15,7 @@
 from gentianwall import codec
 from gentianwall.claims.commands import ApplyDeclaration
 from gentianwall.control.messages import CommandRequest
-from gentianwall.links.messages import PROTOCOL_VERSION, Envelope
+from gentianwall.links.messages import PROTOCOL_VERSION, BodyPacker, Frame
 from harness.cluster import DECLARATION, call, wait_until
 
 STRANGER_S = 1.0
@@ -121,10 +121,9 @@
     change = ApplyDeclaration(
         "stranger", context.before, DECLARATION + "# x\n", "stranger", 1
     )
-    envelope = Envelope(
-        PROTOCOL_VERSION, "entry-0", "x", 0.0, 0, CommandRequest("s", change)
-    )
-    data = codec.pack(envelope, Envelope)
+    is_compressed, body = BodyPacker().pack(CommandRequest("s", change))
+    frame = Frame(PROTOCOL_VERSION, "entry-0", "x", 0.0, 0, is_compressed, body)
+    data = codec.pack(frame, Frame)
     strange = zmq.Context()
     has_keys = (cluster.folder / "keys").exists()
     for has_key in (False, True) if has_keys else (False,):
