--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 test: $(READY)
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
-	$(BIN)/behave --format progress --no-capture features
+	$(BIN)/behave --format progress3 --no-capture features
 	$(BIN)/pytest
 
 lint: $(READY)
