Make the leader of the feed's test and benchmark in one place

Cause: both built the same leader under its lease, field by field. It is one function of the harness now. Ruled out: a change of what either checks or measures.

--- a/benchmarks/feed.py
+++ b/benchmarks/feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 
 import attrs
@@ -11,7 +10,6 @@
 from gentianwall.claims.commands import (
     AnnounceServer,
     MarkSilent,
-    Noop,
     PutConfiguration,
 )
 from gentianwall.claims.register import apply_command
@@ -35,14 +33,8 @@
     unpack_envelope,
 )
 from gentianwall.membership.messages import ServerKey, ServerNotice
-from gentianwall.replication.messages import LogEntry, Member
 from gentianwall.replication.replica import BatchEnded
-from gentianwall.replication.state import (
-    Progress,
-    ReplicaState,
-    Role,
-    Timing,
-)
+from harness.leader import leading_replica
 
 NOW_MS = 10_000.0
 POLLS_PER_S = 2.5
@@ -88,23 +80,7 @@
 
 def make_leader(servers: int, routes: int) -> ControlState:
     """Returns a leader under its lease that holds servers and routes."""
-    replica = ReplicaState(
-        "a", "d-a", ("b", "c"), Timing(), random.Random(1), target_voters=3
-    )
-    replica.members = replica.applied_members = tuple(
-        Member(name, f"d-{name}") for name in "abc"
-    )
-    replica.role = Role.LEADER
-    replica.leader = "a"
-    replica.term = 1
-    replica.lead_since_ms = 0.0
-    replica.lease_anchor_ms = NOW_MS
-    replica.log.entries.append(LogEntry(1, 1, Noop()))
-    replica.commit_index = replica.applied_index = 1
-    replica.progress = {
-        name: Progress(f"d-{name}", 2, match_index=1, acked_ms=NOW_MS)
-        for name in "bc"
-    }
+    replica = leading_replica(NOW_MS)
     configuration = RouteConfiguration(
         1, tuple(map(_route, range(routes))), (), CallerLimits()
     )
--- /dev/null
+++ b/harness/leader.py
@@ -0,0 +1,36 @@
+"""A control instance that leads under its lease, without sockets or clocks."""
+
+from __future__ import annotations
+
+import random
+
+from gentianwall.claims.commands import Noop
+from gentianwall.replication.messages import LogEntry, Member
+from gentianwall.replication.state import (
+    Progress,
+    ReplicaState,
+    Role,
+    Timing,
+)
+
+
+def leading_replica(now_ms: float) -> ReplicaState:
+    """Returns the leader of three voters, all of them heard at `now_ms`."""
+    replica = ReplicaState(
+        "a", "d-a", ("b", "c"), Timing(), random.Random(1), target_voters=3
+    )
+    replica.members = replica.applied_members = tuple(
+        Member(name, f"d-{name}") for name in "abc"
+    )
+    replica.role = Role.LEADER
+    replica.leader = "a"
+    replica.term = 1
+    replica.lease_anchor_ms = now_ms
+    replica.lead_since_ms = 0.0
+    replica.log.entries.append(LogEntry(1, 1, Noop()))
+    replica.commit_index = replica.applied_index = 1
+    replica.progress = {
+        name: Progress(f"d-{name}", 2, match_index=1, acked_ms=now_ms)
+        for name in "bc"
+    }
+    return replica
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 
 from gentianwall.claims.commands import (
     AnnounceServer,
     MarkSilent,
-    Noop,
     PutConfiguration,
 )
 from gentianwall.claims.register import apply_command
@@ -27,14 +24,9 @@
 from gentianwall.core.control import ControlState, reduce_control
 from gentianwall.core.events import MessageArrived
 from gentianwall.membership.messages import ServerKey, ServerNotice
-from gentianwall.replication.messages import LogEntry, Member
 from gentianwall.replication.replica import BatchEnded
-from gentianwall.replication.state import (
-    Progress,
-    ReplicaState,
-    Role,
-    Timing,
-)
+from gentianwall.replication.state import Role
+from harness.leader import leading_replica
 
 NOW_MS = 10_000.0
 SERVER = ServerNotice(ServerKey("s", "i-1"), "10.0.0.1", 80, 2, "z", 1, "up")
@@ -43,23 +35,7 @@
 @pytest.fixture
 def control():
     """A leader under its lease that holds configuration 7 and a server."""
-    replica = ReplicaState(
-        "a", "d-a", ("b", "c"), Timing(), random.Random(1), target_voters=3
-    )
-    replica.members = replica.applied_members = tuple(
-        Member(name, f"d-{name}") for name in "abc"
-    )
-    replica.role = Role.LEADER
-    replica.leader = "a"
-    replica.term = 1
-    replica.lease_anchor_ms = NOW_MS
-    replica.lead_since_ms = 0.0
-    replica.log.entries.append(LogEntry(1, 1, Noop()))
-    replica.commit_index = replica.applied_index = 1
-    replica.progress = {
-        name: Progress(f"d-{name}", 2, match_index=1, acked_ms=NOW_MS)
-        for name in "bc"
-    }
+    replica = leading_replica(NOW_MS)
     configuration = RouteConfiguration(7, (), (), CallerLimits())
     put = PutConfiguration(configuration, b"seven", 0)
     apply_command(replica.register, put)
