Found and serve a fleet in one place for the tests that use one

Cause: the tests of fleets and of `explain` each started a fleet, put its first configuration and announced its server by the same steps. They are context managers of the harness now; the tests keep their assertions. Ruled out: the fixtures of tests/test_fleet_routes.py, which speak the product's own names.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -330,6 +330,67 @@
         return call(node.host, READY_PORT, "GET", "/readyz").status == 200
 
 
+def put_until_taken(
+    fleet: Fleet,
+    number: int,
+    nodes: list[Node] | None = None,
+    service: str = "orders",
+) -> None:
+    """Offers a configuration until a control instance acknowledges it."""
+    nodes = nodes or fleet.controls
+    wait_until(
+        f"change {number} is acknowledged",
+        lambda: any(
+            fleet.put(n, document(number, service), 1.0) == 200 for n in nodes
+        ),
+    )
+
+
+def beat_until_taken(
+    fleet: Fleet, server: StandInServer, state: str = "ready"
+) -> None:
+    """Announces a server until a control instance acknowledges it."""
+    wait_until(
+        f"{server.name} is acknowledged",
+        lambda: any(
+            fleet.beat(n, server, state) == 200 for n in fleet.controls
+        ),
+    )
+
+
+def wait_until_serving(fleet: Fleet) -> None:
+    """Waits until each entry has answered an order."""
+    for entry in fleet.entries:
+        wait_until(
+            f"{entry.host} serves",
+            lambda entry=entry: fleet.ask(entry, "warm").status == 200,
+        )
+
+
+@contextlib.contextmanager
+def founded(
+    folder: pathlib.Path, controls: int, entries: int
+) -> Iterator[Fleet]:
+    """Runs a fleet with its first configuration while the context lasts."""
+    fleet = Fleet(folder, controls, entries)
+    try:
+        for node in [*fleet.entries, *fleet.controls]:
+            fleet.start(node, is_first_start=True)
+        put_until_taken(fleet, 1)
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+@contextlib.contextmanager
+def serving(fleet: Fleet) -> Iterator[StandInServer]:
+    """Runs the only server of a fleet, known to all its entries."""
+    with running(StandInServer("i-1", "orders", "127.0.3.1")) as server:
+        beat_until_taken(fleet, server)
+        wait_until_serving(fleet)
+        yield server
+
+
 def document(number: int, service: str = "orders") -> dict:
     """Returns a configuration with one route to a service."""
     route = {
