Limit the bytes of a server's answer in head, framing and memory

Cause: a server that sends endless header lines, interim answers, folded headers, chunk extensions or tiny chunks was read until the deadline (504), with growing memory; interim answers slowed other requests of the process. An endless body of a skipped answer was never cut off. Change: a meter for each answer (head 32 KiB, framing as long as the body and 64 KiB), the head parsed in small parts, one limit on the memory of all bodies that gives up the largest one, and a limit on bytes behind a skipped answer. The connection is closed as soon as a limit is passed; the caller gets 502. Ruled out: limits of the HTTP library alone; they bound a line, a chunk line and trailers, but not their number. Result: 14 shapes sent without end by a real server to a real entry: refused with 502, the entry grows by less than 16 MiB for heads and 160 MiB for bodies, and other requests take less than 0.5 s meanwhile.

--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -2,7 +2,8 @@
 
 Built on twisted's `HTTP11ClientProtocol`. Answers are read completely before
 they are returned. A connection whose request was cancelled, timed out or got
-a truncated answer is closed and not reused.
+a truncated answer is closed and not reused, as is one whose bytes exceed the
+limits of `answer_limits`.
 """
 
 from __future__ import annotations
@@ -21,6 +22,12 @@
 from zope.interface import implementer
 
 from gentianwall.core.events import FailureKind
+from gentianwall.http.answer_limits import (
+    HEAD_PART_BYTES,
+    MAX_PENDING_BYTES,
+    AnswerMemory,
+    AnswerMeter,
+)
 from gentianwall.timers import monotonic_ms
 
 CONNECT_TIMEOUT_S = 1.0
@@ -31,6 +38,13 @@
 KEEP_ALIVE_FRACTION = 0.6
 # Answers to older requests that are skipped before the connection is closed.
 MAX_MISMATCHED_ANSWERS = 3
+# Answers that are being received may take up to this much memory together.
+# The smallest process has 250 MB; joining the parts of a body doubles it.
+ANSWER_MEMORY_BYTES = 96 * 1024 * 1024
+# States of twisted's parser in which the head of an answer has been received.
+AFTER_HEAD = ("BODY", "DONE")
+
+_answer_memory = AnswerMemory(ANSWER_MEMORY_BYTES)
 
 
 @attrs.define
@@ -127,6 +141,8 @@
         is_answer_mismatched: Whether the answer being received belongs to an
             older request.
         pending_bytes: Bytes received after that answer.
+        meter: Counts the bytes of the answer being received.
+        is_limit_exceeded: Whether an answer was larger than its limits allow.
     """
 
     def __init__(self, pool: ConnectionPool):
@@ -141,6 +157,8 @@
         self.idle_limit_ms = MAX_IDLE_MS
         self.is_answer_mismatched = False
         self.pending_bytes = b""
+        self.meter = AnswerMeter()
+        self.is_limit_exceeded = False
 
     def _on_quiescent(self, _) -> None:
         if not self.is_answer_mismatched:
@@ -161,6 +179,7 @@
             A deferred that fires with the next answer.
         """
         self.is_answer_mismatched = False
+        self.meter = AnswerMeter()
         deferred = self.request(_NullRequest(method))
         rest, self.pending_bytes = self.pending_bytes, b""
         if rest:
@@ -172,12 +191,48 @@
         self.last_received_ms = monotonic_ms()
         if self._parser is None and self.is_answer_mismatched:
             self.pending_bytes += data
+            if len(self.pending_bytes) > MAX_PENDING_BYTES:
+                self._abort_over_limit()
             return
         if self._parser is None:
             self._on_unsolicited_bytes()
             self.transport.abortConnection()
             return
-        super().dataReceived(data)
+        rest = self._parse_head(data)
+        if rest and not self.is_limit_exceeded:
+            self.meter.wire_body_bytes += len(rest)
+            super().dataReceived(rest)
+            self._check_limits()
+
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parses bytes up to the end of the head; returns those after it.
+
+        A part that holds the end of the head counts to the head as a whole.
+        """
+        position = 0
+        while position < len(data) and not self._is_head_received:
+            part = data[position : position + HEAD_PART_BYTES]
+            position += len(part)
+            super().dataReceived(part)
+            if not self._is_head_received:
+                self.meter.head_bytes += len(part)
+                self._check_limits()
+            if self.is_limit_exceeded or self.is_lost:
+                return b""
+        return data[position:]
+
+    @property
+    def _is_head_received(self) -> bool:
+        return self._parser is None or self._parser.state in AFTER_HEAD
+
+    def _check_limits(self) -> None:
+        if self.meter.is_exceeded:
+            self._abort_over_limit()
+
+    def _abort_over_limit(self) -> None:
+        self.is_limit_exceeded = True
+        self.is_reuse_forbidden = True
+        self.transport.abortConnection()
 
     def _finishResponse(self, rest) -> None:
         if self.is_answer_mismatched:
@@ -200,36 +255,56 @@
 
 
 class _BodyCollector(protocol.Protocol):
-    """Collects the body of an answer up to a size limit."""
+    """Collects the body of an answer up to a size limit.
+
+    Calls `on_success` or `on_error` exactly once.
+    """
 
     def __init__(
         self,
+        meter: AnswerMeter,
         limit_bytes: int,
         on_success: Callable[[bytes], None],
         on_error: Callable[[FailureKind], None],
         is_close_accepted: Callable[[], bool],
     ):
+        self._meter = meter
         self._limit_bytes = limit_bytes
         self._is_close_accepted = is_close_accepted
         self._on_success = on_success
         self._on_error = on_error
         self._chunks: list[bytes] = []
-        self._size_bytes = 0
+        self._is_finished = False
 
     def dataReceived(self, data) -> None:
-        self._size_bytes += len(data)
-        if self._size_bytes > self._limit_bytes:
-            self._chunks.clear()
-            self._on_error(FailureKind.TOO_LARGE)
+        self._meter.body_bytes += len(data)
+        if self._is_finished:
             return
         self._chunks.append(data)
+        if self._meter.body_bytes > self._limit_bytes:
+            self._give_up()
+            return
+        _answer_memory.add(id(self), len(data), self._give_up)
+
+    def _give_up(self) -> None:
+        self._finish()
+        self._on_error(FailureKind.TOO_LARGE)
+
+    def _finish(self) -> None:
+        self._is_finished = True
+        self._chunks.clear()
+        _answer_memory.remove(id(self))
 
     def connectionLost(self, reason) -> None:
+        if self._is_finished:
+            return
+        body = b"".join(self._chunks)
+        self._finish()
         is_complete_at_close = (
             reason.check(PotentialDataLoss) and self._is_close_accepted()
         )
         if reason.check(ResponseDone) or is_complete_at_close:
-            self._on_success(b"".join(self._chunks))
+            self._on_success(body)
         else:
             # Without a length, an end by close cannot be distinguished from a
             # truncated answer, unless the servers are known to close cleanly
@@ -317,6 +392,8 @@
         if self._is_finished:
             return
         self._is_finished = True
+        if self._connection is not None and self._connection.is_limit_exceeded:
+            kind = FailureKind.TOO_LARGE
         self._abort()
         self._on_failure(kind)
 
@@ -335,6 +412,7 @@
             self._pool.release_connection(connection)
             return
         self._connection = connection
+        connection.meter = AnswerMeter()
         body = self.request.body
         request = Request(
             self.request.method,
@@ -361,6 +439,12 @@
         def on_skipped(_) -> None:
             self._pool.call_soon(await_next)
 
+        def on_error(kind: FailureKind) -> None:
+            if kind is FailureKind.TOO_LARGE:
+                self.fail(kind)
+            else:
+                self._pool.call_soon(await_next)
+
         def await_next() -> None:
             if self._is_finished:
                 return
@@ -373,7 +457,11 @@
 
         response.deliverBody(
             _BodyCollector(
-                self._limit_bytes, on_skipped, on_skipped, lambda: True
+                connection.meter,
+                self._limit_bytes,
+                on_skipped,
+                on_error,
+                lambda: True,
             )
         )
 
@@ -408,7 +496,11 @@
 
         response.deliverBody(
             _BodyCollector(
-                self._limit_bytes, on_success, self.fail, is_close_accepted
+                self._connection.meter,
+                self._limit_bytes,
+                on_success,
+                self.fail,
+                is_close_accepted,
             )
         )
 
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,230 @@
+"""Tests that a server that sends bytes without end harms only itself.
+
+Each shape of endless bytes is sent by a real server to a real entry, whose
+memory is measured.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from gentianwall.http.answer_limits import AnswerMemory, AnswerMeter
+from harness.fleet import (
+    CALLERS_PORT,
+    HOST,
+    SERVER_PORT,
+    FakeServer,
+    Fleet,
+    call,
+    document,
+    running_server,
+    send_heartbeat_until_acknowledged,
+    wait_until,
+)
+
+BLOCK = 77
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+# Start and endlessly repeated part of each shape.
+SHAPES = {
+    "line": (b"HTTP/1.1 200 ", b"x" * 4096),
+    "binary": (b"", bytes(4096)),
+    "header lines": (OK, b"A: b\r\n" * 700),
+    "one header": (OK + b"A: ", b"y" * 4096),
+    "folded header": (OK + b"A: b\r\n", b" c\r\n" * 1000),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 160),
+    "chunk extension": (CHUNKED + b"1;", b"e" * 4096),
+    "extended chunks": (CHUNKED, b"1;" + b"e" * 1000 + b"\r\nz\r\n"),
+    "tiny chunks": (CHUNKED, b"1\r\nz\r\n" * 700),
+    "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n" * 700),
+    "chunked body": (CHUNKED, b"10000\r\n" + bytes(65536) + b"\r\n"),
+    "body without length": (OK + b"\r\n", bytes(65536)),
+    "long body": (
+        OK + b"Content-Length: 99999999999\r\n\r\n",
+        bytes(65536),
+    ),
+    "body after an answer": (
+        OK + b"Content-Length: 0\r\n\r\n",
+        bytes(65536),
+    ),
+}
+HEAD_SHAPES = tuple(SHAPES)[:10]
+DEADLINE_MS = 8000
+# Limits of one body and of the copy that joins its parts, and some room for
+# the allocator.
+MAX_GROWTH_KB = {True: 16 * 1024, False: 160 * 1024}
+
+
+class EndlessServer(FakeServer):
+    """A server that answers requests with endless bytes, up to a close.
+
+    Attributes:
+        shape: Name of the shape that it sends.
+        sent_bytes: Bytes of each answer that ended by a close.
+    """
+
+    def __init__(self, name, service, host):
+        super().__init__(name, service, host)
+        self.shape = ""
+        self.sent_bytes = []
+
+    @contextlib.contextmanager
+    def running(self):
+        """Serves while the context lasts."""
+        with socket.create_server((self.host, SERVER_PORT)) as listener:
+            threading.Thread(
+                target=self._accept, args=(listener,), daemon=True
+            ).start()
+            yield self
+
+    def _accept(self, listener):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection):
+        with contextlib.suppress(OSError), connection:
+            while data := connection.recv(65536):
+                if b"/healthz" in data:
+                    connection.sendall(OK + b"Content-Length: 0\r\n\r\n")
+                else:
+                    self._send_endlessly(connection)
+
+    def _send_endlessly(self, connection):
+        start, part = SHAPES[self.shape]
+        sent_bytes = 0
+        with contextlib.suppress(OSError):
+            connection.sendall(start)
+            for _ in itertools.count():
+                connection.sendall(part)
+                sent_bytes += len(part)
+        self.sent_bytes.append(sent_bytes)
+
+
+def _document():
+    content = document(1)
+    route, service = content["resources"][:2]
+    other = json.loads(json.dumps([route, service]))
+    other[0]["metadata"]["name"] = "bad"
+    other[0]["spec"] |= {"pathPrefix": "/bad/", "service": "bad"}
+    other[0]["spec"]["timeoutMs"] = DEADLINE_MS
+    other[1]["metadata"]["name"] = "bad"
+    content["resources"] += other
+    return content
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    """An entry with one good and one endless server; yields both."""
+    fleet = Fleet(tmp_path_factory.mktemp("fleet"), 1, 1, BLOCK)
+    good = FakeServer("i-good", "orders", f"127.{BLOCK}.3.1")
+    bad = EndlessServer("i-bad", "bad", f"127.{BLOCK}.3.2")
+    try:
+        for node in [*fleet.entries, *fleet.controls]:
+            fleet.start(node, is_first_start=True)
+        wait_until(
+            "the configuration is acknowledged",
+            lambda: (
+                fleet.replace_configuration(fleet.controls[0], _document())
+                == 200
+            ),
+        )
+        with running_server(good), bad.running():
+            for server in (good, bad):
+                send_heartbeat_until_acknowledged(fleet, server)
+            wait_until(
+                "the good server serves",
+                lambda: _request(fleet, "/orders/x").status == 200,
+            )
+            yield fleet, bad
+    finally:
+        fleet.kill_all()
+
+
+def _request(fleet, path):
+    headers = {
+        "Host": HOST,
+        "X-Gentianwall-Request-Id": f"r{path}",
+        "X-Gentianwall-Deadline-Ms": str(DEADLINE_MS),
+    }
+    host = fleet.entries[0].host
+    timeout_s = DEADLINE_MS / 1000.0 + 1.0
+    return call(
+        host, CALLERS_PORT, "GET", path, b"", headers, timeout_s=timeout_s
+    )
+
+
+def _peak_kb(fleet):
+    """Returns the peak memory since the last call."""
+    folder = f"/proc/{fleet.entries[0].process.pid}"
+    with open(f"{folder}/status") as file:
+        lines = dict(line.split(":", 1) for line in file)
+    with open(f"{folder}/clear_refs", "w") as file:
+        file.write("5")
+    return int(lines["VmHWM"].split()[0])
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_endless_bytes_are_cut_off_and_refused(fleet, shape):
+    fleet, bad = fleet
+    bad.shape = shape
+    bad.sent_bytes.clear()
+    _peak_kb(fleet)
+    before_kb = _peak_kb(fleet)
+    answers = []
+    started_s = time.monotonic()
+    caller = threading.Thread(
+        target=lambda: answers.append(_request(fleet, "/bad/x"))
+    )
+    caller.start()
+    slowest_s = 0.0
+    while caller.is_alive():
+        sent_s = time.monotonic()
+        assert _request(fleet, "/orders/x").status == 200
+        slowest_s = max(slowest_s, time.monotonic() - sent_s)
+    assert answers[0].status == 502
+    assert time.monotonic() - started_s < DEADLINE_MS / 2000.0
+    assert slowest_s < 0.5
+    is_head = shape in HEAD_SHAPES
+    assert _peak_kb(fleet) - before_kb < MAX_GROWTH_KB[is_head]
+    wait_until("the connection is closed", lambda: bad.sent_bytes, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("head_bytes", "wire_bytes", "body_bytes", "is_exceeded"),
+    [
+        (8 * 1024, 0, 0, False),
+        (33 * 1024, 0, 0, True),
+        (100, 64 * 1024, 64 * 1024, False),
+        (100, 60 * 1024, 10 * 1024, False),
+        (100, 600 * 1024, 100 * 1024, True),
+        (100, 65 * 1024, 0, True),
+    ],
+)
+def test_heads_and_framing_are_limited(
+    head_bytes, wire_bytes, body_bytes, is_exceeded
+):
+    meter = AnswerMeter(head_bytes, wire_bytes, body_bytes)
+    assert meter.is_exceeded is is_exceeded
+
+
+def test_the_largest_answer_is_given_up_when_memory_is_short():
+    memory = AnswerMemory(100)
+    given_up = []
+    for key, size in [(1, 30), (2, 50), (3, 15), (1, 5)]:
+        memory.add(key, size, lambda key=key: given_up.append(key))
+    assert given_up == []
+    memory.add(3, 10, lambda: given_up.append(3))
+    assert given_up == [2]
+    memory.add(1, 20, lambda: given_up.append(1))
+    assert given_up == [2]
