Survive reload signals during the start of a process

Cause: SIGHUP ended a process until its handler was set, 0.3 s after the start. A change of the settings file while it started was found only if its time or size changed again. Change: the signal is ignored before anything is imported, and the settings are read once more when the handler is set. The soak keeps the logs of all processes of a run with a violation and names processes that have ended. Ruled out: a handler that remembers the signal; reading the file once more finds the same, also without a signal.

--- a/gentianwall/__main__.py
+++ b/gentianwall/__main__.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from typing import Annotated
 
-import cyclopts
+# A reload signal would end the process before its handler is set. Whatever
+# changes until then is found when the settings are first checked.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from gentianwall import __version__
+import cyclopts  # noqa: E402
+
+from gentianwall import __version__  # noqa: E402
 
 app = cyclopts.App(
     name="gentianwalld",
--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -94,6 +94,8 @@
                 signal.SIGHUP,
                 lambda number, frame: reactor.callFromThread(watcher.read),
             )
+            # The file may have changed since it was loaded.
+            watcher.read()
             # Objects loaded by now are exempt from garbage collection: a large
             # collection would stall requests for tens of ms.
             gc.collect()
--- a/gentianwall/platform/__main__.py
+++ b/gentianwall/platform/__main__.py
@@ -6,9 +6,14 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from gentianwall.platform import process
+# A reload signal would end the process before its handler is set. Whatever
+# changes until then is found when the settings are first checked.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from gentianwall.platform import process  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(process.run())
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -337,14 +338,22 @@
         seconds: Time during which faults are started.
 
     Returns:
-        The finished run with its observations.
+        The finished run with its observations. The logs of all processes are
+        kept in the folder of its fleet if there was a violation.
     """
-    with (
-        tempfile.TemporaryDirectory(prefix="gentianwall-soak-") as folder,
-        contextlib.ExitStack() as stack,
-    ):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"gentianwall-soak-{seed}-"))
+    soak = _run_in_folder(seed, seconds, folder)
+    if soak.observations.violations:
+        soak.log.append(f"logs of the processes: {folder}/*/log")
+    else:
+        shutil.rmtree(folder)
+    return soak
+
+
+def _run_in_folder(seed: int, seconds: float, folder: pathlib.Path) -> SoakRun:
+    with contextlib.ExitStack() as stack:
         block = 1 + seed % ADDRESS_BLOCKS
-        fleet = Fleet(pathlib.Path(folder), CONTROLS, ENTRIES, block)
+        fleet = Fleet(folder, CONTROLS, ENTRIES, block)
         stack.callback(fleet.kill_all)
         observations = Observations()
         soak = SoakRun(fleet, observations, random.Random(seed), [], [])
@@ -365,6 +374,15 @@
         return soak
 
 
+def _ended_processes(soak: SoakRun) -> list[str]:
+    """Describes the processes that are not running."""
+    return [
+        f"{node.folder.name} has ended with status {node.process.returncode}"
+        for node in [*soak.fleet.controls, *soak.fleet.entries]
+        if node.process.poll() is not None
+    ]
+
+
 def _run_phases(soak: SoakRun, seconds: float) -> None:
     threads = [
         threading.Thread(target=soak.send_heartbeats),
@@ -394,6 +412,7 @@
         soak.observations.check_recovery(sample.count(200), len(sample))
     except FleetError as error:
         soak.observations.violations.append(f"recover: {error}")
+        soak.log.extend(_ended_processes(soak))
     finally:
         soak.stop_requested.set()
         for thread in threads:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -205,3 +205,28 @@
     assert all(
         server.executed_ids.count(request_id) == 1 for request_id in request_ids
     )
+
+
+def _handles_or_ignores(process, number):
+    with open(f"/proc/{process.pid}/status") as file:
+        fields = dict(line.split(":\t", 1) for line in file)
+    mask = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return bool(mask & 1 << (number - 1))
+
+
+def test_reload_signals_during_the_start_do_not_end_an_entry(fleet, server):
+    entry = fleet.entries[0]
+    fleet.kill(entry)
+    log = entry.folder / "log"
+    log.write_text("")
+    fleet.start(entry)
+    wait_until(
+        "SIGHUP no longer ends the process",
+        lambda: _handles_or_ignores(entry.process, signal.SIGHUP),
+    )
+    assert "started" not in log.read_text()
+    for _ in range(100):
+        fleet.signal(entry, signal.SIGHUP)
+        time.sleep(0.01)
+    assert entry.process.poll() is None
+    wait_until_serving(fleet)
