Run pipelined requests that may be repeated beside each other

Cause: requests that a caller sends before the first answer were handled one by one, so that eight of them took over five times as long as one. Change: http/pipelining.py decides which requests of a connection run: those that may be repeated (safe routes, safe methods in the product's own interface) beside each other, any other one alone. Answers keep the order of the requests. A caller that leaves cancels all of them. A connection is closed with the answer to the last request that runs, so that no request behind the close reaches a server; a malformed request is refused after the answers to earlier ones. The time that a request was held counts against the caller's wait. Ruled out: starting a request that may run once behind others; the caller sends it again if the connection closes before its answer.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -53,6 +53,16 @@
 UNAVAILABLE_RETRY_AFTER_MS = 300.0
 
 
+def is_repeatable(state: GatewayState, host: str, path: str) -> bool:
+    """Returns whether a request may be executed more than once.
+
+    Without a route, which includes the time before the first configuration, a
+    request is not repeatable.
+    """
+    route = None if state.table is None else state.table.find(host, path)
+    return route is not None and route.kind.is_idempotent
+
+
 def on_request_arrived(
     state: GatewayState,
     event: RequestArrived,
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -2,7 +2,8 @@
 
 Built on `twisted.web.http`. Requests with ambiguous framing are refused here,
 and so are requests that are oversized or arrive too slowly. Only complete
-requests are passed on.
+requests are passed on. Which of several requests on a connection may run is
+decided by `pipelining`.
 """
 
 from __future__ import annotations
@@ -14,9 +15,13 @@
 from twisted.web import http
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.http.pipelining import Pipeline
 from gentianwall.http.problems import CONTENT_TYPE, Problem, render_refusal
+from gentianwall.timers import monotonic_ms
 
 MAX_HEADERS = 100
+# Methods that change nothing at the server (RFC 9110, 9.2.1).
+SAFE_METHODS = (b"GET", b"HEAD", b"OPTIONS")
 
 
 @attrs.frozen(kw_only=True)
@@ -43,9 +48,14 @@
 
     Attributes:
         body: The complete body, set before `process` is called.
+        is_received: Whether the request was received completely.
+        received_ms: When that was.
     """
 
     body = b""
+    is_received = False
+    received_ms = 0.0
+    _ready_answer: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
 
     def __init__(self, channel, queued=False):
         super().__init__(channel, queued)
@@ -73,6 +83,8 @@
         """Processes the complete request if it has exactly one `Host`."""
         if self.channel.is_refused:
             return
+        self.is_received = True
+        self.received_ms = monotonic_ms()
         hosts = self.requestHeaders.getRawHeaders(b"Host") or []
         if len(hosts) > 1 or (not hosts and version == b"HTTP/1.1"):
             # RFC 9112, 3.2: a request must have exactly one Host header.
@@ -89,8 +101,8 @@
         self.process()
 
     def process(self) -> None:
-        """Passes the request to the site's handler."""
-        self.channel.site.handle(self)
+        """Queues the request behind the earlier ones of the connection."""
+        self.channel.on_received(self)
 
     def header(self, name: bytes) -> str:
         """Returns the first value of a header, or an empty string."""
@@ -108,10 +120,34 @@
         status: int,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
+        is_closing: bool = False,
     ) -> None:
-        """Sends a complete answer, unless the caller has disconnected."""
-        if self._disconnected or self.finished:
+        """Sends a complete answer, unless the caller has disconnected.
+
+        The answer is sent after those to the earlier requests of the
+        connection.
+
+        Args:
+            status: HTTP status.
+            headers: All headers but those that frame the body.
+            body: The complete body.
+            is_closing: Whether to close the connection once all requests that
+                run are answered.
+        """
+        if self._disconnected or self.finished or self._ready_answer:
             return
+        self._ready_answer = (status, headers, body)
+        self.channel.on_answer_ready(self, len(body), is_closing)
+
+    def write_answer(self, is_last: bool) -> None:
+        """Writes the answer that is ready.
+
+        Args:
+            is_last: Whether the connection ends with this answer.
+        """
+        status, headers, body = self._ready_answer
+        if is_last:
+            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
         self.setResponseCode(status)
         for name, value in headers:
             self.responseHeaders.addRawHeader(name, value)
@@ -128,8 +164,20 @@
         self.answer(problem.status, headers, problem.body)
 
 
+def has_safe_method(request: CallerRequest) -> bool:
+    """Returns whether the method of a request changes nothing."""
+    return request.method in SAFE_METHODS
+
+
 class CallerChannel(http.HTTPChannel):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        bounds: Limits on requests.
+        pipeline: Requests that were received and not yet answered.
+        is_refused: Whether a request was malformed, too large or too slow;
+            whatever the caller sends after it is discarded.
+    """
 
     requestFactory = CallerRequest
     maxHeaders = MAX_HEADERS
@@ -141,7 +189,11 @@
         self.totalHeadersSize = bounds.header_bytes
         self.MAX_LENGTH = bounds.header_bytes
         self.timeOut = bounds.idle_timeout_s
+        self.pipeline: Pipeline[CallerRequest] = Pipeline()
         self.is_refused = False
+        self._final_problem: Problem | None = None
+        self._is_continue_due = False
+        self._is_advancing = False
         self._receive_timeout_call = None
         self._is_receiving = False
 
@@ -152,10 +204,74 @@
         super().dataReceived(data)
         self._update_receive_timeout()
 
+    def on_received(self, request: CallerRequest) -> None:
+        """Queues a complete request and runs it once it may run."""
+        self.pipeline.add(request, self.site.is_repeatable(request))
+        if not self.persistent:
+            self.pipeline.is_read_finished = True
+        self._advance()
+
+    def on_answer_ready(
+        self, request: CallerRequest, answer_bytes: int, is_closing: bool
+    ) -> None:
+        """Writes the answer to a request after those to earlier ones."""
+        if is_closing:
+            self.pipeline.is_closing = True
+        self.pipeline.record_answer(request, answer_bytes)
+        self._advance()
+
+    def _advance(self) -> None:
+        """Writes answers that are due, runs requests and reads further ones."""
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        try:
+            is_last = self._write_and_run()
+        finally:
+            self._is_advancing = False
+        if is_last:
+            self.loseConnection()
+        elif self.pipeline.is_empty and self._final_problem is not None:
+            self._write_final_problem()
+        else:
+            self._resume_reading()
+
+    def _write_and_run(self) -> bool:
+        """Returns whether the connection ends with the last answer written."""
+        while True:
+            answered = self.pipeline.take_answered()
+            if answered is not None:
+                request, is_last = answered
+                request.write_answer(is_last)
+                if is_last:
+                    return True
+                continue
+            request = self.pipeline.start_next()
+            if request is None:
+                return False
+            self.site.handle(request)
+
+    def requestDone(self, request) -> None:
+        """Removes the oldest request, whose answer has been written."""
+        self.requests.remove(request)
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+
+    def _resume_reading(self) -> None:
+        if self.pipeline.is_empty:
+            if self._savedTimeOut:
+                self.setTimeout(self._savedTimeOut)
+            if self._is_continue_due:
+                self._is_continue_due = False
+                self._send100Continue()
+        if self._handlingRequest and self.pipeline.can_read:
+            self._handlingRequest = False
+            data = b"".join(self._dataBuffer)
+            self._dataBuffer.clear()
+            self.setLineMode(data)
+
     def _update_receive_timeout(self) -> None:
-        is_receiving = bool(
-            not self._handlingRequest and self._has_partial_request()
-        )
+        is_receiving = not self._handlingRequest and self._has_partial_request()
         if is_receiving == self._is_receiving:
             return
         self._is_receiving = is_receiving
@@ -168,7 +284,8 @@
             )
 
     def _has_partial_request(self) -> bool:
-        return bool(self.requests) or bool(self._buffer)
+        is_reading = bool(self.requests) and not self.requests[-1].is_received
+        return is_reading or bool(self._buffer)
 
     def _on_receive_timeout(self) -> None:
         self._receive_timeout_call = None
@@ -222,13 +339,25 @@
         self.refuse_with_status(400, "the request is malformed")
 
     def _send100Continue(self) -> None:
-        if not self.is_refused:
+        if self.is_refused:
+            return
+        if self.pipeline.is_empty:
             super()._send100Continue()
+        else:
+            # An interim answer before the earlier answers would be taken for
+            # one of them.
+            self._is_continue_due = True
 
     def _send_and_close(self, problem: Problem) -> None:
+        """Sends a refusal after the answers to the earlier requests."""
         if self.is_refused:
             return
         self.is_refused = True
+        self._final_problem = problem
+        self._advance()
+
+    def _write_final_problem(self) -> None:
+        problem, self._final_problem = self._final_problem, None
         phrase = http.RESPONSES.get(problem.status, b"Refused")
         lines = [
             b"HTTP/1.1 %d %s" % (problem.status, phrase),
@@ -257,18 +386,25 @@
         super().connectionLost(reason)
 
     def close_when_idle(self) -> None:
-        """Closes the connection at once if idle, else after the next answer."""
-        if self._handlingRequest or self._has_partial_request():
-            self.persistent = False
-            for request in self.requests:
-                request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-        else:
+        """Closes the connection at once if idle, else after the answers.
+
+        Answers are still sent to requests that run and to the one that is
+        being received, unless it is behind others.
+        """
+        self.pipeline.is_closing = True
+        if self.pipeline.is_empty and not self._has_partial_request():
             self.loseConnection()
 
 
 class CallerSite(protocol.ServerFactory):
     """Accepts connections of callers.
 
+    Args:
+        handle: Handles a request that may run now.
+        handle_disconnect: Called for a request whose caller disconnected.
+        is_repeatable: Returns whether a request may run more than once, so
+            that it may run beside others of its connection.
+
     Attributes:
         bounds: Limits for new connections.
         channels: Open connections, closed at a graceful shutdown.
@@ -280,9 +416,11 @@
         self,
         handle: Callable[[CallerRequest], None],
         handle_disconnect: Callable[[CallerRequest], None],
+        is_repeatable: Callable[[CallerRequest], bool] | None = None,
     ):
         self.handle = handle
         self.handle_disconnect = handle_disconnect
+        self.is_repeatable = is_repeatable or has_safe_method
         self.bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -12,6 +12,7 @@
 from gentianwall.control.messages import FeedNotice, FeedRedirect
 from gentianwall.core.events import DrainStarted, Tick
 from gentianwall.gateway.budget import RetryLimits
+from gentianwall.gateway.dispatching import is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckServer,
@@ -98,6 +99,7 @@
         self.site = CallerSite(
             self.requests.on_request_arrived,
             self.requests.on_caller_disconnected,
+            self._is_repeatable,
         )
         self._events: collections.deque[GatewayEvent] = collections.deque()
         self._is_handling = False
@@ -120,6 +122,11 @@
             listen_metrics(self.reactor, settings, self.metrics_text)
         self.tick()
 
+    def _is_repeatable(self, request: CallerRequest) -> bool:
+        host = request.header(b"Host")
+        path = request.path.decode("latin-1")
+        return is_repeatable(self.state, host, path)
+
     def _answer_readiness(self, request: CallerRequest) -> None:
         is_ready = self.state.is_ready
         body = b"ready\n" if is_ready else b"not ready\n"
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import math
 from collections.abc import Callable
 
 import attrs
@@ -120,11 +121,25 @@
                 request_id=call.request_id,
                 host=request.header(b"Host"),
                 path=request.path.decode("latin-1"),
-                wait_ms=_wait_ms(request.header(self._dialect.deadline_ms)),
+                wait_ms=self._wait_ms(request, now_ms),
                 fingerprint=_fingerprint(request) if is_needed else "",
             )
         )
 
+    def _wait_ms(self, request: CallerRequest, now_ms: float) -> float | None:
+        """Returns how much longer the caller waits; None if not stated.
+
+        A request may have been held behind others of its connection.
+        """
+        text = request.header(self._dialect.deadline_ms)
+        try:
+            wait_ms = float(text) if text else None
+        except ValueError:
+            return None
+        if wait_ms is None or math.isnan(wait_ms):
+            return None
+        return max(0.0, wait_ms - (now_ms - request.received_ms))
+
     def on_caller_disconnected(self, request: CallerRequest) -> None:
         """Closes the request of a caller that closed its connection."""
         call_id = self._call_id_by_request.pop(id(request), None)
@@ -369,10 +384,7 @@
         return self._dialect.statuses.get(refusal.reason, refusal.status)
 
     def _answer(self, call, status, headers, body) -> None:
-        if self.is_closing:
-            headers.append((b"Connection", b"close"))
-            call.request.channel.persistent = False
-        call.request.answer(status, headers, body)
+        call.request.answer(status, headers, body, self.is_closing)
 
     def pool_of(self, notice: ServerNotice) -> ConnectionPool:
         """Returns the connection pool for a server's current address."""
@@ -402,14 +414,6 @@
         return call
 
 
-def _wait_ms(text: str) -> float | None:
-    try:
-        wait_ms = float(text) if text else None
-    except ValueError:
-        return None
-    return wait_ms if wait_ms is None or wait_ms > 0 else 0.0
-
-
 def _fingerprint(request: CallerRequest) -> str:
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method, request.header(b"Host").encode(), request.uri):
