Move requests that a full server dropped to another server

Cause: servers of some services never answer a request that they cannot queue, nor any later one on that connection. Such a request waited for its deadline. A server is asked for its load on another connection once a request takes twice its expected time. No failure is recorded against the server. Ruled out: moving requests that may run once. No report shows that they did not run, and an answer that is ready must be delivered. Result: eight tests on the reducer; those of a move fail before, since nothing was moved.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -263,6 +263,15 @@
             refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
 
 
+def best_server(
+    state: GatewayState, call: RoutedCall, now_ms: float
+) -> Candidate | None:
+    """Returns the best server that a request has not tried, if any."""
+    service = state.service(call.service)
+    ranked = _rank_servers(state, service, call, now_ms)
+    return ranked[0] if ranked else None
+
+
 def _rank_servers(
     state: GatewayState,
     service: ServiceState,
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -38,6 +38,14 @@
     health_path: str
 
 
+@attrs.define
+class CheckOverdue:
+    """Queries a server for its load because a request there is overdue."""
+
+    notice: ServerNotice
+    health_path: str
+
+
 @attrs.define
 class CancelRequest:
     """Closes the connection that a request was sent on."""
@@ -115,6 +123,7 @@
 GatewayEffect = (
     SendRequest
     | QueryLoad
+    | CheckOverdue
     | CancelRequest
     | ForwardAnswer
     | RefuseRequest
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -6,8 +6,10 @@
 from gentianwall.control.messages import CommandRequest
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import RefusalReason
-from gentianwall.gateway import dispatching
+from gentianwall.gateway import dispatching, overdue
 from gentianwall.gateway.effects import (
+    CancelRequest,
+    CheckOverdue,
     CheckServer,
     CloseIdleConnections,
     ForwardAnswer,
@@ -257,6 +259,7 @@
             if event.report is not None:
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
+                overdue.mark_dropped(server, event.at_ms)
             elif service.has_load_reports is None:
                 service.has_load_reports = False
     for call in list(state.querying.values()):
@@ -267,6 +270,60 @@
             )
 
 
+def on_tick(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Checks on overdue requests and moves those that their server lost."""
+    occupied = {
+        call.server for call in state.calls.values() if call.phase is Phase.SENT
+    }
+    for name in sorted(occupied):
+        server = state.server(name)
+        if server is None:
+            continue
+        for call_id in list(overdue.find_lost(server, now_ms)):
+            _move(state, state.calls[call_id], server, now_ms, effects)
+        service = state.services[state.service_by_server[name]]
+        if (
+            service.has_load_reports
+            and service.health_path
+            and overdue.is_check_due(server, now_ms)
+        ):
+            server.checked_ms = now_ms
+            effects.append(
+                CheckOverdue(server.record.notice, service.health_path)
+            )
+
+
+def _move(
+    state: GatewayState,
+    call: RoutedCall,
+    server: RoutedServer,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Sends a request that may be repeated to another server, if sensible.
+
+    The server gets no failure recorded: it may only have been full.
+    """
+    if not call.route.kind.is_idempotent:
+        return
+    target = dispatching.best_server(state, call, now_ms)
+    sent = server.own_requests[call.call_id]
+    if target is None or not overdue.is_move_worthwhile(
+        sent, target.expected_ms, now_ms
+    ):
+        return
+    if not _reserve_retry(state, call, now_ms):
+        return
+    call.is_maybe_executed = True
+    reason = "overdue" if sent.missing_since_ms is None else "dropped"
+    _log_retry(call, reason, effects)
+    effects.append(CancelRequest(call.call_id))
+    dispatching.remove_from_server(state, call)
+    dispatching.dispatch(state, call, now_ms, effects)
+
+
 def on_recheck_due(
     state: GatewayState,
     call_id: int,
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -49,6 +49,7 @@
             feed.on_feed(state, event, effects)
         case Tick():
             feed.send_due_poll(state, event.at_ms, effects)
+            outcomes.on_tick(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
             effects.append(Log("draining", {"calls": len(state.calls)}))
--- a/gentianwall/gateway/servers.py
+++ b/gentianwall/gateway/servers.py
@@ -47,12 +47,20 @@
 LAG_DECAY_MS = 3000.0
 
 
-@attrs.frozen
+@attrs.define
 class SentRequest:
-    """An outstanding request at a server: time of sending and expected time."""
+    """An outstanding request at a server.
+
+    Attributes:
+        at_ms: When it was sent.
+        expected_ms: Its expected time.
+        missing_since_ms: Since when the server's load reports show that the
+            server does not have it; None while they do not.
+    """
 
     at_ms: float
     expected_ms: float
+    missing_since_ms: float | None = None
 
 
 @attrs.define
@@ -74,6 +82,7 @@
         consecutive_pauses: Pauses since its last successful answer.
         paused_until_ms: When its pause ends.
         is_unhealthy: Whether its last health check reported it unhealthy.
+        checked_ms: When it was last asked about overdue requests.
     """
 
     record: RegisteredServer
@@ -89,6 +98,7 @@
     consecutive_pauses: int = 0
     paused_until_ms: float = float("-inf")
     is_unhealthy: bool = False
+    checked_ms: float = float("-inf")
 
     @property
     def name(self) -> str:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -15,6 +15,7 @@
 from gentianwall.gateway.dispatching import is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
+    CheckOverdue,
     CheckServer,
     CloseIdleConnections,
     ForwardAnswer,
@@ -169,6 +170,8 @@
                 self._start_deadline_timer(effect)
             case QueryLoad():
                 self.requests.query_load(effect)
+            case CheckOverdue():
+                self.requests.query_server(effect.notice, effect.health_path)
             case ScheduleRecheck():
                 self.requests.schedule_recheck(effect.call_id, effect.at_ms)
             case SendRequest():
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -240,8 +240,12 @@
             effect.call_id, monotonic_ms() + LOAD_QUERY_WAIT_MS
         )
         for notice in effect.notices:
-            if notice.key.server not in self._load_queries:
-                self._query_server(notice, effect.health_path)
+            self.query_server(notice, effect.health_path)
+
+    def query_server(self, notice: ServerNotice, health_path: str) -> None:
+        """Queries a server for its load unless a query is outstanding."""
+        if notice.key.server not in self._load_queries:
+            self._query_server(notice, health_path)
 
     def schedule_recheck(self, call_id: int, at_ms: float) -> None:
         """Schedules the recheck of a waiting request."""
--- /dev/null
+++ b/tests/test_gateway_overdue.py
@@ -0,0 +1,110 @@
+"""Tests that requests which a full server dropped are answered by another."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianwall.config.routes import RouteKind
+from gentianwall.core.events import Tick
+from gentianwall.gateway import effects as fx
+from gentianwall.gateway.overdue import CONFIRM_MS, OVERDUE_FACTOR
+from gentianwall.routing.reports import SpeedReport
+from harness.gateway_entry import IDLE, Entry, effects_of_type, server
+
+EXPECTED_MS = 160.0
+BUSY = SpeedReport(2, 1, 2)
+
+
+@pytest.fixture
+def entry():
+    """An entry past its start, with two servers that report no load."""
+    entry = Entry()
+    entry.deliver_update(server("a", 1), server("b", 2))
+    entry.now_ms += 4000.0
+    entry.deliver_update(configuration=None)
+    for name in "ab":
+        entry.deliver_load_report(name, IDLE)
+    return entry
+
+
+def _send(entry, kind=RouteKind.SAFE):
+    (sent,) = effects_of_type(entry.deliver_request(kind), fx.SendRequest)
+    return sent.notice.key.server
+
+
+def _tick(entry, later_ms):
+    entry.now_ms += later_ms
+    return entry.reduce(Tick(entry.now_ms))
+
+
+def test_a_server_is_asked_about_an_overdue_request(entry):
+    name = _send(entry)
+    assert not effects_of_type(_tick(entry, EXPECTED_MS), fx.CheckOverdue)
+    (check,) = effects_of_type(_tick(entry, 1.5 * EXPECTED_MS), fx.CheckOverdue)
+    assert check.notice.key.server == name
+    assert not effects_of_type(_tick(entry, 10.0), fx.CheckOverdue)
+
+
+def test_a_request_that_its_server_dropped_is_sent_to_another(entry):
+    name = _send(entry)
+    _tick(entry, 2.2 * EXPECTED_MS)
+    entry.deliver_load_report(name, IDLE)
+    effects = _tick(entry, CONFIRM_MS)
+    assert effects_of_type(effects, fx.CancelRequest)
+    entry.deliver_load_report({"a": "b", "b": "a"}[name], IDLE)
+    call = entry.state.calls[1]
+    assert (call.attempt, call.server != name) == (2, True)
+    assert entry.state.server(name).failure_rate == 0.0
+
+
+def test_an_answer_on_its_way_is_waited_for(entry):
+    name = _send(entry)
+    _tick(entry, 2.2 * EXPECTED_MS)
+    entry.deliver_load_report(name, IDLE)
+    effects = _tick(entry, CONFIRM_MS / 2)
+    assert not effects_of_type(effects, fx.CancelRequest)
+    assert effects_of_type(entry.deliver_answer(), fx.ForwardAnswer)
+
+
+def test_a_server_that_works_on_the_request_keeps_it(entry):
+    name = _send(entry)
+    for _ in range(3):
+        _tick(entry, 1.2 * EXPECTED_MS)
+        entry.deliver_load_report(name, BUSY)
+    assert entry.state.calls[1].server == name
+
+
+def test_a_request_far_beyond_its_expected_time_is_moved(entry):
+    name = _send(entry)
+    effects = _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    assert effects_of_type(effects, fx.CancelRequest)
+    entry.deliver_load_report({"a": "b", "b": "a"}[name], IDLE)
+    assert entry.state.calls[1].server != name
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.UPLOAD])
+def test_a_request_that_may_run_once_is_never_moved(entry, kind):
+    name = _send(entry, kind)
+    _tick(entry, 2.2 * EXPECTED_MS)
+    entry.deliver_load_report(name, IDLE)
+    for _ in range(8):
+        effects = _tick(entry, EXPECTED_MS / 2)
+        assert not effects_of_type(effects, fx.CancelRequest)
+        assert not effects_of_type(effects, fx.SendRequest)
+    assert entry.state.calls[1].server == name
+
+
+def test_only_as_many_requests_move_as_the_server_dropped(entry):
+    entry.deliver_update(server("a", 1), server("b", 3, state="left"))
+    # Three requests on one server must be in time, or one would wait.
+    entry.state.service("s").service_ms = 100.0
+    for _ in range(3):
+        _send(entry)
+    entry.deliver_update(server("b", 4, incarnation=2))
+    _tick(entry, 2 * EXPECTED_MS)
+    entry.deliver_load_report("a", SpeedReport(2, 0, 2))
+    missing = [
+        sent.missing_since_ms is not None
+        for sent in entry.state.server("a").own_requests.values()
+    ]
+    assert sum(missing) == 1
