Let an entry prefer a few home servers of each service

Cause: at 119 entries and 184 servers of a service an entry considered all servers for each of its few requests: two new connections a request, and most of its processor time for ranking. Change: gateway/homes.py. Rendezvous hashing chooses 12 home servers of each service, those in the entry's failure domain first. If none of them is good, four others drawn at random are asked too. Only these are ranked. A recheck of a waiting request asks three servers instead of up to nine. Ruled out: shares of slots handed out with the feed, which need the feed to follow loads that change within milliseconds; drawing other servers for every request, which costs as many new connections as before.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -4,7 +4,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import placement
+from gentianwall.gateway import homes, placement
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -33,7 +33,8 @@
 # average service time (an idle server of average speed) without waiting for
 # further reports.
 GOOD_ENOUGH_FACTOR = 1.2
-# Most servers queried for one request before the best of them is chosen.
+# Most servers queried for one request before the best of them is chosen. Each
+# recheck queries one further round.
 MAX_QUERIED_SERVERS = 9
 # Only requests that arrive within this time after the start of the process wait
 # for the first configuration. It arrives much earlier if any control instance
@@ -169,8 +170,11 @@
 ) -> None:
     """Sends a request to the best server, after load queries if needed."""
     service = state.service(call.service)
+    if call.tried_servers:
+        _draw_others(state, service, call)
     ranked = _rank_servers(state, service, call, now_ms)
     call.queried.clear()
+    call.queries_left = MAX_QUERIED_SERVERS
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
     elif not _query_more(state, service, call, ranked, now_ms, effects):
@@ -195,7 +199,7 @@
     """
     if service.has_load_reports is False or not service.health_path:
         return False
-    if len(call.queried) >= MAX_QUERIED_SERVERS:
+    if call.queries_left <= 0:
         return False
     queried = [
         candidate.server
@@ -208,6 +212,7 @@
     call.phase = Phase.QUERYING
     call.unreported = {server.name for server in queried}
     call.queried |= call.unreported
+    call.queries_left -= len(queried)
     state.querying[call.call_id] = call
     notices = tuple(server.record.notice for server in queried)
     effects.append(QueryLoad(call.call_id, notices, service.health_path))
@@ -223,9 +228,10 @@
 ) -> None:
     """Dispatches a request by the load reports received so far.
 
-    A few servers are queried at a time, until one is idle and of average
-    speed. If all queried servers are full, the request waits at the entry, so
-    that it can go to whichever server has a free slot first.
+    A few servers are queried at a time, first home servers, then also others,
+    until one is idle and of average speed. If all queried servers are full, the
+    request waits at the entry, so that it can go to whichever server has a free
+    slot first.
 
     Args:
         state: State of the entry.
@@ -235,6 +241,11 @@
         effects: List to which effects are appended.
     """
     service = state.service(call.service)
+    if is_wait_over and call.is_waiting:
+        call.is_waiting = False
+        call.queried.clear()
+        call.queries_left = placement.QUERIES_PER_ROUND
+        _draw_others(state, service, call)
     ranked = _rank_servers(state, service, call, now_ms)
     service_ms = service.service_ms_for(call.route)
     fresh = [
@@ -245,6 +256,9 @@
         return
     if call.unreported and not is_wait_over:
         return
+    if not call.others:
+        _draw_others(state, service, call)
+        ranked = _rank_servers(state, service, call, now_ms)
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
         return
@@ -256,13 +270,23 @@
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
         case Verdict.WAIT:
-            call.queried.clear()
+            call.is_waiting = True
+            call.queries_left = 0
             call.unreported.clear()
             effects.append(ScheduleRecheck(call.call_id, now_ms + RECHECK_MS))
         case Verdict.REFUSE:
             refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
 
 
+def _draw_others(
+    state: GatewayState, service: ServiceState, call: RoutedCall
+) -> None:
+    """Widens the search for a server beyond the home servers."""
+    call.others = homes.draw_others(
+        service.servers, service.homes, call.tried_servers, state.rng
+    )
+
+
 def best_server(
     state: GatewayState, call: RoutedCall, now_ms: float
 ) -> Candidate | None:
@@ -282,8 +306,14 @@
     remote_factor = (
         placement.REMOTE_UPLOAD_FACTOR if is_upload else placement.REMOTE_FACTOR
     )
+    candidates = homes.choose_candidates(
+        service.servers,
+        (*service.homes, *call.others),
+        call.tried_servers,
+        now_ms,
+    )
     return placement.rank_servers(
-        service.servers.values(),
+        candidates,
         call.tried_servers,
         service.service_ms_for(call.route),
         now_ms,
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -12,6 +12,7 @@
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
 from gentianwall.gateway.events import RequestArrived
+from gentianwall.gateway.homes import choose_homes
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.routes import RouteTable
 
@@ -47,13 +48,16 @@
         tried_servers: Servers that it was sent to, or that could not be
             reached.
         unreported: Queried servers that have not reported their load yet.
-        queried: Servers queried since the dispatch started or the last recheck
-            was scheduled.
+        queried: Servers queried since the dispatch or the last recheck started.
+        queries_left: How many more may be queried until the next recheck.
         server: Name of the server it was last sent to.
         sent_ms: When it was sent there.
         expected_ms: Expected time of that attempt.
         slowness: Slowness of that server at the time of sending.
         is_maybe_executed: Whether a server may have executed the request.
+        is_waiting: Whether all queried servers were full, so that the request
+            waits for a recheck.
+        others: Names of servers considered beside the home servers.
     """
 
     call_id: int
@@ -68,11 +72,14 @@
     tried_servers: set[str] = attrs.field(factory=set)
     unreported: set[str] = attrs.field(factory=set)
     queried: set[str] = attrs.field(factory=set)
+    queries_left: int = 0
     server: str = ""
     sent_ms: float = 0.0
     expected_ms: float = 0.0
     slowness: float = 1.0
     is_maybe_executed: bool = False
+    is_waiting: bool = False
+    others: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -84,6 +91,7 @@
         retry_window: Limit on its retries.
         health_path: Path of its health check; empty for none.
         servers: Its servers by name.
+        homes: Names of the servers that this entry prefers.
         has_load_reports: Whether its servers report their load; None until
             the first server has answered.
         service_ms: Service time at an idle, average server; 0 while unknown.
@@ -95,6 +103,7 @@
     retry_window: RetryWindow
     health_path: str = ""
     servers: dict[str, RoutedServer] = attrs.field(factory=dict)
+    homes: tuple[str, ...] = ()
     has_load_reports: bool | None = None
     service_ms: float = 0.0
     most_connections: int = 0
@@ -196,7 +205,16 @@
 
     def remove_server(self, name: str) -> None:
         """Removes a server; it must be known."""
-        del self.services[self.service_by_server.pop(name)].servers[name]
+        service = self.services[self.service_by_server.pop(name)]
+        del service.servers[name]
+        if name in service.homes:
+            self.choose_homes(service)
+
+    def choose_homes(self, service: ServiceState) -> None:
+        """Chooses the home servers of a service whose servers have changed."""
+        service.homes = choose_homes(
+            self.name, self.failure_domain, service.servers.values()
+        )
 
     def server(self, name: str) -> RoutedServer | None:
         """Returns a server by its name, or None if it is unknown."""
