Refuse what cannot be in time once nearly all servers are full

Cause: three ways past the admission. A report of a full server lost weight with age, so that 1.9 of 2 busy slots counted as a free one a few ms later. A request that found all reports fresh was sent without a decision. And under saturation free slots went to requests that were late already, while others queued behind full servers until they were late too. Service times were learned with the slowdown of shared servers in them, which was then applied again. Change: half a slot must be free; fresh reports lead to the same decision as new ones; above 80 % full servers, by the load reports of the last requests, no request queues at a server and a free slot needs an answer in time. Service times are learned relative to the expected load. A request that waits without having asked is found at its recheck. Three tests of other promises sent more requests to one server than could be in time; they set a shorter service time now.

--- a/gentianwall/gateway/admission.py
+++ b/gentianwall/gateway/admission.py
@@ -5,7 +5,11 @@
 after their target time. Therefore a request queues at a server only if its
 answer is still expected within the target. Otherwise it is rechecked for a
 short while and then refused with a retry-after time. A server with a free slot
-is always used, even for a request that will miss its target.
+is used even for a request that will miss its target.
+
+Once nearly all servers are full, each slot that becomes free is wanted by
+several requests. Then no request queues at a server, where it would only delay
+others, and free slots are left to requests that can still be in time.
 """
 
 from __future__ import annotations
@@ -30,6 +34,12 @@
 # Two requests on a server with two slots each take about this many times as
 # long as one alone.
 SHARED_SERVER_FACTOR = 1.7
+# The estimated load is not a whole number, since reports lose weight with age.
+# Without this margin, a server that has just reported that it is full would
+# count as free a moment later.
+FREE_SLOT_MARGIN = 0.5
+# Above this share of full servers, several requests wait for each free slot.
+SATURATED_SHARE = 0.8
 # Each request moves the typical wait up or down by this share, which keeps it
 # at the median of the callers' waits.
 WAIT_STEP = 0.01
@@ -47,7 +57,11 @@
 
 
 def admit(
-    call: RoutedCall, best: Candidate, service_ms: float, now_ms: float
+    call: RoutedCall,
+    best: Candidate,
+    service_ms: float,
+    full_share: float,
+    now_ms: float,
 ) -> Verdict:
     """Decides whether a request is sent, rechecked later or refused.
 
@@ -55,12 +69,18 @@
         call: The request.
         best: The best candidate.
         service_ms: Service time of the request at an idle, average server.
+        full_share: Share of the servers that recently reported to be full.
         now_ms: The local clock.
     """
     server = best.server
-    if server.load(now_ms) < server.record.notice.slots:
-        return Verdict.SEND
-    if now_ms + best.expected_ms <= call.target_at_ms:
+    has_free_slot = (
+        server.load(now_ms) <= server.record.notice.slots - FREE_SLOT_MARGIN
+    )
+    is_in_time = now_ms + best.expected_ms <= call.target_at_ms
+    is_saturated = full_share >= SATURATED_SHARE
+    if (has_free_slot and is_in_time) or (
+        (has_free_slot or is_in_time) and not is_saturated
+    ):
         return Verdict.SEND
     recheck_age_ms = now_ms + RECHECK_MS - call.arrived_ms
     can_wait = recheck_age_ms <= WAIT_SHARE * call.route.target_ms
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -177,7 +177,12 @@
     call.queries_left = MAX_QUERIED_SERVERS
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
-    elif not _query_more(state, service, call, ranked, now_ms, effects):
+    elif _query_more(state, service, call, ranked, now_ms, effects):
+        return
+    elif service.has_load_reports and service.health_path:
+        # All reports are fresh because other requests have just asked.
+        dispatch_by_reports(state, call, True, now_ms, effects)
+    else:
         _send_best(state, service, call, ranked, now_ms, effects)
 
 
@@ -266,10 +271,11 @@
         return
     reported = [c for c in ranked if c.server.name not in call.unreported]
     best = fresh or reported or ranked
-    match admit(call, best[0], service_ms, now_ms):
+    match admit(call, best[0], service_ms, service.full_share, now_ms):
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
         case Verdict.WAIT:
+            state.querying[call.call_id] = call
             call.is_waiting = True
             call.queries_left = 0
             call.unreported.clear()
@@ -359,6 +365,7 @@
     call.sent_ms = now_ms
     call.expected_ms = expected_ms
     call.slowness = server.slowness(now_ms)
+    call.load_factor = server.expected_ms(now_ms, 1.0)
     server.own_requests[call.call_id] = SentRequest(
         now_ms, max(1.0, expected_ms)
     )
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -80,7 +80,7 @@
         server.record_success(sent, event.at_ms)
         duration_ms = event.at_ms - call.sent_ms
         service.record_service_time(
-            duration_ms / max(1.0, call.slowness), call.route
+            duration_ms / max(1.0, call.load_factor), call.route
         )
     _forward_answer(state, call, event, effects)
 
@@ -259,6 +259,7 @@
             if event.report is not None:
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
+                service.record_report(event.report)
                 overdue.mark_dropped(server, event.at_ms)
             elif service.has_load_reports is None:
                 service.has_load_reports = False
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -14,12 +14,16 @@
 from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.homes import choose_homes
 from gentianwall.gateway.servers import RoutedServer
+from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
 
 # Assumed service time before the first answer, as a share of the route's
 # target time.
 INITIAL_SERVICE_SHARE = 0.4
 SERVICE_TIME_WEIGHT = 0.05
+# An entry receives several reports for each request under load, so that this
+# weight follows a burst within a few requests.
+FULL_SHARE_WEIGHT = 0.05
 
 
 class Phase(enum.Enum):
@@ -54,6 +58,8 @@
         sent_ms: When it was sent there.
         expected_ms: Expected time of that attempt.
         slowness: Slowness of that server at the time of sending.
+        load_factor: Expected time of that attempt as a multiple of the service
+            time at an idle, average server.
         is_maybe_executed: Whether a server may have executed the request.
         is_waiting: Whether all queried servers were full, so that the request
             waits for a recheck.
@@ -77,6 +83,7 @@
     sent_ms: float = 0.0
     expected_ms: float = 0.0
     slowness: float = 1.0
+    load_factor: float = 1.0
     is_maybe_executed: bool = False
     is_waiting: bool = False
     others: tuple[str, ...] = ()
@@ -95,6 +102,8 @@
         has_load_reports: Whether its servers report their load; None until
             the first server has answered.
         service_ms: Service time at an idle, average server; 0 while unknown.
+        full_share: Moving average of the share of load reports in which all
+            slots are busy.
         most_connections: Connections that a server accepts from all entries
             together; 0 means no limit.
     """
@@ -106,6 +115,7 @@
     homes: tuple[str, ...] = ()
     has_load_reports: bool | None = None
     service_ms: float = 0.0
+    full_share: float = 0.0
     most_connections: int = 0
 
     def connections_per_entry(self, entries: int) -> int:
@@ -121,6 +131,11 @@
         """Returns the expected service time of a request of a route."""
         return self.service_ms or INITIAL_SERVICE_SHARE * route.target_ms
 
+    def record_report(self, report: SpeedReport) -> None:
+        """Updates the share of full servers from a load report."""
+        is_full = report.running >= report.slots
+        self.full_share += FULL_SHARE_WEIGHT * (is_full - self.full_share)
+
     def record_service_time(self, service_time_ms: float, route: Route) -> None:
         """Updates the average service time from a successful answer."""
         known_ms = self.service_ms_for(route)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -138,6 +138,24 @@
     assert entry.now_ms - 1000.0 <= 0.15 * 400.0
 
 
+def test_a_server_is_not_free_because_its_report_is_a_little_older(entry):
+    busy = SpeedReport(2, 0, 2)
+    entry.now_ms += 50.0
+    effects = entry.deliver_request(wait_ms=None)
+    for name in "ab":
+        entry.deliver_load_report(name, busy)
+    for _ in range(5):
+        entry.now_ms += 20.0
+        effects = entry.reduce(RecheckDue(entry.now_ms, 1))
+        assert not effects_of_type(effects, fx.SendRequest)
+        if effects_of_type(effects, fx.RefuseRequest):
+            return
+        for name in "ab":
+            effects += entry.deliver_load_report(name, busy)
+        assert not effects_of_type(effects, fx.SendRequest)
+    raise AssertionError("neither sent nor refused")
+
+
 def test_a_request_past_its_target_time_still_gets_a_free_slot(entry):
     entry.state.service("s").service_ms = 160.0
     entry.deliver_request(wait_ms=1000.0)
@@ -281,6 +299,8 @@
 @pytest.mark.parametrize("state", ["draining", "left"])
 def test_a_draining_or_deregistered_server_gets_no_request(entry, state):
     entry.deliver_update(server("a", 3, state), configuration=None)
+    # Four requests on one server must still be in time, or one would wait.
+    entry.state.service("s").service_ms = 80.0
     for _ in range(4):
         (sent,) = effects_of_type(entry.deliver_request(), fx.SendRequest)
         assert sent.notice.key.server == "b"
@@ -297,6 +317,8 @@
 
 def test_a_mismatched_server_gets_no_request(entry):
     entry.deliver_load_report("a", None, is_mismatched=True)
+    # Three requests on one server must still be in time, or one would wait.
+    entry.state.service("s").service_ms = 100.0
     for _ in range(3):
         (sent,) = effects_of_type(entry.deliver_request(), fx.SendRequest)
         assert sent.notice.key.server == "b"
