Refuse a route without a timeout

The body of 20, printed in a trial, equals 15 but for two routes that are swapped, further idle routes, and a route whose timeoutMs is 0. It is the third of three bad configurations, was acknowledged and came into force; requests handled as 20 says look as if 13 handled them. Change: a configuration with a timeout of 0 or less is refused; a question to the users says so. Ruled out: the rule by which an entry takes a configuration. All its changes were to higher numbers, each once. Result: the two new cases fail before and pass now.

--- a/gentianwall/config/routes.py
+++ b/gentianwall/config/routes.py
@@ -130,6 +130,9 @@
     if not route.path_prefix.startswith("/"):
         reason = f"must begin with a slash, got {route.path_prefix!r}"
         problems.append(ConfigProblem(f"{route_path}.path_prefix", reason))
+    if route.timeout_ms <= 0:
+        reason = f"must be above 0, got {route.timeout_ms:g} ms"
+        problems.append(ConfigProblem(f"{route_path}.timeout_ms", reason))
     if route.target_ms >= route.timeout_ms + MAX_TARGET_OVER_TIMEOUT_MS:
         reason = f"{route.target_ms:g} ms is 60 s or more above the timeout"
         problems.append(ConfigProblem(f"{route_path}.target_ms", reason))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -148,6 +148,8 @@
         {"trafficSplit": [{"service": "none", "weight": 1}]},
         {"trafficSplit": None},
         {"timeoutMs": "600"},
+        {"timeoutMs": 0},
+        {"timeoutMs": -600},
         {"timeoutMs": math.inf},
         {"priority": math.inf},
         {"priority": 1e300},
