Share the burst of three load tests

Cause: three tests wrote out the same disruption. Change: one function; bounds and figures are the same. Ruled out: nothing.

--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -54,6 +54,16 @@
     return attrs.evolve(CALM, disruptions=disruptions, **changes)
 
 
+def _burst(at_s, for_s, factor, domain=-1):
+    return Disruption(
+        kind=DisruptionKind.BURST,
+        at_s=at_s,
+        for_s=for_s,
+        factor=factor,
+        domain=domain,
+    )
+
+
 def test_a_calm_load_is_served_with_few_collisions():
     result = _run(CALM)
     assert result.share("refused") + result.share("failed") < 0.001
@@ -62,17 +72,8 @@
 
 
 def test_a_burst_is_served_in_time_as_far_as_the_servers_can():
-    factor, start_s, for_s = 5.0, 1.0, 3.0
-    result = _run(
-        _with(
-            Disruption(
-                kind=DisruptionKind.BURST,
-                at_s=start_s,
-                for_s=for_s,
-                factor=factor,
-            )
-        )
-    )
+    start_s, for_s = 1.0, 3.0
+    result = _run(_with(_burst(start_s, for_s, factor=5.0)))
     # A server that runs one request at a time is never slowed by a second one.
     noise = 1.0 + SERVICE.noise_share * (1.0 / SERVICE.noise_factor - 1.0)
     capacity_per_s = SERVERS * noise * 1000.0 / WORK_MS
@@ -83,28 +84,12 @@
 
 
 def test_a_burst_is_over_within_a_second_after_its_end():
-    result = _run(
-        _with(
-            Disruption(
-                kind=DisruptionKind.BURST, at_s=1.0, for_s=2.0, factor=4.0
-            )
-        )
-    )
+    result = _run(_with(_burst(1.0, for_s=2.0, factor=4.0)))
     assert result.earned[4] > 0.9 * result.owed[4]
 
 
 def test_a_burst_in_one_failure_domain_finds_room_in_the_other():
-    result = _run(
-        _with(
-            Disruption(
-                kind=DisruptionKind.BURST,
-                at_s=1.0,
-                for_s=3.0,
-                factor=2.5,
-                domain=0,
-            )
-        )
-    )
+    result = _run(_with(_burst(1.0, for_s=3.0, factor=2.5, domain=0)))
     assert result.share("refused") + result.share("failed") < 0.02
     assert result.worst_windows > 0.75
 
