Do not count a retry that waits as sent

Cause: a request that was refused by a server and then found all servers full by fresh reports kept the phase of the attempt before. When its caller left or its deadline expired, the connection of that attempt was closed, which may carry another request by then, and the request counted as possibly executed. Change: a waiting request is in the phase of its load queries, also if it has sent none. Result: the new test fails before.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -275,6 +275,7 @@
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
         case Verdict.WAIT:
+            call.phase = Phase.QUERYING
             state.querying[call.call_id] = call
             call.is_waiting = True
             call.queries_left = 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -354,6 +354,18 @@
     assert "c9" in entry.state.controls
 
 
+def test_a_retry_that_waits_is_not_cancelled_at_its_former_server(entry):
+    _allow_retry_slack(entry)
+    entry.state.service("s").service_ms = 160.0
+    entry.deliver_request(RouteKind.NON_IDEMPOTENT)
+    for name in "ab":
+        entry.deliver_load_report(name, SpeedReport(2, 0, 2))
+    effects = entry.deliver_answer(status=503, is_refusal=True)
+    assert effects_of_type(effects, fx.ScheduleRecheck)
+    effects = entry.reduce(CallerDisconnected(entry.now_ms, entry.last_call_id))
+    assert not effects_of_type(effects, fx.CancelRequest)
+
+
 def test_a_draining_entry_is_unready_and_still_serves(entry):
     entry.reduce(DrainStarted(entry.now_ms))
     assert not entry.state.is_ready
