--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,7 +23,6 @@
     wait_until_serving,
 )
 
-
 READ_INTERVAL_S = 0.1
 # Reads of a control instance that is starting, over at least 5 s.
 MAX_READS = 50
