Let SIGHUP end the commands that do not reload

Cause: ignoring the reload signal when gentianwall/__main__.py is imported also held for the standalone and the listed daemon, which have no handler: a closed terminal no longer ended them. Found by reading again. Change: only the command for a process of a fleet ignores the signal until its handler is set; gentianwall.platform runs nothing else and still does so first. Ruled out: restoring the default in the other commands, a second place to know. Result: the new test fails before and passes now; the test that signals an entry throughout its start uses gentianwall.platform and is unchanged.

--- a/gentianwall/__main__.py
+++ b/gentianwall/__main__.py
@@ -6,13 +6,9 @@
 import sys
 from typing import Annotated
 
-# A reload signal would end the process before its handler is set. Whatever
-# changes until then is found when the settings are first checked.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+import cyclopts
 
-import cyclopts  # noqa: E402
-
-from gentianwall import __version__  # noqa: E402
+from gentianwall import __version__
 
 app = cyclopts.App(
     name="gentianwalld",
@@ -67,6 +63,10 @@
     ],
 ) -> int:
     """Runs a process of a fleet whose members are discovered at run time."""
+    # A reload signal would end the process before its handler is set. Whatever
+    # changes until then is found when the settings are read again. The other
+    # commands do not reload, so the signal ends them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from gentianwall.commands import fleet as fleet_command
     from gentianwall.http.dialect import Dialect
 
--- a/gentianwall/platform/__main__.py
+++ b/gentianwall/platform/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 # A reload signal would end the process before its handler is set. Whatever
-# changes until then is found when the settings are first checked.
+# changes until then is found when the settings are read again.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from gentianwall.platform import process  # noqa: E402
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -86,3 +88,12 @@
     file.unlink()
     watcher.check()
     assert applied == []
+
+
+def test_only_processes_that_reload_ignore_the_reload_signal():
+    program = (
+        "import signal, gentianwall.__main__;"
+        "print(signal.getsignal(signal.SIGHUP) is signal.SIG_DFL)"
+    )
+    command = [sys.executable, "-c", program]
+    assert subprocess.check_output(command).strip() == b"True"
