Find routes by prefix lengths instead of trying every route

Cause: a request's route is found twice since pipelining, once to tell whether it may run beside others and once to route it. With 1,859 routes on one host each search took 384 us. Change: a host's routes are kept by prefix, and looked up for each length that occurs, the longest first. Of equal prefixes the first one is still found. Ruled out: keeping the route of the first search; the reducer would need to trust a route found under an older configuration.

--- a/gentianwall/routing/routes.py
+++ b/gentianwall/routing/routes.py
@@ -40,12 +40,15 @@
 
     def __init__(self, configuration: RouteConfiguration):
         self.configuration = configuration
-        self._routes: dict[str, list[Route]] = {}
+        self._routes: dict[str, dict[str, Route]] = {}
+        self._prefix_lengths: dict[str, list[int]] = {}
         self._round_robins: dict[str, WeightedRoundRobin] = {}
         for route in configuration.routes:
-            self._routes.setdefault(route.host, []).append(route)
-        for routes in self._routes.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            routes = self._routes.setdefault(route.host, {})
+            routes.setdefault(route.path_prefix, route)
+        for host, routes in self._routes.items():
+            lengths = {len(prefix) for prefix in routes}
+            self._prefix_lengths[host] = sorted(lengths, reverse=True)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, or None if no route matches.
@@ -55,8 +58,11 @@
             path: Path of the request without the query.
         """
         name = host.rpartition(":")[0] if ":" in host else host
-        for route in self._routes.get(name.lower(), ()):
-            if path.startswith(route.path_prefix):
+        host = name.lower()
+        routes = self._routes.get(host, {})
+        for length in self._prefix_lengths.get(host, ()):
+            route = routes.get(path[:length])
+            if route is not None:
                 return route
         return None
 
