Speak of lag ratio and reassigning in the gateway too

Cause: the glossary's terms are lag ratio for the ratio of actual to expected time and reassign for sending an overdue call to another server; the new module had its own words, and computed the ratio beside two places that did so already. Change: SentRequest.lag_ratio serves all three; move is reassign. Log reasons are as they were. Ruled out: nothing.

--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -274,7 +274,7 @@
 def on_tick(
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
-    """Checks on overdue requests and moves those that their server lost."""
+    """Checks on overdue requests and reassigns those that their server lost."""
     occupied = {
         call.server for call in state.calls.values() if call.phase is Phase.SENT
     }
@@ -283,7 +283,7 @@
         if server is None:
             continue
         for call_id in list(overdue.find_lost(server, now_ms)):
-            _move(state, state.calls[call_id], server, now_ms, effects)
+            _reassign(state, state.calls[call_id], server, now_ms, effects)
         service = state.services[state.service_by_server[name]]
         if (
             service.has_load_reports
@@ -296,7 +296,7 @@
             )
 
 
-def _move(
+def _reassign(
     state: GatewayState,
     call: RoutedCall,
     server: RoutedServer,
@@ -311,7 +311,7 @@
         return
     target = dispatching.best_server(state, call, now_ms)
     sent = server.own_requests[call.call_id]
-    if target is None or not overdue.is_move_worthwhile(
+    if target is None or not overdue.is_reassign_worthwhile(
         sent, target.expected_ms, now_ms
     ):
         return
--- a/gentianwall/gateway/overdue.py
+++ b/gentianwall/gateway/overdue.py
@@ -7,8 +7,9 @@
 requests than it was sent has dropped some. Without such a report, only a
 multiple of the expected time tells.
 
-Only requests that may be repeated are moved. For any other one no report can
-show that it was not executed, so its caller gets the answer if there is one.
+Only requests that may be repeated are reassigned. For any other one no report
+can show that it was not executed, so its caller gets the answer if there is
+one.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
 # Service times vary by a third, and a shared server takes 1.7 times as long;
 # beyond both, the server is asked.
 SUSPECT_FACTOR = 2.0
-# Without a report that explains the delay, a request is moved after this
-# multiple of its expected time.
+# Without a report that explains the delay, a request is reassigned after
+# this multiple of its expected time.
 OVERDUE_FACTOR = 4.0
 # An answer that was sent before the load report may still be on its way, also
 # if one packet of it was lost.
@@ -31,9 +32,9 @@
 TRANSIT_MS = 30.0
 # A server is asked at most this often about overdue requests.
 CHECK_INTERVAL_MS = 100.0
-# An overdue request is moved only if the expected time at the new server is at
-# most this share of the time already spent.
-MAX_MOVE_SHARE = 0.6
+# An overdue request is reassigned only if the expected time at the new server
+# is at most this share of the time already spent.
+MAX_REASSIGN_SHARE = 0.6
 
 
 def is_check_due(server: RoutedServer, now_ms: float) -> bool:
@@ -41,7 +42,7 @@
     if now_ms - max(server.reported_ms, server.checked_ms) < CHECK_INTERVAL_MS:
         return False
     return any(
-        _delay_factor(sent, now_ms) >= SUSPECT_FACTOR
+        sent.lag_ratio(now_ms) >= SUSPECT_FACTOR
         for sent in server.own_requests.values()
     )
 
@@ -58,27 +59,27 @@
         for sent in server.own_requests.values()
         if now_ms - sent.at_ms > TRANSIT_MS
     ]
-    arrived.sort(key=lambda sent: _delay_factor(sent, now_ms), reverse=True)
+    arrived.sort(key=lambda sent: sent.lag_ratio(now_ms), reverse=True)
     missing = max(0, len(arrived) - in_progress)
     for position, sent in enumerate(arrived):
-        if position >= missing or _delay_factor(sent, now_ms) < SUSPECT_FACTOR:
+        if position >= missing or sent.lag_ratio(now_ms) < SUSPECT_FACTOR:
             sent.missing_since_ms = None
         elif sent.missing_since_ms is None:
             sent.missing_since_ms = now_ms
 
 
 def find_lost(server: RoutedServer, now_ms: float) -> Iterable[int]:
-    """Returns the call ids of requests that should be sent elsewhere."""
+    """Returns the call ids of requests that should be reassigned."""
     for call_id, sent in server.own_requests.items():
         is_dropped = (
             sent.missing_since_ms is not None
             and now_ms - sent.missing_since_ms >= CONFIRM_MS
         )
-        if is_dropped or _delay_factor(sent, now_ms) >= OVERDUE_FACTOR:
+        if is_dropped or sent.lag_ratio(now_ms) >= OVERDUE_FACTOR:
             yield call_id
 
 
-def is_move_worthwhile(
+def is_reassign_worthwhile(
     sent: SentRequest, expected_ms: float, now_ms: float
 ) -> bool:
     """Returns whether another server would answer a request sooner.
@@ -90,8 +91,4 @@
     """
     if sent.missing_since_ms is not None:
         return True
-    return expected_ms <= MAX_MOVE_SHARE * (now_ms - sent.at_ms)
-
-
-def _delay_factor(sent: SentRequest, now_ms: float) -> float:
-    return (now_ms - sent.at_ms) / sent.expected_ms
+    return expected_ms <= MAX_REASSIGN_SHARE * (now_ms - sent.at_ms)
--- a/gentianwall/gateway/servers.py
+++ b/gentianwall/gateway/servers.py
@@ -62,6 +62,10 @@
     expected_ms: float
     missing_since_ms: float | None = None
 
+    def lag_ratio(self, now_ms: float) -> float:
+        """Returns the ratio of the time since sending to the expected time."""
+        return (now_ms - self.at_ms) / self.expected_ms
+
 
 @attrs.define
 class RoutedServer:
@@ -132,7 +136,7 @@
         decay = math.exp(-(now_ms - self.lag_updated_ms) / LAG_DECAY_MS)
         lag = 1.0 + (self.lag_ratio - 1.0) * decay
         for sent in self.own_requests.values():
-            lag = max(lag, (now_ms - sent.at_ms) / sent.expected_ms)
+            lag = max(lag, sent.lag_ratio(now_ms))
         return min(lag, MAX_LAG) if lag > LAG_THRESHOLD else 1.0
 
     def expected_ms(self, now_ms: float, service_ms: float) -> float:
@@ -175,7 +179,7 @@
     def record_success(self, sent: SentRequest | None, now_ms: float) -> None:
         """Records a successful answer, which also ends a pause."""
         if sent is not None:
-            ratio = min(MAX_LAG, (now_ms - sent.at_ms) / sent.expected_ms)
+            ratio = min(MAX_LAG, sent.lag_ratio(now_ms))
             self.lag_ratio += LAG_WEIGHT * (ratio - self.lag_ratio)
             self.lag_updated_ms = now_ms
         self.failure_rate *= 1.0 - FAILURE_WEIGHT
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -74,7 +74,7 @@
     assert entry.state.calls[1].server == name
 
 
-def test_a_request_far_beyond_its_expected_time_is_moved(entry):
+def test_a_request_far_beyond_its_expected_time_is_reassigned(entry):
     name = _send(entry)
     effects = _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
     assert effects_of_type(effects, fx.CancelRequest)
@@ -83,7 +83,7 @@
 
 
 @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.UPLOAD])
-def test_a_request_that_may_run_once_is_never_moved(entry, kind):
+def test_a_request_that_may_run_once_is_never_reassigned(entry, kind):
     name = _send(entry, kind)
     _tick(entry, 2.2 * EXPECTED_MS)
     entry.deliver_load_report(name, IDLE)
@@ -94,7 +94,7 @@
     assert entry.state.calls[1].server == name
 
 
-def test_only_as_many_requests_move_as_the_server_dropped(entry):
+def test_only_as_many_requests_are_reassigned_as_the_server_dropped(entry):
     entry.deliver_update(server("a", 1), server("b", 3, state="left"))
     # Three requests on one server must be in time, or one would wait.
     entry.state.service("s").service_ms = 100.0
