Prepare the recheck of a waiting request when it begins to wait

Cause: a flag told a recheck after a wait from one after load queries, only to reset what the wait could have reset itself. Where a service has no servers beyond the home servers, each event ranked them twice. The condition of the admission was one expression with its parts repeated. Change: the wait clears what was queried, allows one further round and draws other servers; the flag is gone. Servers are ranked again only if others were drawn. The condition is written for each of its two cases. The share of full servers says that it counts load queries only, and why. Ruled out: counting reports in answers too, which would change decisions.

--- a/gentianwall/gateway/admission.py
+++ b/gentianwall/gateway/admission.py
@@ -69,7 +69,7 @@
         call: The request.
         best: The best candidate.
         service_ms: Service time of the request at an idle, average server.
-        full_share: Share of the servers that recently reported to be full.
+        full_share: Share of the servers that were full when last queried.
         now_ms: The local clock.
     """
     server = best.server
@@ -77,10 +77,11 @@
         server.load(now_ms) <= server.record.notice.slots - FREE_SLOT_MARGIN
     )
     is_in_time = now_ms + best.expected_ms <= call.target_at_ms
-    is_saturated = full_share >= SATURATED_SHARE
-    if (has_free_slot and is_in_time) or (
-        (has_free_slot or is_in_time) and not is_saturated
-    ):
+    if full_share >= SATURATED_SHARE:
+        can_send = has_free_slot and is_in_time
+    else:
+        can_send = has_free_slot or is_in_time
+    if can_send:
         return Verdict.SEND
     recheck_age_ms = now_ms + RECHECK_MS - call.arrived_ms
     can_wait = recheck_age_ms <= WAIT_SHARE * call.route.target_ms
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -246,11 +246,6 @@
         effects: List to which effects are appended.
     """
     service = state.service(call.service)
-    if is_wait_over and call.is_waiting:
-        call.is_waiting = False
-        call.queried.clear()
-        call.queries_left = placement.QUERIES_PER_ROUND
-        _draw_others(state, service, call)
     ranked = _rank_servers(state, service, call, now_ms)
     service_ms = service.service_ms_for(call.route)
     fresh = [
@@ -263,7 +258,8 @@
         return
     if not call.others:
         _draw_others(state, service, call)
-        ranked = _rank_servers(state, service, call, now_ms)
+        if call.others:
+            ranked = _rank_servers(state, service, call, now_ms)
     if not ranked:
         refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
         return
@@ -277,9 +273,10 @@
         case Verdict.WAIT:
             call.phase = Phase.QUERYING
             state.querying[call.call_id] = call
-            call.is_waiting = True
-            call.queries_left = 0
+            call.queried.clear()
+            call.queries_left = placement.QUERIES_PER_ROUND
             call.unreported.clear()
+            _draw_others(state, service, call)
             effects.append(ScheduleRecheck(call.call_id, now_ms + RECHECK_MS))
         case Verdict.REFUSE:
             refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -259,7 +259,7 @@
             if event.report is not None:
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
-                service.record_report(event.report)
+                service.record_query(event.report)
                 overdue.mark_dropped(server, event.at_ms)
             elif service.has_load_reports is None:
                 service.has_load_reports = False
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -61,8 +61,6 @@
         load_factor: Expected time of that attempt as a multiple of the service
             time at an idle, average server.
         is_maybe_executed: Whether a server may have executed the request.
-        is_waiting: Whether all queried servers were full, so that the request
-            waits for a recheck.
         others: Names of servers considered beside the home servers.
     """
 
@@ -85,7 +83,6 @@
     slowness: float = 1.0
     load_factor: float = 1.0
     is_maybe_executed: bool = False
-    is_waiting: bool = False
     others: tuple[str, ...] = ()
 
 
@@ -102,8 +99,9 @@
         has_load_reports: Whether its servers report their load; None until
             the first server has answered.
         service_ms: Service time at an idle, average server; 0 while unknown.
-        full_share: Moving average of the share of load reports in which all
-            slots are busy.
+        full_share: Moving average of the share of load queries that found all
+            slots busy. Reports in answers do not count: the server has just
+            freed a slot.
         most_connections: Connections that a server accepts from all entries
             together; 0 means no limit.
     """
@@ -131,8 +129,8 @@
         """Returns the expected service time of a request of a route."""
         return self.service_ms or INITIAL_SERVICE_SHARE * route.target_ms
 
-    def record_report(self, report: SpeedReport) -> None:
-        """Updates the share of full servers from a load report."""
+    def record_query(self, report: SpeedReport) -> None:
+        """Updates the share of full servers from a queried load report."""
         is_full = report.running >= report.slots
         self.full_share += FULL_SHARE_WEIGHT * (is_full - self.full_share)
 
