--- a/gentianwall/http/answer_limits.py
+++ b/gentianwall/http/answer_limits.py
@@ -12,9 +12,11 @@
 
 import attrs
 
-# Callers and servers rarely accept larger heads; interim answers count too.
+# Common servers and callers do not accept larger heads. Interim answers count
+# too.
 MAX_HEAD_BYTES = 32 * 1024
-# The head is parsed in parts of this size, so that little is parsed in vain.
+# The head is parsed in parts of this size, so that parsing stops soon after the
+# limit.
 HEAD_PART_BYTES = 2 * 1024
 # Chunk sizes, extensions and trailers may be as long as the body itself and
 # this many bytes more. Chunks of a few bytes are only sent for small answers.
@@ -62,7 +64,6 @@
     limit_bytes: int
     held_bytes: dict[int, int] = attrs.field(factory=dict)
     _give_up: dict[int, Callable[[], None]] = attrs.field(factory=dict)
-    _total_bytes: int = 0
 
     def add(
         self, key: int, size_bytes: int, give_up: Callable[[], None]
@@ -76,8 +77,7 @@
         """
         self.held_bytes[key] = self.held_bytes.get(key, 0) + size_bytes
         self._give_up[key] = give_up
-        self._total_bytes += size_bytes
-        if self._total_bytes > self.limit_bytes:
+        if sum(self.held_bytes.values()) > self.limit_bytes:
             largest = max(self.held_bytes, key=self.held_bytes.__getitem__)
             give_up = self._give_up[largest]
             self.remove(largest)
@@ -85,5 +85,5 @@
 
     def remove(self, key: int) -> None:
         """Forgets an answer that is complete or given up."""
-        self._total_bytes -= self.held_bytes.pop(key, 0)
+        self.held_bytes.pop(key, None)
         self._give_up.pop(key, None)
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -39,7 +39,8 @@
 # Answers to older requests that are skipped before the connection is closed.
 MAX_MISMATCHED_ANSWERS = 3
 # Answers that are being received may take up to this much memory together.
-# The smallest process has 250 MB; joining the parts of a body doubles it.
+# With the copy of one body whose parts are joined, that is less than half of
+# the 433 MB of the smallest machines that entries run on.
 ANSWER_MEMORY_BYTES = 96 * 1024 * 1024
 # States of twisted's parser in which the head of an answer has been received.
 AFTER_HEAD = ("BODY", "DONE")
@@ -298,14 +299,15 @@
     def connectionLost(self, reason) -> None:
         if self._is_finished:
             return
-        body = b"".join(self._chunks)
-        self._finish()
         is_complete_at_close = (
             reason.check(PotentialDataLoss) and self._is_close_accepted()
         )
         if reason.check(ResponseDone) or is_complete_at_close:
+            body = b"".join(self._chunks)
+            self._finish()
             self._on_success(body)
         else:
+            self._finish()
             # Without a length, an end by close cannot be distinguished from a
             # truncated answer, unless the servers are known to close cleanly
             # only after a complete answer.
@@ -443,7 +445,7 @@
             if kind is FailureKind.TOO_LARGE:
                 self.fail(kind)
             else:
-                self._pool.call_soon(await_next)
+                on_skipped(kind)
 
         def await_next() -> None:
             if self._is_finished:
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -245,7 +245,7 @@
     def query_server(self, notice: ServerNotice, health_path: str) -> None:
         """Queries a server for its load unless a query is outstanding."""
         if notice.key.server not in self._load_queries:
-            self._query_server(notice, health_path)
+            self._start_query(notice, health_path)
 
     def schedule_recheck(self, call_id: int, at_ms: float) -> None:
         """Schedules the recheck of a waiting request."""
@@ -255,7 +255,7 @@
             lambda: self._handle(RecheckDue(monotonic_ms(), call_id)),
         )
 
-    def _query_server(self, notice: ServerNotice, health_path: str) -> None:
+    def _start_query(self, notice: ServerNotice, health_path: str) -> None:
         name = notice.key.server
         self._metrics.service(notice.key.service).probes += 1
         headers = Headers()
@@ -283,7 +283,7 @@
                 pool.close_idle()
                 self._timers.cancel(f"load-query.{name}")
                 self._load_queries.pop(name, None)
-                self._query_server(notice, health_path)
+                self._start_query(notice, health_path)
             else:
                 on_query_ended(None)
 
