Remove what the load model does not use

Cause: a table of wake-ups, a count of executions, the attempt of a sent request and a filter by kind were never read; entries used a private counter. Change: they are gone, the counter is public, attributes are documented. Ruled out: nothing.

--- a/benchmarks/fleet_load/model.py
+++ b/benchmarks/fleet_load/model.py
@@ -87,8 +87,7 @@
 @attrs.define(eq=False)
 class _Sent:
     server: ModelServer
-    job: Job | None
-    attempt: int
+    job: Job | None = None
 
 
 class FleetModel:
@@ -97,6 +96,12 @@
     Args:
         scenario: The scenario.
         seed: Seed of all random choices.
+
+    Attributes:
+        result: What the callers got so far.
+        now_ms: The virtual time.
+        call_ids: Ids of requests, unique over all entries.
+        servers: Servers of all services by name.
     """
 
     def __init__(self, scenario: Scenario, seed: int):
@@ -108,7 +113,7 @@
         self._caller_rng = random.Random(f"{seed} callers")
         self._queue: list = []
         self._numbers = itertools.count()
-        self._call_ids = itertools.count(1)
+        self.call_ids = itertools.count(1)
         self._burst_factor: dict[int, float] = {}
         self._moved_share: dict[int, float] = {}
         self._abuse: tuple[float, float] = (0.0, 0.0)
@@ -119,7 +124,6 @@
             for domain, count in enumerate(scenario.entries_per_domain)
             for number in range(count)
         ]
-        self._wakeups: dict[str, float] = {}
 
     def _make_servers(self, seed: int) -> tuple[RegisteredServer, ...]:
         records = []
@@ -354,7 +358,7 @@
 
     def receive(self, request: _Request) -> None:
         """Receives a request of a caller."""
-        call_id = next(self.model._call_ids)
+        call_id = next(self.model.call_ids)
         self._open[call_id] = request
         now_ms = self.model.now_ms
         self._handle(
@@ -469,7 +473,7 @@
         call_id, attempt = effect.call_id, effect.attempt
         request = self._open[call_id]
         server = model.servers[effect.notice.key.server]
-        sent = self._sent[call_id] = _Sent(server, None, attempt)
+        sent = self._sent[call_id] = _Sent(server)
         delay_ms = self._delay_ms(server)
         connect_ms = self._connect_ms(server)
 
--- a/benchmarks/fleet_load/results.py
+++ b/benchmarks/fleet_load/results.py
@@ -65,7 +65,7 @@
     @property
     def requests(self) -> int:
         """Number of requests."""
-        return sum(n for (_, key), n in self.outcomes.items() if key == "sent")
+        return self._count("sent")
 
     @property
     def worth(self) -> float:
@@ -78,15 +78,12 @@
         shares = sorted(self.earned[s] / self.owed[s] for s in self.owed)
         return sum(shares[:2]) / max(1, len(shares[:2]))
 
-    def share(self, outcome: str, kind: str | None = None) -> float:
+    def share(self, outcome: str) -> float:
         """Returns the share of requests with an outcome."""
-        counts = [
-            (key, number)
-            for (name, key), number in self.outcomes.items()
-            if kind in (None, name)
-        ]
-        sent = sum(number for key, number in counts if key == "sent")
-        return sum(n for key, n in counts if key == outcome) / max(1, sent)
+        return self._count(outcome) / max(1, self.requests)
+
+    def _count(self, outcome: str) -> int:
+        return sum(n for (_, key), n in self.outcomes.items() if key == outcome)
 
     def summary(self) -> dict[str, float]:
         """Returns the main figures."""
--- a/benchmarks/fleet_load/servers.py
+++ b/benchmarks/fleet_load/servers.py
@@ -38,8 +38,10 @@
         rng: Source of its noise.
         slow_factor: Slowdown by a fault.
         is_dark: Whether it answers nothing.
+        arrivals: Requests that arrived.
         arrivals_when_full: Requests that found all slots busy.
-        executions: Requests that it began to run.
+        version: Counts its changes, so that a scheduled change is dropped if
+            another one came first.
     """
 
     name: str
@@ -50,7 +52,6 @@
     is_dark: bool = False
     arrivals: int = 0
     arrivals_when_full: int = 0
-    executions: int = 0
     version: int = 0
     _running: list[Job] = attrs.field(factory=list)
     _waiting: list[Job] = attrs.field(factory=list)
@@ -73,7 +74,6 @@
         self.advance(now_ms)
         self.arrivals += 1
         if len(self._running) < self.model.slots:
-            self.executions += 1
             self._running.append(job)
         else:
             self.arrivals_when_full += 1
@@ -142,7 +142,6 @@
 
     def _fill_slots(self) -> None:
         while self._waiting and len(self._running) < self.model.slots:
-            self.executions += 1
             self._running.append(self._waiting.pop(0))
 
     def _factor(self) -> float:
