Show that the limit a server names is not kept

Cause: none fixed here. Servers in need name Server-Limit, the requests a second that they take from all entries together; nothing reads that field. The server stand-in can name a limit and notes when it runs a request.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -88,7 +88,9 @@
 
     Attributes:
         service_s: Service time of a request.
+        limit_per_s: Limit that it names in its answers; None for none.
         executed_ids: The ids of all requests whose execution began, in order.
+        executed_at_s: When the execution of each of them began.
         expected_instances: The expected instance that each of them names.
     """
 
@@ -96,7 +98,9 @@
     service: str
     host: str
     service_s: float = 0.02
+    limit_per_s: float | None = None
     executed_ids: list[str] = attrs.field(factory=list)
+    executed_at_s: list[float] = attrs.field(factory=list)
     expected_instances: list[str | None] = attrs.field(factory=list)
     _started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     _sequence: int = 0
@@ -131,6 +135,7 @@
                 request_id = self.headers["X-Gentianwall-Request-Id"]
                 fake_server._running_requests += 1
                 fake_server.executed_ids.append(request_id)
+                fake_server.executed_at_s.append(time.monotonic())
                 fake_server.expected_instances.append(
                     self.headers["X-Gentianwall-Expect-Instance"]
                 )
@@ -140,6 +145,8 @@
                     "X-Gentianwall-Request-Id": request_id,
                     "X-Gentianwall-Server-Stamp": f"stamp-{request_id}",
                 }
+                if fake_server.limit_per_s is not None:
+                    stamp_headers["Server-Limit"] = f"{fake_server.limit_per_s}"
                 body = f"{fake_server.name} {self.path}".encode()
                 self._send(200, body, stamp_headers)
 
