Divide the rate limits of servers among the entries

Cause: the field was not read. More than reading it is needed: the limit holds over all entries, and no entry knew which others send to a server. Change: entries report a limit with their next poll; the leader divides it among a few holders and tells all entries; a holder sends its share by a token bucket that starts empty, the others send nothing. Before the leader has answered, a limit counts as divided among all entries. If only limits stand in the way, the refusal names the time of the next allowed request. Log events rate_limit_changed and rate_limit_shared, gauge rate_limited_servers. Ruled out: a part for every entry without the leader.

--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -8,6 +8,11 @@
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.membership.registry import RegisteredServer
 
+# Entries and leader forget a rate limit that no answer has repeated for this
+# long. Only its holders receive answers of the server, and they may have no
+# requests for it for a while.
+RATE_LIMIT_MAX_AGE_MS = 60_000.0
+
 
 @attrs.frozen
 class CommandRequest:
@@ -148,6 +153,37 @@
     claims: int
 
 
+@attrs.frozen
+class RateLimitReport:
+    """Reports what a server stated about its rate limit.
+
+    Attributes:
+        server: Name of the server.
+        per_second: Requests a second that it takes from all entries together;
+            None if it has stated that it has no limit any more.
+        age_ms: Time since it stated that.
+    """
+
+    server: str
+    per_second: float | None
+    age_ms: float
+
+
+@attrs.frozen
+class SharedRateLimit:
+    """Reports which entries may send requests to a server with a rate limit.
+
+    Attributes:
+        server: Name of the server.
+        per_second: Requests a second that it takes from all entries together.
+        holders: Names of the entries that share this limit equally.
+    """
+
+    server: str
+    per_second: float
+    holders: tuple[str, ...]
+
+
 @attrs.frozen
 class FeedPoll:
     """Reports an entry's versions and asks the leader for later changes.
@@ -157,12 +193,16 @@
         revision: Revision of the server registry up to which it is current.
         quarantine_version: Version of the entry's quarantines.
         is_ready: Whether the entry is ready to serve callers.
+        rate_limits_version: Version of the entry's shares of rate limits.
+        rate_limits: What servers recently stated to the entry.
     """
 
     number: int
     revision: int
     quarantine_version: int
     is_ready: bool
+    rate_limits_version: int = 0
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 @attrs.frozen
@@ -181,6 +221,8 @@
         controls: Names of the known control instances.
         entries: Number of entries that polled recently, by which budgets are
             divided.
+        rate_limits_version: Version of `rate_limits`.
+        rate_limits: All rate limits in force; None if unchanged.
     """
 
     term: int
@@ -192,6 +234,8 @@
     quarantines: tuple[str, ...] | None
     controls: tuple[str, ...]
     entries: int
+    rate_limits_version: int = 0
+    rate_limits: tuple[SharedRateLimit, ...] | None = None
 
 
 @attrs.frozen
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -19,6 +19,7 @@
     ServerHeartbeats,
 )
 from gentianwall.core.effects import SendMessage
+from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
 
 # Seven poll intervals; an entry that missed seven polls is down or
@@ -44,11 +45,12 @@
 
 @attrs.frozen
 class FeedVersions:
-    """Versions of configuration, server registry and quarantines."""
+    """Versions of configuration, registry, quarantines and rate limits."""
 
     number: int
     revision: int
     quarantine_version: int
+    rate_limits_version: int
 
 
 @attrs.define
@@ -97,6 +99,7 @@
         content: State that `notices` were made from.
         notices: Notices by the versions of their receivers, so that each is
             encoded once.
+        rate_shares: Rate limits of servers and the entries that share them.
     """
 
     subscribers: dict[str, Subscriber] = attrs.field(factory=dict)
@@ -107,6 +110,7 @@
     entries_counted_ms: float = float("-inf")
     content: FeedContent | None = None
     notices: dict[FeedVersions, FeedNotice] = attrs.field(factory=dict)
+    rate_shares: RateShares = attrs.field(factory=RateShares)
 
 
 def on_poll(
@@ -122,21 +126,32 @@
         if replica.role is not Role.LEADER and replica.leader:
             effects.append(SendMessage(sender, FeedRedirect(replica.leader)))
         return
-    versions = FeedVersions(poll.number, poll.revision, poll.quarantine_version)
+    versions = FeedVersions(
+        poll.number,
+        poll.revision,
+        poll.quarantine_version,
+        poll.rate_limits_version,
+    )
     subscriber = feed.subscribers.get(sender)
     if subscriber is None:
         subscriber = feed.subscribers[sender] = Subscriber(versions, now_ms)
     subscriber.versions = versions
     subscriber.at_ms = now_ms
-    if not _is_update_in_flight(replica, subscriber, now_ms):
+    feed.rate_shares.record_reports(
+        sender, poll.rate_limits, feed.subscribers, now_ms
+    )
+    if not _is_update_in_flight(feed, replica, subscriber, now_ms):
         _send_notice(feed, replica, sender, now_ms, effects)
 
 
 def _is_update_in_flight(
-    replica: ReplicaState, subscriber: Subscriber, now_ms: float
+    feed: FeedState,
+    replica: ReplicaState,
+    subscriber: Subscriber,
+    now_ms: float,
 ) -> bool:
     """Returns whether the update that an entry lacks is probably in flight."""
-    if subscriber.versions == _current_versions(replica):
+    if subscriber.versions == _current_versions(feed, replica):
         return False
     if subscriber.update_base != subscriber.versions:
         return False
@@ -156,7 +171,7 @@
     A lost notice does no harm: the next poll resets the assumed versions.
     """
     subscriber = feed.subscribers[name]
-    current = _current_versions(replica)
+    current = _current_versions(feed, replica)
     if subscriber.versions != current:
         is_same_base = subscriber.update_base == subscriber.versions
         subscriber.update_count = (
@@ -178,7 +193,7 @@
     """
     if not feed.subscribers or not replica.can_read(now_ms):
         return
-    current = _current_versions(replica)
+    current = _current_versions(feed, replica)
     for name, subscriber in list(feed.subscribers.items()):
         if now_ms - subscriber.at_ms > SUBSCRIPTION_MS:
             del feed.subscribers[name]
@@ -195,12 +210,13 @@
     )
 
 
-def _current_versions(replica: ReplicaState) -> FeedVersions:
+def _current_versions(feed: FeedState, replica: ReplicaState) -> FeedVersions:
     register = replica.register
     return FeedVersions(
         _configuration_number(replica),
         register.registry.revision,
         register.quarantine_version,
+        feed.rate_shares.version(replica.term),
     )
 
 
@@ -215,7 +231,7 @@
     names += [name for name in replica.progress if name not in names]
     content = FeedContent(
         replica.term,
-        _current_versions(replica),
+        _current_versions(feed, replica),
         tuple(names),
         _count_entries(feed, now_ms),
     )
@@ -225,18 +241,22 @@
     notice = feed.notices.get(versions)
     if notice is None:
         notice = feed.notices[versions] = _make_notice(
-            replica, content, versions
+            feed, replica, content, versions
         )
     return notice
 
 
 def _make_notice(
-    replica: ReplicaState, content: FeedContent, versions: FeedVersions
+    feed: FeedState,
+    replica: ReplicaState,
+    content: FeedContent,
+    versions: FeedVersions,
 ) -> FeedNotice:
     register = replica.register
     current = content.versions
     has_configuration = versions.number >= current.number
     has_quarantines = versions.quarantine_version == current.quarantine_version
+    has_shares = versions.rate_limits_version == current.rate_limits_version
     return FeedNotice(
         term=content.term,
         number=current.number,
@@ -249,6 +269,8 @@
         quarantines=None if has_quarantines else tuple(register.quarantines),
         controls=content.controls,
         entries=content.entries,
+        rate_limits_version=current.rate_limits_version,
+        rate_limits=None if has_shares else feed.rate_shares.shares,
     )
 
 
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway import homes, placement
@@ -176,7 +178,7 @@
     call.queried.clear()
     call.queries_left = MAX_QUERIED_SERVERS
     if not ranked:
-        refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
+        _refuse_without_server(state, service, call, now_ms, effects)
     elif _query_more(state, service, call, ranked, now_ms, effects):
         return
     elif service.has_load_reports and service.health_path:
@@ -261,7 +263,7 @@
         if call.others:
             ranked = _rank_servers(state, service, call, now_ms)
     if not ranked:
-        refuse(state, call, RefusalReason.NO_SERVER, now_ms, effects)
+        _refuse_without_server(state, service, call, now_ms, effects)
         return
     if _query_more(state, service, call, ranked, now_ms, effects):
         return
@@ -314,6 +316,7 @@
         service.servers,
         (*service.homes, *call.others),
         call.tried_servers,
+        state.rate_limits,
         now_ms,
     )
     return placement.rank_servers(
@@ -327,6 +330,31 @@
     )
 
 
+def _refuse_without_server(
+    state: GatewayState,
+    service: ServiceState,
+    call: RoutedCall,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Refuses a request because there is no server that it may be sent to.
+
+    If that is due to rate limits, the caller is told to return when the first
+    of them allows a request.
+    """
+    untried = [n for n in service.servers if n not in call.tried_servers]
+    wait_ms = state.rate_limits.wait_ms(untried, now_ms)
+    is_limited = wait_ms > 0.0
+    refuse(
+        state,
+        call,
+        RefusalReason.OVERLOADED if is_limited else RefusalReason.NO_SERVER,
+        now_ms,
+        effects,
+        wait_ms if math.isfinite(wait_ms) else 0.0,
+    )
+
+
 def _send_best(
     state: GatewayState,
     service: ServiceState,
@@ -346,6 +374,7 @@
     if is_too_slow or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
+    state.rate_limits.spend(best.server.name)
     _send(call, best.server, best.expected_ms, now_ms, effects)
 
 
@@ -397,6 +426,7 @@
     reason: RefusalReason,
     now_ms: float,
     effects: list[GatewayEffect],
+    min_retry_after_ms: float = 0.0,
 ) -> None:
     """Refuses a request and states whether a server may have executed it."""
     state.calls.pop(call.call_id, None)
@@ -405,7 +435,9 @@
     after_ms = 0.0
     if executed is Executed.NO:
         service_ms = state.service(call.service).service_ms_for(call.route)
-        after_ms = service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
+        after_ms = min_retry_after_ms + (
+            service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
+        )
     fields = {
         "id": call.request_id,
         "reason": reason.name.lower(),
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -51,6 +51,7 @@
         is_authentic: Whether the server itself sent the answer, so that it may
             be forwarded.
         report: Its load report, if any.
+        rate_limit_per_s: Rate limit that the server names, if any.
     """
 
     at_ms: float
@@ -60,6 +61,7 @@
     is_refusal: bool
     is_authentic: bool
     report: SpeedReport | None
+    rate_limit_per_s: float | None = None
 
 
 @attrs.define
@@ -83,6 +85,7 @@
         is_healthy: Whether the answer reports the server as healthy.
         is_mismatched: Whether another server answered at that address.
         report: Its load report, if any.
+        rate_limit_per_s: Rate limit that the server names, if any.
     """
 
     at_ms: float
@@ -91,6 +94,7 @@
     is_healthy: bool
     is_mismatched: bool
     report: SpeedReport | None
+    rate_limit_per_s: float | None = None
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -62,6 +62,8 @@
         state.revision,
         state.quarantine_version,
         state.is_ready,
+        state.rate_limits.version,
+        state.rate_limits.make_reports(now_ms),
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -111,6 +113,22 @@
             state.choose_homes(state.service(name))
     if state.unrouted and state.table is not None:
         dispatching.dispatch_unrouted(state, event.at_ms, effects)
+    if notice.rate_limits is not None:
+        state.rate_limits.apply_shares(
+            notice.rate_limits_version,
+            notice.rate_limits,
+            state.link_name,
+            event.at_ms,
+        )
+        for shared in notice.rate_limits:
+            limit = state.rate_limits.by_server[shared.server]
+            fields = {
+                "server": shared.server,
+                "per_second": limit.per_second,
+                "share_per_second": round(limit.share_per_second, 3),
+                "holders": len(shared.holders),
+            }
+            effects.append(Log("rate_limit_shared", fields))
     if notice.quarantines is not None:
         state.quarantine_version = notice.quarantine_version
         state.quarantines = frozenset(notice.quarantines)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -57,6 +57,12 @@
     if server is not None and event.report is not None:
         service.has_load_reports = True
         server.record_report(event.report, event.at_ms)
+    is_success = event.is_authentic and not event.is_refusal
+    is_success = is_success and event.status < FIRST_ERROR_STATUS
+    if event.rate_limit_per_s is not None or is_success:
+        _record_rate_limit(
+            state, call.server, event.rate_limit_per_s, event.at_ms, effects
+        )
     if event.is_refusal:
         retry_or_refuse(
             state, call, RefusalReason.SERVER_REFUSED, event.at_ms, effects
@@ -85,6 +91,26 @@
     _forward_answer(state, call, event, effects)
 
 
+def _record_rate_limit(
+    state: GatewayState,
+    server: str,
+    per_second: float | None,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Records the rate limit that an answer names, and reports a change."""
+    if not state.rate_limits.record_statement(
+        server, per_second, state.entries, now_ms
+    ):
+        return
+    fields = {
+        "server": server,
+        "per_second": "none" if per_second is None else per_second,
+    }
+    effects.append(Log("rate_limit_changed", fields))
+    state.poll_due_ms = now_ms
+
+
 def _forward_answer(
     state: GatewayState,
     call: RoutedCall,
@@ -164,6 +190,7 @@
     has_untried_server = any(
         server.record.notice.state == "up"
         and server.name not in call.tried_servers
+        and state.rate_limits.may_send(server.name, now_ms)
         for server in service.servers.values()
     )
     return has_untried_server and service.retry_window.spend(now_ms)
@@ -256,6 +283,14 @@
         else:
             server.is_unhealthy = not event.is_healthy
             service = state.services[state.service_by_server[server.name]]
+            if event.rate_limit_per_s is not None:
+                _record_rate_limit(
+                    state,
+                    server.name,
+                    event.rate_limit_per_s,
+                    event.at_ms,
+                    effects,
+                )
             if event.report is not None:
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -13,6 +13,7 @@
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
 from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.homes import choose_homes
+from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
@@ -174,6 +175,8 @@
         typical_waits: Typical waits of the callers of each route.
         unrouted: Requests queued for the first configuration, by call id.
         started_ms: When the process started.
+        link_name: Name under which the entry polls the control instances.
+        rate_limits: Rate limits of servers and this entry's shares of them.
     """
 
     name: str
@@ -202,6 +205,8 @@
     typical_waits: TypicalWaits = attrs.field(factory=TypicalWaits)
     unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
     started_ms: float = 0.0
+    link_name: str = ""
+    rate_limits: RateLimits = attrs.field(factory=RateLimits)
 
     @property
     def is_ready(self) -> bool:
--- a/gentianwall/http/dialect.py
+++ b/gentianwall/http/dialect.py
@@ -22,6 +22,8 @@
             without it is not forwarded. Empty where servers send no stamp.
         server_name: Server that answered a health check.
         load: Load report of a server.
+        rate_limit: Requests a second that a server takes from all entries
+            together.
         not_executed: Set by a server that did not execute a request.
         parse_load: Parses the value of `load`.
         statuses: Statuses of refusals that differ from the product's own.
@@ -33,6 +35,7 @@
     server_stamp: bytes = b""
     server_name: bytes = b"Gentianwall-Server"
     load: bytes = b"Gentianwall-Load"
+    rate_limit: bytes = b"Gentianwall-Rate-Limit"
     not_executed: bytes = b"Gentianwall-Not-Executed"
     parse_load: Callable[[str], SpeedReport | None] = parse_speed_report
     statuses: dict[RefusalReason, int] = attrs.field(factory=dict)
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -58,6 +58,7 @@
     "callers_connections": "Open connections of callers.",
     "log_lines_dropped_total": "Log lines dropped as the reader was slow.",
     "log_lines_suppressed_total": "Log lines over the rate of their event.",
+    "rate_limited_servers": "Servers that name a rate limit.",
     "is_leader": "Whether this control instance is the leader.",
     "is_voter": "Whether this control instance is a voter.",
     "voters": "Voting control instances known to this process.",
--- a/gentianwall/routing/reports.py
+++ b/gentianwall/routing/reports.py
@@ -1,7 +1,9 @@
-"""Reports of servers about their load and speed."""
+"""Reports of servers about their load, speed and rate limit."""
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 
@@ -37,3 +39,13 @@
     return SpeedReport(
         int(numbers[0]), int(numbers[1]), int(numbers[2]), max(slowness, 0.01)
     )
+
+
+def parse_rate_limit(text: str) -> float | None:
+    """Parses a number of requests a second; returns None if malformed."""
+    try:
+        per_second = float(text)
+    except ValueError:
+        return None
+    is_valid = math.isfinite(per_second) and per_second >= 0
+    return per_second if is_valid else None
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -88,6 +88,7 @@
             ),
             seeds=settings.seed_link_addresses,
             started_ms=monotonic_ms(),
+            link_name=settings.link_address,
         )
         self.requests = GatewayRequestHandler(
             reactor,
@@ -233,6 +234,7 @@
                 "requests_in_flight": len(self.requests.open_requests),
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
+                "rate_limited_servers": len(state.rate_limits.by_server),
                 "is_ready": int(state.is_ready),
                 "feed_age_seconds": min(feed_age_ms, 1e9) / 1000.0,
                 "log_lines_dropped_total": self.log.writer.dropped,
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -40,6 +40,7 @@
 from gentianwall.http.headers import end_to_end_headers
 from gentianwall.membership.messages import ServerNotice
 from gentianwall.metrics import Metrics
+from gentianwall.routing.reports import parse_rate_limit
 from gentianwall.timers import TimerService, monotonic_ms
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
@@ -212,6 +213,7 @@
             is_refusal=is_refusal,
             is_authentic=self._is_authentic(answer),
             report=self._report(headers),
+            rate_limit_per_s=self._rate_limit_per_s(headers),
         )
 
     def _is_authentic(self, answer: ServerAnswer) -> bool:
@@ -231,6 +233,10 @@
             return None
         return self._dialect.parse_load(values[0].decode("latin-1"))
 
+    def _rate_limit_per_s(self, headers: Headers) -> float | None:
+        values = headers.getRawHeaders(self._dialect.rate_limit)
+        return parse_rate_limit(values[0].decode("latin-1")) if values else None
+
     def query_load(self, effect: QueryLoad) -> None:
         """Queries servers for their load and schedules the request's recheck.
 
@@ -309,11 +315,13 @@
     ) -> LoadQueryEnded:
         name = notice.key.server
         is_mismatched = False
-        report = None
+        report = rate_limit_per_s = None
         if answer is not None:
             values = answer.headers.getRawHeaders(self._dialect.server_name)
             is_mismatched = bool(values) and values[0] != name.encode()
-            report = None if is_mismatched else self._report(answer.headers)
+            if not is_mismatched:
+                report = self._report(answer.headers)
+                rate_limit_per_s = self._rate_limit_per_s(answer.headers)
         return LoadQueryEnded(
             at_ms=monotonic_ms(),
             server=name,
@@ -321,6 +329,7 @@
             is_healthy=answer is not None and answer.status < 400,
             is_mismatched=is_mismatched,
             report=report,
+            rate_limit_per_s=rate_limit_per_s,
         )
 
     def check_server(self, effect: CheckServer) -> None:
