Refuse a route without a target, and serve one with an empty split

A route with an empty list of weighted services was accepted, and each of its requests refused with 503, also when the route named a service. Change: an empty split counts as none; a route that then names no service is refused with the option's name, in both formats. Ruled out: refusing splits whose weights are all 0; an operator may drain a route in this way. Result: the two cases fail before and pass now.

--- a/gentianwall/config/routes.py
+++ b/gentianwall/config/routes.py
@@ -136,6 +136,9 @@
     if route.target_ms >= route.timeout_ms + MAX_TARGET_OVER_TIMEOUT_MS:
         reason = f"{route.target_ms:g} ms is 60 s or more above the timeout"
         problems.append(ConfigProblem(f"{route_path}.target_ms", reason))
+    if not route.targets:
+        reason = "must name at least one service"
+        problems.append(ConfigProblem(f"{route_path}.targets", reason))
     for target in route.targets:
         if target.service not in services:
             reason = f"names an unknown service {target.service!r}"
--- a/gentianwall/platform/configurations.py
+++ b/gentianwall/platform/configurations.py
@@ -117,7 +117,7 @@
 
 
 def _read_targets(spec: dict, path: str) -> tuple[RouteTarget, ...]:
-    if "trafficSplit" not in spec:
+    if not spec.get("trafficSplit"):
         return (RouteTarget(_read_value(spec, "service", str, path), 1.0),)
     targets = []
     for part in _read_value(spec, "trafficSplit", list, path):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 )
 from gentianwall.platform.configurations import decode_configuration
 from gentianwall.routing.reports import SpeedReport, parse_speed_report
+from gentianwall.routing.routes import RouteTable
 
 HEARTBEAT = {
     "service": "huvo11a",
@@ -147,6 +148,7 @@
         {"trafficSplit": [{"service": "huvo11a", "weight": -1}]},
         {"trafficSplit": [{"service": "none", "weight": 1}]},
         {"trafficSplit": None},
+        {"trafficSplit": []},
         {"timeoutMs": "600"},
         {"timeoutMs": 0},
         {"timeoutMs": -600},
@@ -162,6 +164,14 @@
     assert isinstance(decode_configuration(body), ConfigErrors)
 
 
+def test_a_route_with_an_empty_split_is_served_by_its_service():
+    document = _make_document(trafficSplit=[], service="huvo11a")
+    decoded = decode_configuration(json.dumps(document).encode())
+    table = RouteTable(decoded)
+    route = table.find("jepu9.example", "/lepu270/2f")
+    assert table.choose_service(route) == "huvo11a"
+
+
 @pytest.mark.parametrize(
     "version", ["7", "r", "r-7", "r7x", "r" + "9" * 30, "r\u0667", 7, None]
 )
