Answer 503 only to requests that were not executed

Callers saw: 503 with executed "unknown", for example when a request was lost at one server and no other was left to try. 503 promises that a request was not executed and never will be. Cause: the status followed from the reason of the last refusal alone, not from what had happened to earlier attempts; a listed cluster also named "every server refused" as the reason. Change: a refusal with a status of 503 whose request may have been executed has status 502 instead, in one place for all paths; a listed cluster names the lost server as the reason.

--- a/gentianwall/core/dispatching.py
+++ b/gentianwall/core/dispatching.py
@@ -64,7 +64,9 @@
                 return
             service.waiting.pop()
             reason = RefusalReason.NO_SERVER
-            if call.tried_servers:
+            if call.is_maybe_executed:
+                reason = RefusalReason.SERVER_LOST
+            elif call.tried_servers:
                 reason = RefusalReason.SERVER_REFUSED
             refuse(state, call, reason, now_ms, effects)
             continue
--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -82,5 +82,11 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status of the reason."""
-        return STATUS[self.reason]
+        """The HTTP status of the reason.
+
+        Status 503 promises that the request was not executed, so a request
+        that may have been is refused with 502 instead.
+        """
+        status = STATUS[self.reason]
+        is_promise_kept = self.executed is Executed.NO or status != 503
+        return status if is_promise_kept else 502
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.events import FailureKind
-from gentianwall.core.refusals import Executed
+from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import DeadlineExpired
 from harness.gateway_entry import (
@@ -18,6 +18,8 @@
 )
 
 ORDER = RouteKind.NON_IDEMPOTENT
+# These promise callers that the request was not executed and never will be.
+PROMISING_STATUSES = (408, 421, 429, 503)
 
 
 @pytest.fixture
@@ -73,6 +75,25 @@
     assert single_refusal(entry.fail_attempt(kind)).executed is Executed.UNKNOWN
 
 
+@pytest.mark.parametrize("reason", RefusalReason)
+@pytest.mark.parametrize("executed", [Executed.YES, Executed.UNKNOWN])
+def test_no_status_promises_that_an_executed_request_was_not(reason, executed):
+    assert Refusal(reason, executed).status not in PROMISING_STATUSES
+
+
+def test_a_lost_request_without_another_server_is_not_answered_503(entry):
+    entry.deliver_request()
+    (sent,) = effects_of_type(
+        entry.fail_attempt(FailureKind.LOST), fx.SendRequest
+    )
+    refusal = single_refusal(
+        entry.fail_attempt(FailureKind.NOT_CONNECTED, attempt=sent.attempt)
+    )
+    assert refusal.reason is RefusalReason.NO_SERVER
+    assert refusal.executed is Executed.UNKNOWN
+    assert refusal.status not in PROMISING_STATUSES
+
+
 def test_a_request_refused_by_the_servers_was_not_executed(entry):
     entry.deliver_request(ORDER)
     (sent,) = effects_of_type(
