Take only a connection without an answer as evidence of a crash

Cause: a listed cluster counted an answer that is cut short, by the server or by a limit of this side, as a crash. The gateway counted only lost connections whose server then refuses a new one. Change: the kind of failure says whether it is evidence of a crash, for both paths; an answer cut short is none. Ruled out: counting a cut answer if the server is gone afterwards; a server that crashes with the head of its answer sent is told by its lease or its next call.

--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -204,7 +204,8 @@
             reason = RefusalReason.SERVER_REFUSED
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.LOST | FailureKind.TRUNCATED:
-            call.crashed_servers += (call.server,)
+            if event.kind.is_crash_evidence:
+                call.crashed_servers += (call.server,)
             reason = RefusalReason.SERVER_LOST
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.SILENT | FailureKind.MISMATCHED:
--- a/gentianwall/core/events.py
+++ b/gentianwall/core/events.py
@@ -22,6 +22,16 @@
     MISMATCHED = "answer to another request"
     TOO_LARGE = "answer too large"
 
+    @property
+    def is_crash_evidence(self) -> bool:
+        """Whether the server may have crashed while it executed the request.
+
+        It may have if it ended the connection without an answer. A server that
+        sends an answer which is malformed, too long or cut short still runs, or
+        cannot be told from one that does.
+        """
+        return self is FailureKind.LOST
+
 
 @attrs.define
 class CallArrived:
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -154,7 +154,7 @@
         return
     call.is_maybe_executed = True
     _record_failure(server, event.at_ms)
-    if server is not None and event.kind is FailureKind.LOST:
+    if server is not None and event.kind.is_crash_evidence:
         effects.append(CheckServer(call.call_id, server.record.notice))
     retry_or_refuse(
         state, call, REFUSAL_REASONS[event.kind], event.at_ms, effects
