Divide rate limits only once a new leader has heard all entries

Servers would see: after a change of the leader, more requests than they named. Cause: a new leader gave the whole limit to the first entry that reported it, half of it to the second, and so on, while the others still used their shares of the former leader. Found by letting the replay lose its leader every 8 s. Change: a leader collects reports for 1 s after the start of its leadership and sends no shares meanwhile; entries keep those they have. Also, a limit in the answer to a misdirected request is ignored: another server sent it.

--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -138,7 +138,11 @@
     subscriber.versions = versions
     subscriber.at_ms = now_ms
     feed.rate_shares.record_reports(
-        sender, poll.rate_limits, feed.subscribers, now_ms
+        sender,
+        poll.rate_limits,
+        feed.subscribers,
+        replica.leader_since_ms,
+        now_ms,
     )
     if not _is_update_in_flight(feed, replica, subscriber, now_ms):
         _send_notice(feed, replica, sender, now_ms, effects)
@@ -256,7 +260,10 @@
     current = content.versions
     has_configuration = versions.number >= current.number
     has_quarantines = versions.quarantine_version == current.quarantine_version
-    has_shares = versions.rate_limits_version == current.rate_limits_version
+    has_shares = (
+        versions.rate_limits_version == current.rate_limits_version
+        or not feed.rate_shares.is_complete
+    )
     return FeedNotice(
         term=content.term,
         number=current.number,
--- a/gentianwall/core/rate_shares.py
+++ b/gentianwall/core/rate_shares.py
@@ -5,8 +5,9 @@
 saved up one request, so with many holders a server whose limit is lower than
 their number would get all of these at once.
 
-Shares are not replicated. A new leader has them again after the first poll of
-each entry.
+Shares are not replicated. A new leader first collects the reports of all
+entries, which keep the shares of the former leader meanwhile: shares given out
+one after the other to a growing number of holders would exceed the limit.
 """
 
 from __future__ import annotations
@@ -28,6 +29,11 @@
 SPARE_HOLDERS = 4
 # Interval at which limits expire and holders that stopped polling are replaced.
 REFRESH_MS = 1000.0
+# Time after the start of its leadership in which a leader collects reports. An
+# entry notices the loss of the former leader within 700 ms and then polls all
+# control instances.
+COLLECTION_MS = 1000.0
+INCOMPLETE_VERSION = -1
 VERSION_BITS = 32
 
 
@@ -55,17 +61,25 @@
     Attributes:
         reported: Reported limits by the name of the server.
         shares: Limits in force with their holders.
+        is_complete: Whether the leader has led long enough to have received
+            the reports of all entries.
         changes: Number of changes of `shares`.
         refresh_due_ms: When `shares` is next updated without a new report.
     """
 
     reported: dict[str, ReportedLimit] = attrs.field(factory=dict)
     shares: tuple[SharedRateLimit, ...] = ()
+    is_complete: bool = False
     changes: int = 0
     refresh_due_ms: float = 0.0
 
     def version(self, term: int) -> int:
-        """Returns the version of the shares; leaders never share a version."""
+        """Returns the version of the shares; leaders never share a version.
+
+        Without limits it is 0, as at an entry that has received no shares.
+        """
+        if not self.is_complete:
+            return INCOMPLETE_VERSION
         return term << VERSION_BITS | self.changes if self.changes else 0
 
     def record_reports(
@@ -73,6 +87,7 @@
         entry: str,
         reports: tuple[RateLimitReport, ...],
         entries: Collection[str],
+        leader_since_ms: float,
         now_ms: float,
     ) -> None:
         """Records the reports of an entry and updates the shares.
@@ -81,12 +96,16 @@
             entry: Name of the entry.
             reports: Its reports.
             entries: Names of all entries that poll.
+            leader_since_ms: When the leadership began.
             now_ms: The local clock.
         """
         is_changed = False
         for report in reports:
             is_changed |= self._record(entry, report, now_ms)
-        if is_changed or (self.reported and now_ms >= self.refresh_due_ms):
+        self.is_complete = now_ms - leader_since_ms >= COLLECTION_MS
+        if not self.is_complete:
+            self.refresh_due_ms = now_ms
+        elif is_changed or (self.reported and now_ms >= self.refresh_due_ms):
             self._refresh(entries, now_ms)
 
     def _record(
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -201,10 +201,8 @@
     ) -> ServerAnswered:
         names = self._dialect
         headers = answer.headers
-        is_refusal = (
-            headers.hasHeader(names.not_executed)
-            or answer.status == MISDIRECTED_STATUS
-        )
+        is_misdirected = answer.status == MISDIRECTED_STATUS
+        is_refusal = headers.hasHeader(names.not_executed) or is_misdirected
         return ServerAnswered(
             at_ms=monotonic_ms(),
             call_id=call.call_id,
@@ -213,7 +211,10 @@
             is_refusal=is_refusal,
             is_authentic=self._is_authentic(answer),
             report=self._report(headers),
-            rate_limit_per_s=self._rate_limit_per_s(headers),
+            # A misdirected request was answered by another server.
+            rate_limit_per_s=(
+                None if is_misdirected else self._rate_limit_per_s(headers)
+            ),
         )
 
     def _is_authentic(self, answer: ServerAnswer) -> bool:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -36,6 +36,8 @@
 SETTLING_MS = 3000.0
 WINDOW_MS = 4000.0
 REPLAY_MS = 30_000.0
+LEADERSHIP_MS = 8000.0
+ELECTION_MS = 1000.0
 
 
 @attrs.define
@@ -50,9 +52,12 @@
 def _replay(entries, per_second):
     """Returns when the server gets requests from entries without a pause.
 
-    The server answers within one step and names its limit from the start.
+    The server answers within one step and names its limit from the start. The
+    leader is lost three times, and another one stands a second later.
     """
     shares = RateShares()
+    term = 1
+    leader_since_ms = -LEADERSHIP_MS
     fleet = [
         EntryInNeed(f"e{number}", number * POLL_MS / entries)
         for number in range(entries)
@@ -62,17 +67,26 @@
     now_ms = 0.0
     while now_ms < REPLAY_MS:
         now_ms += STEP_MS
+        if now_ms >= term * LEADERSHIP_MS:
+            term += 1
+            shares = RateShares()
+            leader_since_ms = now_ms
+        has_leader = now_ms % LEADERSHIP_MS < LEADERSHIP_MS - ELECTION_MS
         for entry in fleet:
             if entry.limits.may_send("s", now_ms):
                 arrived_ms.append(now_ms)
                 entry.limits.spend("s")
                 entry.limits.record_statement("s", per_second, entries, now_ms)
-            if (now_ms + entry.poll_phase_ms) % POLL_MS < STEP_MS:
+            is_poll_due = (now_ms + entry.poll_phase_ms) % POLL_MS < STEP_MS
+            if is_poll_due and has_leader:
                 reports = entry.limits.make_reports(now_ms)
-                shares.record_reports(entry.name, reports, names, now_ms)
-                entry.limits.apply_shares(
-                    shares.version(1), shares.shares, entry.name, now_ms
+                shares.record_reports(
+                    entry.name, reports, names, leader_since_ms, now_ms
                 )
+                if shares.is_complete:
+                    entry.limits.apply_shares(
+                        shares.version(term), shares.shares, entry.name, now_ms
+                    )
     return arrived_ms
 
 
@@ -110,9 +124,8 @@
     limits = RateLimits()
     limits.record_statement("s", 2.0, 4, 0.0)
     shares = RateShares()
-    shares.record_reports("other", (RateLimitReport("s", 2.0, 0.0),), "", 0.0)
     shares.record_reports(
-        "other", (RateLimitReport("s", 2.0, 0.0),), ["other"], 1000.0
+        "other", (RateLimitReport("s", 2.0, 0.0),), ["other"], 0.0, 1000.0
     )
     limits.apply_shares(1, shares.shares, "this", 1000.0)
     assert limits.wait_ms(["s"], 60_000.0) == float("inf")
@@ -130,7 +143,7 @@
 
     def poll(name, now_ms):
         reports = limits[name].make_reports(now_ms)
-        shares.record_reports(name, reports, "ab", now_ms)
+        shares.record_reports(name, reports, "ab", -1000.0, now_ms)
         limits[name].apply_shares(
             shares.version(1), shares.shares, name, now_ms
         )
@@ -146,10 +159,21 @@
     assert limits["b"].may_send("s", 2100.0)
     # A report that was on its way does not restore the limit.
     late = (RateLimitReport("s", 0.1, 500.0),)
-    shares.record_reports("b", late, "ab", 2200.0)
+    shares.record_reports("b", late, "ab", -1000.0, 2200.0)
     assert not shares.shares
 
 
+def test_a_new_leader_gives_out_shares_only_after_all_entries_have_polled():
+    shares = RateShares()
+    reports = (RateLimitReport("s", 2.0, 0.0),)
+    shares.record_reports("a", reports, "ab", 0.0, 100.0)
+    assert not shares.is_complete
+    shares.record_reports("b", reports, "ab", 0.0, 500.0)
+    shares.record_reports("a", (), "ab", 0.0, 1000.0)
+    assert shares.is_complete
+    assert [share.holders for share in shares.shares] == [("a", "b")]
+
+
 def test_an_unconfirmed_limit_outlasts_a_notice_sent_before_its_report():
     limits = RateLimits()
     limits.record_statement("s", 0.1, 2, 0.0)
