Let the test of the reload signal set the signal's default first

Change: the child sets the default before the import; the assertion is the same, and no longer depends on how the tests are started. Ruled out: load. By itself the test failed under nohup and passed without.

--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -92,7 +92,8 @@
 
 def test_only_processes_that_reload_ignore_the_reload_signal():
     program = (
-        "import signal, gentianwall.__main__;"
+        "import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL);"
+        "import gentianwall.__main__;"
         "print(signal.getsignal(signal.SIGHUP) is signal.SIG_DFL)"
     )
     command = [sys.executable, "-c", program]
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,7 +1,7 @@
 """Tests that entries divide the rate limits of servers, without sockets.
 
-The replay has many entries that would each send to a server in need whenever
-they may, and a leader that divides the limit among them.
+The replay has many entries that each send to one server whenever they may, and
+a leader that divides the limit of that server among them.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
 
 @attrs.define
-class EntryInNeed:
+class SimulatedEntry:
     """An entry that sends to the limited server whenever it may."""
 
     name: str
@@ -59,7 +59,7 @@
     term = 1
     leader_since_ms = -LEADERSHIP_MS
     fleet = [
-        EntryInNeed(f"e{number}", number * POLL_MS / entries)
+        SimulatedEntry(f"e{number}", number * POLL_MS / entries)
         for number in range(entries)
     ]
     names = [entry.name for entry in fleet]
