Show that partitioned entries refuse the callers that others serve

The test runs three control instances, four entries and four servers as real processes and threads, with a proxy between each entry and each server. Connections hang, are reset, or live on while new ones are refused.

The proxy of the soak gains the partition; its other faults are unchanged.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -234,6 +234,10 @@
 class Fleet:
     """Control instances and entries as processes.
 
+    Attributes:
+        rerouted_hosts: By the host of a process, the prefixes of hosts that it
+            does not connect to directly, and what replaces them.
+
     Args:
         folder: Contains the folders of all processes.
         controls: Number of control instances.
@@ -252,6 +256,7 @@
     ):
         self.folder = folder
         self.command = command
+        self.rerouted_hosts: dict[str, dict[str, str]] = {}
         self.control_settings: list[str] = []
         self.controls = [
             Node(f"127.{block}.1.{n}", "control", folder / f"c{n}")
@@ -290,10 +295,17 @@
             ]
         settings = node.folder / "settings.toml"
         settings.write_text("\n".join(lines) + "\n")
+        command = self.command(settings)
+        environment = {**os.environ, "GENTIANWALL_NODE_FILE": str(settings)}
+        if node.host in self.rerouted_hosts:
+            command = ["harness.rerouted_process", *command]
+            environment["REROUTED_HOSTS"] = json.dumps(
+                self.rerouted_hosts[node.host]
+            )
         with (node.folder / "log").open("ab") as log:
             node.process = subprocess.Popen(
-                [sys.executable, "-m", *self.command(settings)],
-                env={**os.environ, "GENTIANWALL_NODE_FILE": str(settings)},
+                [sys.executable, "-m", *command],
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
@@ -408,10 +420,14 @@
 
 @contextlib.contextmanager
 def running_fleet(
-    folder: pathlib.Path, controls: int, entries: int
+    folder: pathlib.Path,
+    controls: int,
+    entries: int,
+    rerouted_hosts: dict[str, dict[str, str]] | None = None,
 ) -> Iterator[Fleet]:
     """Runs a fleet with a configuration while the context lasts."""
     fleet = Fleet(folder, controls, entries)
+    fleet.rerouted_hosts = rerouted_hosts or {}
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,6 +11,7 @@
 
 CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
+BACKLOG = 128
 # SO_LINGER with a time of 0: closing the socket sends a TCP reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -28,6 +29,19 @@
     ONE_WAY = "one way"
 
 
+class Partition(enum.Enum):
+    """How a partition shows to the process whose links it cuts.
+
+    With `HANG`, connections fall silent and new ones are not established. With
+    `RESET`, connections are reset and new ones refused. With `REFUSE_NEW`, only
+    new ones are refused.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE_NEW = "refuse new"
+
+
 class Proxy:
     """Forwards TCP connections from one address to another.
 
@@ -39,10 +53,11 @@
     def __init__(self, host: str, target: str, port: int):
         self.fault = ProxyFault.NONE
         self.delay_s = 0.1
+        self._address = (host, port)
         self._target = (target, port)
         self._sockets: set[socket.socket] = set()
-        self._listener = socket.create_server((host, port))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._fillers: list[socket.socket] = []
+        self._listen()
 
     def reset_all(self) -> None:
         """Resets all open connections."""
@@ -54,15 +69,58 @@
                 sock.close()
         self._sockets.clear()
 
+    def begin_partition(self, partition: Partition) -> None:
+        """Cuts the link until `end_partition` is called."""
+        self._stop_listening()
+        if partition is Partition.HANG:
+            self.fault = ProxyFault.SILENCE
+            self._listener = socket.create_server(self._address, backlog=0)
+            self._fill_backlog()
+        elif partition is Partition.RESET:
+            self.reset_all()
+
+    def end_partition(self) -> None:
+        """Accepts connections again; those that had fallen silent are reset."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        if self.fault is ProxyFault.SILENCE:
+            self.fault = ProxyFault.NONE
+            self.reset_all()
+        self._stop_listening()
+        self._listen()
+
     def close(self) -> None:
         """Stops listening and resets all open connections."""
-        self._listener.close()
+        self._stop_listening()
+        for filler in self._fillers:
+            filler.close()
         self.reset_all()
 
-    def _accept(self) -> None:
+    def _listen(self) -> None:
+        self._listener = socket.create_server(self._address, backlog=BACKLOG)
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def _stop_listening(self) -> None:
+        # Closing alone does not end an `accept` in another thread.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _fill_backlog(self) -> None:
+        """Fills the queue of new connections, so that others are dropped."""
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._address)
+            self._fillers.append(filler)
+
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                client_sock, _ = self._listener.accept()
+                client_sock, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(
