Relay requests through peers while an entry reaches no server

Cause: an entry had no path to a server but its own connections. It tried each server in turn and refused with no_server, or waited for answers that could not come. Class of fault: one process takes the loss of its own links for the loss of what is behind them.

Change: connections that fail at two servers start checks of four random servers on new connections; if none is reached, the entry is partitioned and relays its requests over HTTP to one of eight peers that the leader names. The first entry keeps route, service, deadline and attempts; the peer chooses the server and never relays further. What may have been executed is not sent again.

--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -38,6 +38,13 @@
         minimum=1,
         maximum=65535,
     )
+    peer_port: int = option(
+        "Port on which entries accept requests from entries that reach no "
+        "server; the same in the whole fleet; 0 to refuse them.",
+        0,
+        minimum=0,
+        maximum=65535,
+    )
     metrics_port: int = option(
         "Port for metrics; 0 serves none.", 0, minimum=0, maximum=65535
     )
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -195,6 +195,8 @@
         is_ready: Whether the entry is ready to serve callers.
         rate_limits_version: Version of the entry's shares of rate limits.
         rate_limits: What servers recently stated to the entry.
+        is_partitioned: Whether the entry reaches no server.
+        wants_peers: Whether the entry asks for a list of peers.
     """
 
     number: int
@@ -203,6 +205,19 @@
     is_ready: bool
     rate_limits_version: int = 0
     rate_limits: tuple[RateLimitReport, ...] = ()
+    is_partitioned: bool = False
+    wants_peers: bool = False
+
+
+@attrs.frozen
+class PeerList:
+    """Names some entries that relay requests of an entry without servers.
+
+    Attributes:
+        hosts: Hosts of ready entries that are not partitioned themselves.
+    """
+
+    hosts: tuple[str, ...]
 
 
 @attrs.frozen
@@ -297,4 +312,5 @@
     | ServerHeartbeats
     | ConfigurationRequest
     | ConfigurationReply
+    | PeerList
 )
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -16,9 +16,11 @@
     FeedNotice,
     FeedPoll,
     FeedRedirect,
+    PeerList,
     ServerHeartbeats,
 )
 from gentianwall.core.effects import SendMessage
+from gentianwall.core.peers import choose_peers
 from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
 
@@ -38,6 +40,9 @@
 # entry. The delay is shorter than the poll interval of an entry that has a
 # configuration.
 UPDATE_RESEND_MS = 200.0
+# An entry polls every 400 ms, so one that missed three polls is not named to
+# others as a peer.
+PEER_MAX_AGE_MS = 1500.0
 # Maximum age of the entry count in a notice; entries use the count only seconds
 # later.
 ENTRY_COUNT_MAX_AGE_MS = 100.0
@@ -64,6 +69,7 @@
         update_base: Versions that the last update was based on.
         update_count: Number of updates sent in a row for that base.
         update_sent_ms: Time of the last update.
+        can_relay: Whether it is ready and reaches servers.
     """
 
     versions: FeedVersions
@@ -71,6 +77,7 @@
     update_base: FeedVersions | None = None
     update_count: int = 0
     update_sent_ms: float = float("-inf")
+    can_relay: bool = False
 
 
 @attrs.frozen
@@ -137,6 +144,15 @@
         subscriber = feed.subscribers[sender] = Subscriber(versions, now_ms)
     subscriber.versions = versions
     subscriber.at_ms = now_ms
+    subscriber.can_relay = poll.is_ready and not poll.is_partitioned
+    if poll.wants_peers:
+        names = [
+            name
+            for name, other in feed.subscribers.items()
+            if other.can_relay and now_ms - other.at_ms <= PEER_MAX_AGE_MS
+        ]
+        peers = PeerList(choose_peers(sender, names))
+        effects.append(SendMessage(sender, peers))
     feed.rate_shares.record_reports(
         sender,
         poll.rate_limits,
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import homes, placement
+from gentianwall.gateway import homes, placement, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -18,7 +18,7 @@
     SendRequest,
     StartDeadlineTimer,
 )
-from gentianwall.gateway.events import RequestArrived
+from gentianwall.gateway.events import Relay, RequestArrived
 from gentianwall.gateway.placement import Candidate
 from gentianwall.gateway.servers import RoutedServer, SentRequest
 from gentianwall.gateway.state import (
@@ -81,6 +81,9 @@
         now_ms: The local clock; the time of arrival if omitted.
     """
     now_ms = event.at_ms if now_ms is None else now_ms
+    if event.relay is not None:
+        _on_relayed_request(state, event, event.relay, effects)
+        return
     if state.table is None:
         _queue_unrouted(state, event, effects)
         return
@@ -114,6 +117,38 @@
     dispatch(state, call, now_ms, effects)
 
 
+def _on_relayed_request(
+    state: GatewayState,
+    event: RequestArrived,
+    relay: Relay,
+    effects: list[GatewayEffect],
+) -> None:
+    """Dispatches a request of a peer.
+
+    The peer has counted it for its limit on retries, so only retries count
+    here.
+    """
+    if event.fingerprint and event.fingerprint in state.quarantines:
+        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
+        return
+    if state.reachability.is_partitioned or event.wait_ms is None:
+        _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
+        return
+    call = RoutedCall(
+        call_id=event.call_id,
+        request_id=event.request_id,
+        route=relaying.make_route(event, relay, event.wait_ms),
+        service=relay.service,
+        arrived_ms=event.at_ms,
+        deadline_ms=event.at_ms + event.wait_ms,
+        target_at_ms=event.at_ms + relay.target_left_ms,
+        relay=relay,
+    )
+    state.calls[call.call_id] = call
+    effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
+    dispatch(state, call, event.at_ms, effects)
+
+
 def _queue_unrouted(
     state: GatewayState, event: RequestArrived, effects: list[GatewayEffect]
 ) -> None:
@@ -170,7 +205,12 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    """Sends a request to the best server, after load queries if needed."""
+    """Sends a request to the best server, after load queries if needed.
+
+    A partitioned entry sends it to a peer instead.
+    """
+    if relaying.send_to_peer(state, call, now_ms, effects):
+        return
     service = state.service(call.service)
     if call.tried_servers:
         _draw_others(state, service, call)
@@ -447,6 +487,7 @@
         "servers": len(state.service(call.service).servers),
         "attempt": call.attempt,
         "server": call.server,
+        "peer": call.peer,
         "after_ms": round(now_ms - call.arrived_ms),
         "left_ms": round(call.deadline_ms - now_ms),
         "retry_after_ms": round(after_ms),
@@ -467,6 +508,7 @@
     if call.phase is not Phase.SENT:
         return None
     effects.append(CancelRequest(call.call_id))
+    relaying.end_relay(state, call)
     return remove_from_server(state, call)
 
 
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -6,6 +6,7 @@
 
 from gentianwall.control.messages import CommandRequest, FeedPoll
 from gentianwall.core.refusals import Refusal
+from gentianwall.gateway.events import Relay
 from gentianwall.membership.messages import ServerNotice
 
 
@@ -29,6 +30,33 @@
     is_idempotent: bool
 
 
+@attrs.define
+class RelayRequest:
+    """Sends a request to a peer, which sends it to a server.
+
+    Attributes:
+        call_id: Identifies the request.
+        attempt: Number of the attempt, from 1.
+        peer: Host of the peer.
+        left_ms: Time left before the deadline of the request.
+        relay: Decisions that the peer follows.
+    """
+
+    call_id: int
+    attempt: int
+    peer: str
+    left_ms: float
+    relay: Relay
+
+
+@attrs.define
+class CheckReach:
+    """Checks on a new connection whether a server is reached."""
+
+    notice: ServerNotice
+    health_path: str
+
+
 @attrs.define
 class QueryLoad:
     """Queries servers for their load before a request is dispatched."""
@@ -122,6 +150,8 @@
 
 GatewayEffect = (
     SendRequest
+    | RelayRequest
+    | CheckReach
     | QueryLoad
     | CheckOverdue
     | CancelRequest
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -4,19 +4,40 @@
 
 import attrs
 
-from gentianwall.control.messages import FeedNotice, FeedRedirect
+from gentianwall.config.routes import RouteKind
+from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import (
     CallerDisconnected,
     DrainStarted,
     FailureKind,
     Tick,
 )
+from gentianwall.core.refusals import Refusal
 from gentianwall.routing.reports import SpeedReport
 
 
+@attrs.frozen
+class Relay:
+    """What the first entry of a relayed request has decided about it.
+
+    Attributes:
+        service: Name of the target service.
+        kind: Kind of the request.
+        target_ms: Target time of its route.
+        target_left_ms: Time left until its target; negative if that is over.
+        attempts_left: Number of servers that it may be sent to.
+    """
+
+    service: str
+    kind: RouteKind
+    target_ms: float
+    target_left_ms: float
+    attempts_left: int
+
+
 @attrs.define
 class RequestArrived:
-    """A caller sent a complete request.
+    """A caller, or a peer, sent a complete request.
 
     Attributes:
         at_ms: When the event occurred.
@@ -27,6 +48,8 @@
         wait_ms: How long the caller waits; None if not stated.
         fingerprint: Digest of the request; empty while no quarantine is in
             force.
+        relay: Decisions of the peer that relays the request; None if a caller
+            sent it.
     """
 
     at_ms: float
@@ -36,6 +59,7 @@
     path: str
     wait_ms: float | None
     fingerprint: str
+    relay: Relay | None = None
 
 
 @attrs.define
@@ -74,6 +98,46 @@
     kind: FailureKind
 
 
+@attrs.define
+class PeerAnswered:
+    """A peer sent a complete answer to a relayed request.
+
+    Attributes:
+        at_ms: When the event occurred.
+        call_id: Identifies the request.
+        attempt: Number of the attempt, from 1.
+        status: HTTP status.
+        server: Name of the server that answered; empty if none did.
+        refusal: The peer's refusal; None if a server answered.
+    """
+
+    at_ms: float
+    call_id: int
+    attempt: int
+    status: int
+    server: str
+    refusal: Refusal | None
+
+
+@attrs.define
+class PeerFailed:
+    """A peer sent no complete answer to a relayed request."""
+
+    at_ms: float
+    call_id: int
+    attempt: int
+    kind: FailureKind
+
+
+@attrs.define
+class ReachChecked:
+    """A check of the path to a server ended."""
+
+    at_ms: float
+    server: str
+    is_reached: bool
+
+
 @attrs.define
 class LoadQueryEnded:
     """A load query to a server ended, with or without an answer.
@@ -129,7 +193,7 @@
 
     at_ms: float
     sender: str
-    message: FeedNotice | FeedRedirect
+    message: FeedNotice | FeedRedirect | PeerList
 
 
 GatewayEvent = (
@@ -137,6 +201,9 @@
     | CallerDisconnected
     | ServerAnswered
     | ServerFailed
+    | PeerAnswered
+    | PeerFailed
+    | ReachChecked
     | LoadQueryEnded
     | RecheckDue
     | DeadlineExpired
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from gentianwall.control.messages import FeedNotice, FeedPoll, FeedRedirect
+from gentianwall.control.messages import (
+    FeedNotice,
+    FeedPoll,
+    FeedRedirect,
+    PeerList,
+)
 from gentianwall.gateway import dispatching
 from gentianwall.gateway.effects import (
     CloseIdleConnections,
@@ -64,6 +69,9 @@
         state.is_ready,
         state.rate_limits.version,
         state.rate_limits.make_reports(now_ms),
+        state.reachability.is_partitioned,
+        state.has_peers
+        and state.peers.is_list_due(state.reachability.is_partitioned, now_ms),
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -81,6 +89,8 @@
             if leader != state.leader or leader not in state.controls:
                 state.leader = leader
                 state.controls = (*state.controls, leader)
+        case PeerList(hosts):
+            state.peers.apply_list(hosts)
         case FeedNotice():
             _on_notice(state, event, event.message, effects)
 
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -6,7 +6,7 @@
 from gentianwall.control.messages import CommandRequest
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import RefusalReason
-from gentianwall.gateway import dispatching, overdue
+from gentianwall.gateway import dispatching, overdue, relaying
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckOverdue,
@@ -145,6 +145,7 @@
     if call is None or call.attempt != event.attempt:
         return
     server = dispatching.remove_from_server(state, call)
+    _record_lost_path(state, call.server, event.at_ms, effects)
     if event.kind is FailureKind.NOT_CONNECTED:
         call.attempt -= 1  # Nothing was sent.
         if server is not None:
@@ -161,6 +162,17 @@
     )
 
 
+def _record_lost_path(
+    state: GatewayState,
+    server: str,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Records a failed connection and checks other servers if it is due."""
+    state.reachability.record_failure(server, now_ms)
+    relaying.start_due_checks(state, now_ms, effects)
+
+
 def retry_or_refuse(
     state: GatewayState,
     call: RoutedCall,
@@ -187,7 +199,7 @@
     service = state.service(call.service)
     if now_ms + service.service_ms_for(call.route) > call.deadline_ms:
         return False
-    has_untried_server = any(
+    has_untried_server = relaying.can_relay(state, call, now_ms) or any(
         server.record.notice.state == "up"
         and server.name not in call.tried_servers
         and state.rate_limits.may_send(server.name, now_ms)
@@ -280,6 +292,8 @@
     if server is not None:
         if not event.is_answered or event.is_mismatched:
             _pause_server(state, server, event.at_ms, effects)
+            if not event.is_answered:
+                _record_lost_path(state, event.server, event.at_ms, effects)
         else:
             server.is_unhealthy = not event.is_healthy
             service = state.services[state.service_by_server[server.name]]
@@ -344,11 +358,15 @@
     """
     if not call.route.kind.is_idempotent:
         return
-    target = dispatching.best_server(state, call, now_ms)
     sent = server.own_requests[call.call_id]
-    if target is None or not overdue.is_reassign_worthwhile(
-        sent, target.expected_ms, now_ms
-    ):
+    if relaying.can_relay(state, call, now_ms):
+        expected_ms = state.service(call.service).service_ms_for(call.route)
+    else:
+        target = dispatching.best_server(state, call, now_ms)
+        if target is None:
+            return
+        expected_ms = target.expected_ms
+    if not overdue.is_reassign_worthwhile(sent, expected_ms, now_ms):
         return
     if not _reserve_retry(state, call, now_ms):
         return
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 from gentianwall.core.events import CallerDisconnected, DrainStarted, Tick
-from gentianwall.gateway import dispatching, feed, outcomes
+from gentianwall.gateway import (
+    dispatching,
+    feed,
+    outcomes,
+    peer_outcomes,
+    relaying,
+)
 from gentianwall.gateway.effects import GatewayEffect, Log
 from gentianwall.gateway.events import (
     DeadlineExpired,
     FeedArrived,
     GatewayEvent,
     LoadQueryEnded,
+    PeerAnswered,
+    PeerFailed,
+    ReachChecked,
     RecheckDue,
     RequestArrived,
     ServerAnswered,
@@ -33,6 +42,12 @@
             outcomes.on_answered(state, event, effects)
         case ServerFailed():
             outcomes.on_failed(state, event, effects)
+        case PeerAnswered():
+            peer_outcomes.on_peer_answered(state, event, effects)
+        case PeerFailed():
+            peer_outcomes.on_peer_failed(state, event, effects)
+        case ReachChecked():
+            relaying.on_reach_checked(state, event, effects)
         case RecheckDue():
             outcomes.on_recheck_due(state, event.call_id, event.at_ms, effects)
         case DeadlineExpired():
@@ -50,6 +65,7 @@
         case Tick():
             feed.send_due_poll(state, event.at_ms, effects)
             outcomes.on_tick(state, event.at_ms, effects)
+            relaying.start_due_checks(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
             effects.append(Log("draining", {"calls": len(state.calls)}))
--- /dev/null
+++ b/gentianwall/gateway/relaying.py
@@ -0,0 +1,135 @@
+"""Sends requests through other entries while the entry reaches no server.
+
+The partitioned entry keeps its decisions: route, service, deadline and number
+of attempts. The peer places the request among the servers of that service as
+its own, retries it within the attempts left, and never relays it further. So a
+request runs at most once for each attempt that the route allows, whichever way
+it takes.
+"""
+
+from __future__ import annotations
+
+from gentianwall.config.routes import Route
+from gentianwall.gateway.effects import (
+    CheckReach,
+    GatewayEffect,
+    Log,
+    RelayRequest,
+)
+from gentianwall.gateway.events import ReachChecked, Relay, RequestArrived
+from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
+
+# Peers tried for one request before it is refused.
+MAX_PEERS_TRIED = 4
+
+
+def can_relay(state: GatewayState, call: RoutedCall, now_ms: float) -> bool:
+    """Returns whether a request would be sent to a peer now."""
+    if not state.reachability.is_partitioned or call.relay is not None:
+        return False
+    if len(call.tried_peers) >= MAX_PEERS_TRIED:
+        return False
+    return state.peers.choose(call.tried_peers, state.rng, now_ms) is not None
+
+
+def send_to_peer(
+    state: GatewayState,
+    call: RoutedCall,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> bool:
+    """Sends a request to a peer if the entry is partitioned.
+
+    Returns:
+        Whether the request was sent.
+    """
+    if not can_relay(state, call, now_ms):
+        return False
+    peer = state.peers.choose(call.tried_peers, state.rng, now_ms)
+    state.querying.pop(call.call_id, None)
+    attempts_left = max(1, call.route.most_attempts - call.attempt)
+    call.phase = Phase.SENT
+    call.attempt += 1
+    call.server = ""
+    call.peer = peer
+    call.tried_peers.add(peer)
+    call.sent_ms = now_ms
+    call.expected_ms = state.service(call.service).service_ms_for(call.route)
+    state.peers.record_sent(peer, call.call_id)
+    relay = Relay(
+        service=call.service,
+        kind=call.route.kind,
+        target_ms=call.route.target_ms,
+        target_left_ms=call.target_at_ms - now_ms,
+        attempts_left=attempts_left,
+    )
+    left_ms = call.deadline_ms - now_ms
+    effects.append(
+        RelayRequest(call.call_id, call.attempt, peer, left_ms, relay)
+    )
+    fields = {
+        "id": call.request_id,
+        "peer": peer,
+        "service": call.service,
+        "attempts_left": attempts_left,
+        "left_ms": round(left_ms),
+    }
+    effects.append(Log("relayed", fields))
+    return True
+
+
+def make_route(event: RequestArrived, relay: Relay, wait_ms: float) -> Route:
+    """Returns the route of a relayed request, as its first entry decided it."""
+    return Route(
+        name="",
+        host=event.host,
+        path_prefix="",
+        kind=relay.kind,
+        timeout_ms=wait_ms,
+        target_ms=relay.target_ms,
+        priority=0,
+        most_attempts=relay.attempts_left,
+        targets=(),
+    )
+
+
+def start_due_checks(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Checks a few servers on new connections if a round is due."""
+    checked = state.reachability.start_round(
+        state.service_by_server, state.rng, now_ms
+    )
+    for name in checked:
+        notice = state.server(name).record.notice
+        service = state.services[state.service_by_server[name]]
+        effects.append(CheckReach(notice, service.health_path))
+
+
+def on_reach_checked(
+    state: GatewayState, event: ReachChecked, effects: list[GatewayEffect]
+) -> None:
+    """Records a check; the partition may begin or end with it."""
+    is_changed = state.reachability.record_check(event.server, event.is_reached)
+    if not is_changed:
+        return
+    is_partitioned = state.reachability.is_partitioned
+    name = "partition_began" if is_partitioned else "partition_ended"
+    fields = {"server": event.server, "peers": len(state.peers.by_host)}
+    effects.append(Log(name, fields))
+    # The leader names only peers that are not partitioned, so it is told.
+    state.poll_due_ms = event.at_ms
+    state.peers.requested_ms = float("-inf")
+    if is_partitioned:
+        for call in list(state.querying.values()):
+            send_to_peer(state, call, event.at_ms, effects)
+    else:
+        for service in state.services.values():
+            for server in service.servers.values():
+                server.end_pause()
+
+
+def end_relay(state: GatewayState, call: RoutedCall) -> None:
+    """Ends the relay of a request whose caller no longer waits."""
+    if call.peer:
+        state.peers.record_end(call.peer, call.call_id)
--- a/gentianwall/gateway/servers.py
+++ b/gentianwall/gateway/servers.py
@@ -183,6 +183,10 @@
             self.lag_ratio += LAG_WEIGHT * (ratio - self.lag_ratio)
             self.lag_updated_ms = now_ms
         self.failure_rate *= 1.0 - FAILURE_WEIGHT
+        self.end_pause()
+
+    def end_pause(self) -> None:
+        """Ends a pause, since the reason for it may be over."""
         self.consecutive_pauses = 0
         self.paused_until_ms = float("-inf")
 
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -11,9 +11,11 @@
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
-from gentianwall.gateway.events import RequestArrived
+from gentianwall.gateway.events import Relay, RequestArrived
 from gentianwall.gateway.homes import choose_homes
+from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
+from gentianwall.gateway.reachability import Reachability
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
@@ -55,7 +57,12 @@
         unreported: Queried servers that have not reported their load yet.
         queried: Servers queried since the dispatch or the last recheck started.
         queries_left: How many more may be queried until the next recheck.
-        server: Name of the server it was last sent to.
+        server: Name of the server it was last sent to; empty while a peer
+            relays it.
+        peer: Host of the peer that relays it; empty for none.
+        tried_peers: Hosts of the peers that it was sent to.
+        relay: Decisions of the peer that it came from; None if it came from a
+            caller.
         sent_ms: When it was sent there.
         expected_ms: Expected time of that attempt.
         slowness: Slowness of that server at the time of sending.
@@ -85,6 +92,9 @@
     load_factor: float = 1.0
     is_maybe_executed: bool = False
     others: tuple[str, ...] = ()
+    peer: str = ""
+    tried_peers: set[str] = attrs.field(factory=set)
+    relay: Relay | None = None
 
 
 @attrs.define
@@ -177,6 +187,9 @@
         started_ms: When the process started.
         link_name: Name under which the entry polls the control instances.
         rate_limits: Rate limits of servers and this entry's shares of them.
+        reachability: Whether the entry has a path to any server.
+        has_peers: Whether entries may relay requests to each other.
+        peers: Other entries that relay requests while it has none.
     """
 
     name: str
@@ -207,6 +220,9 @@
     started_ms: float = 0.0
     link_name: str = ""
     rate_limits: RateLimits = attrs.field(factory=RateLimits)
+    reachability: Reachability = attrs.field(factory=Reachability)
+    has_peers: bool = False
+    peers: Peers = attrs.field(factory=Peers)
 
     @property
     def is_ready(self) -> bool:
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -30,6 +30,7 @@
 
     Attributes:
         header_bytes: Maximum size of all headers.
+        header_count: Maximum number of headers.
         body_bytes: Maximum size of the body.
         header_timeout_s: Timeout for receiving the headers.
         body_timeout_s: Timeout for receiving the complete request.
@@ -37,6 +38,7 @@
     """
 
     header_bytes: int = 32 * 1024
+    header_count: int = MAX_HEADERS
     body_bytes: int = 16 * 1024 * 1024
     header_timeout_s: float = 10.0
     body_timeout_s: float = 60.0
@@ -186,6 +188,7 @@
     def __init__(self, bounds: CallerBounds):
         super().__init__()
         self.bounds = bounds
+        self.maxHeaders = bounds.header_count
         self.totalHeadersSize = bounds.header_bytes
         self.MAX_LENGTH = bounds.header_bytes
         self.timeOut = bounds.idle_timeout_s
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -349,9 +349,15 @@
         self._connection: Connection | None = None
         self._is_finished = False
 
-    def start(self) -> None:
-        """Sends the request on an idle connection or on a new one."""
-        connection = self._pool.take_idle(self.request.is_idempotent)
+    def start(self, is_new_connection: bool = False) -> None:
+        """Sends the request on an idle connection or on a new one.
+
+        Args:
+            is_new_connection: Whether to open a new one in any case.
+        """
+        connection = None
+        if not is_new_connection:
+            connection = self._pool.take_idle(self.request.is_idempotent)
         self.is_reused = connection is not None
         if connection is not None:
             self._send_request(connection)
--- a/gentianwall/runtime/common.py
+++ b/gentianwall/runtime/common.py
@@ -36,13 +36,14 @@
     )
 
 
-def stop_listening(ports: list, site: CallerSite) -> None:
+def stop_listening(ports: list, *sites: CallerSite) -> None:
     """Stops accepting connections and closes those without a request."""
     for port in ports:
         port.stopListening()
     ports.clear()
-    for channel in list(site.channels):
-        channel.close_when_idle()
+    for site in sites:
+        for channel in list(site.channels):
+            channel.close_when_idle()
 
 
 def listen_metrics(
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -7,15 +7,18 @@
 import random
 from collections.abc import Iterator
 
+import attrs
+
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.routes import CallerLimits
-from gentianwall.control.messages import FeedNotice, FeedRedirect
+from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
 from gentianwall.gateway.budget import RetryLimits
 from gentianwall.gateway.dispatching import is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckOverdue,
+    CheckReach,
     CheckServer,
     CloseIdleConnections,
     ForwardAnswer,
@@ -23,6 +26,7 @@
     Log,
     QueryLoad,
     RefuseRequest,
+    RelayRequest,
     ScheduleRecheck,
     SendRequest,
     SendToControl,
@@ -57,6 +61,12 @@
 # Timeout for receiving a complete request. The configured idle timeout applies
 # in full, because callers close idle connections after four fifths of it.
 BODY_TIMEOUT_S = 60.0
+# A relayed request has these many more headers than the caller sent, of at most
+# this size together: its id, its deadline and the one about the relay.
+RELAY_HEADERS = 3
+RELAY_HEADER_BYTES = 1024
+# Well above the time for which peers keep idle connections.
+PEER_IDLE_TIMEOUT_S = 60.0
 
 
 class GatewayRuntime:
@@ -89,6 +99,7 @@
             seeds=settings.seed_link_addresses,
             started_ms=monotonic_ms(),
             link_name=settings.link_address,
+            has_peers=settings.peer_port > 0,
         )
         self.requests = GatewayRequestHandler(
             reactor,
@@ -97,6 +108,11 @@
             self.metrics,
             self.handle,
             lambda: bool(self.state.quarantines),
+            settings.peer_port,
+        )
+        self.peer_site = CallerSite(
+            self.requests.on_relayed_request_arrived,
+            self.requests.on_caller_disconnected,
         )
         self.site = CallerSite(
             self.requests.on_request_arrived,
@@ -116,6 +132,11 @@
         self._ports = [
             listen(self.reactor, settings.callers_address, self.site)
         ]
+        if settings.peer_port:
+            peer_address = f"{settings.host}:{settings.peer_port}"
+            self._ports.append(
+                listen(self.reactor, peer_address, self.peer_site)
+            )
         readiness = CallerSite(self._answer_readiness, lambda request: None)
         self._readiness_port = listen(
             self.reactor, settings.readiness_address, readiness
@@ -141,7 +162,7 @@
     def receive(self, envelopes: list[Envelope]) -> None:
         """Handles messages from control instances."""
         for event in message_events(envelopes, self.timeline):
-            if isinstance(event.message, FeedNotice | FeedRedirect):
+            if isinstance(event.message, FeedNotice | FeedRedirect | PeerList):
                 self.handle(
                     FeedArrived(event.at_ms, event.sender, event.message)
                 )
@@ -177,6 +198,10 @@
                 self.requests.schedule_recheck(effect.call_id, effect.at_ms)
             case SendRequest():
                 self.requests.send(effect)
+            case RelayRequest():
+                self.requests.relay(effect)
+            case CheckReach():
+                self.requests.check_reach(effect)
             case ForwardAnswer():
                 self.requests.forward_answer(effect)
             case RefuseRequest():
@@ -202,6 +227,12 @@
                 body_timeout_s=BODY_TIMEOUT_S,
                 idle_timeout_s=limits.idle_timeout_ms / 1000.0,
             )
+            self.peer_site.bounds = attrs.evolve(
+                self.site.bounds,
+                header_bytes=limits.header_bytes + RELAY_HEADER_BYTES,
+                header_count=self.site.bounds.header_count + RELAY_HEADERS,
+                idle_timeout_s=PEER_IDLE_TIMEOUT_S,
+            )
 
     def _count_request(self, effect: Log) -> None:
         fields = effect.fields
@@ -236,6 +267,8 @@
                 "entries_known": state.entries,
                 "rate_limited_servers": len(state.rate_limits.by_server),
                 "is_ready": int(state.is_ready),
+                "is_partitioned": int(state.reachability.is_partitioned),
+                "peers_known": len(state.peers.by_host),
                 "feed_age_seconds": min(feed_age_ms, 1e9) / 1000.0,
                 "log_lines_dropped_total": self.log.writer.dropped,
                 "log_lines_suppressed_total": self.log.suppressed,
@@ -266,7 +299,7 @@
 
     def stop_listening(self) -> None:
         """Stops accepting connections and closes those without a request."""
-        stop_listening(self._ports, self.site)
+        stop_listening(self._ports, self.site, self.peer_site)
 
 
 @contextlib.contextmanager
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -14,16 +14,22 @@
 from gentianwall.core.refusals import Refusal
 from gentianwall.gateway.effects import (
     CancelRequest,
+    CheckReach,
     CheckServer,
     ForwardAnswer,
     QueryLoad,
     RefuseRequest,
+    RelayRequest,
     SendRequest,
 )
 from gentianwall.gateway.events import (
     GatewayEvent,
     LoadQueryEnded,
+    PeerAnswered,
+    PeerFailed,
+    ReachChecked,
     RecheckDue,
+    Relay,
     RequestArrived,
     ServerAnswered,
     ServerCrashed,
@@ -38,11 +44,21 @@
 )
 from gentianwall.http.dialect import Dialect
 from gentianwall.http.headers import end_to_end_headers
+from gentianwall.logs import get_logger
 from gentianwall.membership.messages import ServerNotice
 from gentianwall.metrics import Metrics
 from gentianwall.routing.reports import parse_rate_limit
+from gentianwall.runtime.relay_headers import (
+    RELAY_HEADER,
+    RelayOutcome,
+    decode_outcome,
+    decode_relay,
+    encode,
+)
 from gentianwall.timers import TimerService, monotonic_ms
 
+log = get_logger("requests")
+
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 # A connection is set up within two round trips of at most 40 ms between
 # regions. A lost SYN is resent only after 1 s, which is too long to wait.
@@ -58,13 +74,26 @@
 
 @attrs.define
 class OpenRequest:
-    """A request whose caller waits for an answer or a refusal."""
+    """A request whose caller waits for an answer or a refusal.
+
+    Attributes:
+        call_id: Identifies the request in this process.
+        request_id: Identifies it to callers and servers.
+        request: The request as received.
+        arrived_ms: When it arrived.
+        is_relayed: Whether a peer sent it for its caller.
+        attempt: Current attempt.
+        server: Name of the server of that attempt.
+        answer: Answer of the server, or of the peer that relays the request.
+    """
 
     call_id: int
     request_id: str
     request: CallerRequest
     arrived_ms: float
+    is_relayed: bool = False
     attempt: Attempt | None = None
+    server: str = ""
     answer: ServerAnswer | None = None
 
 
@@ -79,6 +108,7 @@
         handle: Handles an event in the reducer and performs its effects.
         is_fingerprint_needed: Returns whether any request is quarantined, so
             that fingerprints have to be computed.
+        peer_port: Port on which peers accept relayed requests.
     """
 
     def __init__(
@@ -89,10 +119,13 @@
         metrics: Metrics,
         handle: Callable[[GatewayEvent], None],
         is_fingerprint_needed: Callable[[], bool],
+        peer_port: int,
     ):
         self.open_requests: dict[int, OpenRequest] = {}
         self.is_closing = False
         self._pools: dict[str, ConnectionPool] = {}
+        self._peer_pools: dict[str, ConnectionPool] = {}
+        self._peer_port = peer_port
         self._load_queries: dict[str, Attempt] = {}
         self._call_id_by_request: dict[int, int] = {}
         self._reactor = reactor
@@ -105,12 +138,30 @@
 
     def on_request_arrived(self, request: CallerRequest) -> None:
         """Passes a complete request of a caller to the reducer."""
+        self._open_request(request, None)
+
+    def on_relayed_request_arrived(self, request: CallerRequest) -> None:
+        """Passes a complete request that a peer relays to the reducer."""
+        relay = decode_relay(request.header(RELAY_HEADER))
+        if relay is None:
+            log.warning("Refused a relayed request without a valid header.")
+            request.answer(400, [], b"")
+            return
+        self._open_request(request, relay)
+
+    def _open_request(
+        self, request: CallerRequest, relay: Relay | None
+    ) -> None:
         self._last_id += 1
         call_id = self._last_id
         request_id = request.header(self._dialect.request_id)
         now_ms = monotonic_ms()
         call = OpenRequest(
-            call_id, request_id or f"own-{call_id}", request, now_ms
+            call_id,
+            request_id or f"own-{call_id}",
+            request,
+            now_ms,
+            relay is not None,
         )
         self.open_requests[call_id] = call
         self._call_id_by_request[id(request)] = call_id
@@ -124,6 +175,7 @@
                 path=request.path.decode("latin-1"),
                 wait_ms=self._wait_ms(request, now_ms),
                 fingerprint=_fingerprint(request) if is_needed else "",
+                relay=relay,
             )
         )
 
@@ -154,25 +206,13 @@
         call = self.open_requests.get(effect.call_id)
         if call is None:
             return
-        names = self._dialect
-        headers = end_to_end_headers(
-            call.request.requestHeaders,
-            (names.deadline_ms, names.expected_server),
+        call.server = effect.notice.key.server
+        request = self._server_request(
+            call, effect.left_ms, effect.is_idempotent
         )
-        headers.setRawHeaders(b"Host", [call.request.header(b"Host").encode()])
-        left = b"%d" % max(1, effect.left_ms)
-        headers.setRawHeaders(names.deadline_ms, [left])
-        name = effect.notice.key.server
-        headers.setRawHeaders(names.expected_server, [name.encode()])
-        headers.setRawHeaders(names.request_id, [call.request_id.encode()])
-        request = ServerRequest(
-            call.request.method,
-            call.request.uri,
-            headers,
-            call.request.body,
-            effect.is_idempotent,
-            is_close_delimited=True,
-            echo_header=names.request_id,
+        request.is_close_delimited = True
+        request.headers.setRawHeaders(
+            self._dialect.expected_server, [call.server.encode()]
         )
 
         def on_answer(answer: ServerAnswer) -> None:
@@ -185,8 +225,76 @@
                 ServerFailed(now_ms, call.call_id, effect.attempt, kind)
             )
 
+        pool = self.pool_of(effect.notice)
+        self._start_attempt(call, pool, request, on_answer, on_failure)
+
+    def relay(self, effect: RelayRequest) -> None:
+        """Starts an attempt: sends a request to a peer."""
+        call = self.open_requests.get(effect.call_id)
+        if call is None:
+            return
+        request = self._server_request(
+            call, effect.left_ms, effect.relay.kind.is_idempotent
+        )
+        request.headers.setRawHeaders(RELAY_HEADER, [encode(effect.relay)])
+        attempt = effect.attempt
+
+        def on_answer(answer: ServerAnswer) -> None:
+            call.answer = answer
+            values = answer.headers.getRawHeaders(RELAY_HEADER) or [b""]
+            outcome = decode_outcome(values[0].decode("latin-1"))
+            if outcome is None:
+                on_failure(FailureKind.MISMATCHED)
+                return
+            self._handle(
+                PeerAnswered(
+                    at_ms=monotonic_ms(),
+                    call_id=call.call_id,
+                    attempt=attempt,
+                    status=answer.status,
+                    server=outcome.server,
+                    refusal=outcome.refusal,
+                )
+            )
+
+        def on_failure(kind: FailureKind) -> None:
+            now_ms = monotonic_ms()
+            self._handle(PeerFailed(now_ms, call.call_id, attempt, kind))
+
+        pool = self._peer_pools.get(effect.peer)
+        if pool is None:
+            pool = self._peer_pools[effect.peer] = ConnectionPool(
+                self._reactor, effect.peer, self._peer_port, CONNECT_TIMEOUT_S
+            )
+        self._start_attempt(call, pool, request, on_answer, on_failure)
+
+    def _server_request(
+        self, call: OpenRequest, left_ms: float, is_idempotent: bool
+    ) -> ServerRequest:
+        names = self._dialect
+        received = call.request
+        headers = end_to_end_headers(
+            received.requestHeaders,
+            (names.deadline_ms, names.expected_server, RELAY_HEADER),
+        )
+        headers.setRawHeaders(b"Host", [received.header(b"Host").encode()])
+        left = b"%d" % max(1, left_ms)
+        headers.setRawHeaders(names.deadline_ms, [left])
+        headers.setRawHeaders(names.request_id, [call.request_id.encode()])
+        return ServerRequest(
+            received.method,
+            received.uri,
+            headers,
+            received.body,
+            is_idempotent,
+            echo_header=names.request_id,
+        )
+
+    def _start_attempt(
+        self, call: OpenRequest, pool, request, on_answer, on_failure
+    ) -> None:
         call.attempt = Attempt(
-            self.pool_of(effect.notice),
+            pool,
             request,
             call.request_id,
             ANSWER_LIMIT_BYTES,
@@ -265,16 +373,7 @@
     def _start_query(self, notice: ServerNotice, health_path: str) -> None:
         name = notice.key.server
         self._metrics.service(notice.key.service).probes += 1
-        headers = Headers()
-        headers.addRawHeader(b"Host", f"{notice.host}:{notice.port}".encode())
-        request = ServerRequest(
-            b"GET",
-            health_path.encode(),
-            headers,
-            b"",
-            True,
-            echo_header=self._dialect.request_id,
-        )
+        request = self._health_check(notice, health_path)
 
         def on_query_ended(answer: ServerAnswer | None) -> None:
             self._timers.cancel(f"load-query.{name}")
@@ -333,6 +432,68 @@
             rate_limit_per_s=rate_limit_per_s,
         )
 
+    def check_reach(self, effect: CheckReach) -> None:
+        """Checks on a new connection whether a server is reached.
+
+        It is reached if it answers its health check, with any status; without
+        a health check, if it accepts the connection.
+        """
+        notice = effect.notice
+        pool = self.pool_of(notice)
+
+        def end(is_reached: bool) -> None:
+            server = notice.key.server
+            self._handle(ReachChecked(monotonic_ms(), server, is_reached))
+
+        if not effect.health_path:
+
+            def on_connected(connection) -> None:
+                pool.release_connection(connection)
+                end(True)
+
+            pool.connect(on_connected, lambda: end(False))
+            return
+        self._metrics.service(notice.key.service).probes += 1
+        timer = f"reach.{notice.key.server}"
+
+        def on_answer(answer: ServerAnswer) -> None:
+            self._timers.cancel(timer)
+            end(True)
+
+        def on_failure(kind: FailureKind) -> None:
+            self._timers.cancel(timer)
+            end(False)
+
+        attempt = Attempt(
+            pool,
+            self._health_check(notice, effect.health_path),
+            "",
+            HEALTH_CHECK_LIMIT_BYTES,
+            float("inf"),
+            on_answer,
+            on_failure,
+        )
+        self._timers.start(
+            timer,
+            monotonic_ms() + HEALTH_CHECK_TIMEOUT_MS,
+            lambda: attempt.fail(FailureKind.SILENT),
+        )
+        attempt.start(is_new_connection=True)
+
+    def _health_check(
+        self, notice: ServerNotice, health_path: str
+    ) -> ServerRequest:
+        headers = Headers()
+        headers.addRawHeader(b"Host", f"{notice.host}:{notice.port}".encode())
+        return ServerRequest(
+            b"GET",
+            health_path.encode(),
+            headers,
+            b"",
+            True,
+            echo_header=self._dialect.request_id,
+        )
+
     def check_server(self, effect: CheckServer) -> None:
         """Checks whether a server that lost a request accepts connections.
 
@@ -367,11 +528,13 @@
         headers = [
             (name, value)
             for name, values in end_to_end_headers(
-                answer.headers
+                answer.headers, (RELAY_HEADER,)
             ).getAllRawHeaders()
             for value in values
             if name.lower() != b"content-length"
         ]
+        if call.is_relayed:
+            headers.append((RELAY_HEADER, encode(RelayOutcome(call.server))))
         self._answer(call, answer.status, headers, answer.body)
 
     def refuse(self, effect: RefuseRequest) -> None:
@@ -392,6 +555,9 @@
             content["retry_after_ms"] = round(refusal.retry_after_ms)
             seconds = b"%.3f" % (refusal.retry_after_ms / 1000.0)
             headers.append((b"Retry-After", seconds))
+        if call.is_relayed:
+            outcome = RelayOutcome("", refusal)
+            headers.append((RELAY_HEADER, encode(outcome)))
         self._answer(call, status, headers, json.dumps(content).encode())
 
     def _status(self, refusal: Refusal) -> int:
--- /dev/null
+++ b/gentianwall/runtime/relay_headers.py
@@ -0,0 +1,52 @@
+"""Header by which entries tell each other about relayed requests."""
+
+from __future__ import annotations
+
+import attrs
+from cattrs.preconf.json import make_converter
+
+from gentianwall.core.refusals import Refusal
+from gentianwall.gateway.events import Relay
+
+RELAY_HEADER = b"Gentianwall-Relay"
+
+_converter = make_converter()
+
+
+@attrs.frozen
+class RelayOutcome:
+    """End of a relayed request at the peer.
+
+    Attributes:
+        server: Name of the server that answered; empty if none did.
+        refusal: Refusal of the peer; None if a server answered.
+    """
+
+    server: str
+    refusal: Refusal | None = None
+
+
+for _class in (Refusal, Relay, RelayOutcome):
+    attrs.resolve_types(_class)
+
+
+def encode(value: Relay | RelayOutcome) -> bytes:
+    """Returns the value of the header."""
+    return _converter.dumps(value).encode()
+
+
+def decode_relay(text: str) -> Relay | None:
+    """Parses the header of a request; returns None if it is malformed."""
+    return _decode(text, Relay)
+
+
+def decode_outcome(text: str) -> RelayOutcome | None:
+    """Parses the header of an answer; returns None if it is malformed."""
+    return _decode(text, RelayOutcome)
+
+
+def _decode(text, value_class):
+    try:
+        return _converter.loads(text, value_class)
+    except Exception:  # noqa: BLE001 - input may be arbitrary
+        return None
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -29,6 +29,7 @@
 READINESS_PORT = 9542
 CONTROL_LINK_PORT = 9540
 LINK_PORT = 9555
+PEER_PORT = 9554
 METRICS_PORT = 9102
 SERVER_PORT = 9080
 HOST = "shop.example"
@@ -286,6 +287,7 @@
             lines += [
                 f'callers_address = "{node.host}:{CALLERS_PORT}"',
                 f'readiness_address = "{node.host}:{READINESS_PORT}"',
+                f"peer_port = {PEER_PORT}",
             ]
         else:
             lines += self.control_settings
