Cut entries from all servers in the soak

Each entry has its own proxies in front of the servers, so that some entries, at times all but one, lose the way to all servers by silence, resets or refused connections, beside the other faults. Faults of a server act on the proxies of all entries.

--- a/soak/run.py
+++ b/soak/run.py
@@ -29,7 +29,7 @@
     wait_until,
 )
 from soak.checks import RECOVERY_S, Observations
-from soak.proxy import Proxy, ProxyFault
+from soak.proxy import Partition, Proxy, ProxyFault
 
 ENTRIES = 3
 CONTROLS = 3
@@ -60,10 +60,11 @@
         fleet: The processes.
         observations: What callers, servers and the operator observed.
         rng: Source of all random choices of faults and configurations.
-        servers: Back ends, announced at the addresses of their proxies.
-        proxies: Proxies in front of the servers.
+        servers: Back ends.
+        proxies: By host of the entry, its proxies in front of each server.
         started_s: Monotonic time at which the run started.
         stop_requested: Set to end all threads of the run.
+        partition_lock: Held while some entries are cut from all servers.
         faulted_nodes: Folder names of the processes under a fault.
         log: Descriptions of the faults, each with seconds since the start.
         last_version: Version of the last configuration that was sent.
@@ -75,9 +76,10 @@
     observations: Observations
     rng: random.Random
     servers: list[FakeServer]
-    proxies: list[Proxy]
+    proxies: dict[str, list[Proxy]]
     started_s: float = attrs.field(factory=time.monotonic)
     stop_requested: threading.Event = attrs.field(factory=threading.Event)
+    partition_lock: threading.Lock = attrs.field(factory=threading.Lock)
     faulted_nodes: set[str] = attrs.field(factory=set)
     log: list[str] = attrs.field(factory=list)
     last_version: int = 1
@@ -189,6 +191,7 @@
                     self._kill_all_controls,
                     self._inject_proxy_fault,
                     self._reset_connections,
+                    self._partition_entries,
                 ]
             )
             duration_s = self.rng.uniform(*FAULT_DURATION_S)
@@ -285,21 +288,47 @@
                 self.log_fault(f"SIGHUP to {node.folder.name}")
                 self.fleet.signal(node, signal.SIGHUP)
 
+    def _choose_server(self) -> list[Proxy]:
+        """Returns the proxies of all entries in front of one server."""
+        number = self.rng.randrange(SERVERS)
+        return [proxies[number] for proxies in self.proxies.values()]
+
     def _inject_proxy_fault(self, duration_s: float) -> None:
-        proxy = self.rng.choice(self.proxies)
-        proxy.fault = self.rng.choice(
+        fault = self.rng.choice(
             [ProxyFault.DELAY, ProxyFault.SILENCE, ProxyFault.ONE_WAY]
         )
-        self.log_fault(
-            f"{proxy.fault.value} at a server proxy for {duration_s:.1f} s"
-        )
+        proxies = self._choose_server()
+        for proxy in proxies:
+            proxy.fault = fault
+        self.log_fault(f"{fault.value} at a server for {duration_s:.1f} s")
         time.sleep(duration_s)
-        proxy.fault = ProxyFault.NONE
-        proxy.reset_all()
+        for proxy in proxies:
+            proxy.fault = ProxyFault.NONE
+            proxy.reset_all()
 
     def _reset_connections(self, duration_s: float) -> None:
         self.log_fault("reset connections of a server")
-        self.rng.choice(self.proxies).reset_all()
+        for proxy in self._choose_server():
+            proxy.reset_all()
+
+    def _partition_entries(self, duration_s: float) -> None:
+        """Cuts some entries, at times all but one, from all servers."""
+        if not self.partition_lock.acquire(blocking=False):
+            return
+        partition = self.rng.choice(list(Partition))
+        count = self.rng.randrange(1, ENTRIES)
+        chosen = self.rng.sample(self.fleet.entries, count)
+        proxies = [
+            proxy for node in chosen for proxy in self.proxies[node.host]
+        ]
+        names = ", ".join(node.folder.name for node in chosen)
+        self.log_fault(f"{partition.value}: {names} for {duration_s:.1f} s")
+        for proxy in proxies:
+            proxy.begin_partition(partition)
+        time.sleep(duration_s)
+        for proxy in proxies:
+            proxy.end_partition()
+        self.partition_lock.release()
 
 
 def make_configuration(number: int) -> dict:
@@ -356,18 +385,22 @@
         fleet = Fleet(folder, CONTROLS, ENTRIES, block)
         stack.callback(fleet.kill_all)
         observations = Observations()
-        soak = SoakRun(fleet, observations, random.Random(seed), [], [])
+        soak = SoakRun(fleet, observations, random.Random(seed), [], {})
+        servers_prefix = f"127.{block}.3."
         for number in range(1, SERVERS + 1):
-            server_host = f"127.{block}.4.{number}"
-            proxy_host = f"127.{block}.3.{number}"
-            server = FakeServer(f"i-{number}", "shop", server_host)
+            host = f"{servers_prefix}{number}"
+            server = FakeServer(f"i-{number}", "shop", host)
             server.executed_ids = _ExecutionRecorder(observations)
             stack.enter_context(running_server(server))
-            server.host = proxy_host
             soak.servers.append(server)
-            proxy = Proxy(proxy_host, server_host, SERVER_PORT)
-            stack.callback(proxy.close)
-            soak.proxies.append(proxy)
+        for entry_number, entry in enumerate(fleet.entries, 1):
+            prefix = f"127.{block}.{10 + entry_number}."
+            fleet.rerouted_hosts[entry.host] = {servers_prefix: prefix}
+            proxies = soak.proxies[entry.host] = []
+            for number, server in enumerate(soak.servers, 1):
+                proxy = Proxy(f"{prefix}{number}", server.host, SERVER_PORT)
+                stack.callback(proxy.close)
+                proxies.append(proxy)
         for node in [*fleet.controls, *fleet.entries]:
             fleet.start(node, is_first_start=True)
         _run_phases(soak, seconds)
