Do not report a partition as a crash by the requests it interrupts

Cause: a server that refuses connections after it lost a request counts as crashed by that request, and two such servers quarantine it at all entries. An entry that loses its links sees just that of every server. The class of fault is that of the partitioned entries: the loss of own links taken for the loss of what is behind them.

Change: a crash is reported once a check has reached another server after it, which takes one round trip; a partition drops it and logs crash_unconfirmed. Checks prefer servers without a recent failure.

--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from gentianwall.claims.commands import ReportCrash
-from gentianwall.control.messages import CommandRequest
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import RefusalReason
-from gentianwall.gateway import dispatching, overdue, relaying
+from gentianwall.gateway import (
+    crash_reports,
+    dispatching,
+    overdue,
+    relaying,
+)
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckOverdue,
@@ -15,7 +18,6 @@
     ForwardAnswer,
     GatewayEffect,
     Log,
-    SendToControl,
 )
 from gentianwall.gateway.events import (
     LoadQueryEnded,
@@ -170,7 +172,7 @@
 ) -> None:
     """Records a failed connection and checks other servers if it is due."""
     state.reachability.record_failure(server, now_ms)
-    relaying.start_due_checks(state, now_ms, effects)
+    relaying.start_checks(state, now_ms, effects)
 
 
 def retry_or_refuse(
@@ -393,15 +395,8 @@
 def on_server_crashed(
     state: GatewayState, event: ServerCrashed, effects: list[GatewayEffect]
 ) -> None:
-    """Reports a request that crashed a server to the control instances."""
+    """Pauses a server that refuses connections after it lost a request."""
     server = state.server(event.server)
     if server is not None:
         _pause_server(state, server, event.at_ms, effects)
-    state.crash_reports += 1
-    command = ReportCrash(event.service, event.fingerprint, event.server, 0)
-    request = CommandRequest(f"crash-{state.crash_reports}", command)
-    receivers = {state.leader} if state.leader else set(state.controls)
-    for receiver in sorted(receivers):
-        effects.append(SendToControl(receiver, request))
-    fields = {"server": event.server, "fingerprint": event.fingerprint}
-    effects.append(Log("server_crashed", fields))
+    crash_reports.on_server_crashed(state, event, effects)
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -1,18 +1,45 @@
-"""Handles answers and failures of peers that relay requests."""
+"""Handles the begin and end of partitions, and the answers of peers."""
 
 from __future__ import annotations
 
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
-from gentianwall.gateway import dispatching, relaying
+from gentianwall.gateway import crash_reports, dispatching, relaying
 from gentianwall.gateway.effects import ForwardAnswer, GatewayEffect, Log
-from gentianwall.gateway.events import PeerAnswered, PeerFailed
+from gentianwall.gateway.events import PeerAnswered, PeerFailed, ReachChecked
 from gentianwall.gateway.state import GatewayState, RoutedCall
 
 # Refusals after which another peer may still serve the request.
 UNUSABLE_PEER_REASONS = (RefusalReason.NO_SERVER, RefusalReason.NOT_READY)
 
 
+def on_reach_checked(
+    state: GatewayState, event: ReachChecked, effects: list[GatewayEffect]
+) -> None:
+    """Records a check; the partition may begin or end with it."""
+    is_changed = state.reachability.record_check(event.server, event.is_reached)
+    is_partitioned = state.reachability.is_partitioned
+    if event.is_reached:
+        crash_reports.on_server_reached(state, event.server, effects)
+    elif is_partitioned:
+        crash_reports.on_partition_began(state, effects)
+    if not is_changed:
+        return
+    name = "partition_began" if is_partitioned else "partition_ended"
+    fields = {"server": event.server, "peers": len(state.peers.by_host)}
+    effects.append(Log(name, fields))
+    # The leader names only peers that are not partitioned, so it is told.
+    state.poll_due_ms = event.at_ms
+    state.peers.requested_ms = float("-inf")
+    if is_partitioned:
+        for call in list(state.querying.values()):
+            relaying.send_to_peer(state, call, event.at_ms, effects)
+    else:
+        for service in state.services.values():
+            for server in service.servers.values():
+                server.end_pause()
+
+
 def on_peer_answered(
     state: GatewayState, event: PeerAnswered, effects: list[GatewayEffect]
 ) -> None:
--- a/gentianwall/gateway/reachability.py
+++ b/gentianwall/gateway/reachability.py
@@ -47,24 +47,34 @@
         self.failed_ms[server] = now_ms
 
     def start_round(
-        self, servers: Collection[str], rng: random.Random, now_ms: float
+        self,
+        servers: Collection[str],
+        rng: random.Random,
+        now_ms: float,
+        is_urgent: bool = False,
     ) -> tuple[str, ...]:
         """Returns the servers to check now; none unless a round is due.
 
+        Servers without a recent failure come first, since they tell the most.
+
         Args:
             servers: Names of all servers of all services.
             rng: Draws the servers.
             now_ms: The local clock.
+            is_urgent: Whether a round is due in any case.
         """
         if self.unanswered or not servers:
             return ()
-        if now_ms < self.round_started_ms + ROUND_INTERVAL_MS:
-            return ()
-        if not self.is_partitioned and not self._is_suspect(servers, now_ms):
-            return ()
+        is_suspect = self._is_suspect(servers, now_ms)
+        if not is_urgent:
+            if now_ms < self.round_started_ms + ROUND_INTERVAL_MS:
+                return ()
+            if not self.is_partitioned and not is_suspect:
+                return ()
         self.round_started_ms = now_ms
-        count = min(CHECKS_PER_ROUND, len(servers))
-        checked = tuple(rng.sample(sorted(servers), count))
+        drawn = rng.sample(sorted(servers), len(servers))
+        drawn.sort(key=lambda server: server in self.failed_ms)
+        checked = tuple(drawn[:CHECKS_PER_ROUND])
         self.unanswered = set(checked)
         return checked
 
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -16,7 +16,7 @@
     Log,
     RelayRequest,
 )
-from gentianwall.gateway.events import ReachChecked, Relay, RequestArrived
+from gentianwall.gateway.events import Relay, RequestArrived
 from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
 
 # Peers tried for one request before it is refused.
@@ -93,12 +93,15 @@
     )
 
 
-def start_due_checks(
-    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+def start_checks(
+    state: GatewayState,
+    now_ms: float,
+    effects: list[GatewayEffect],
+    is_urgent: bool = False,
 ) -> None:
-    """Checks a few servers on new connections if a round is due."""
+    """Checks a few servers on new connections if a round is due or urgent."""
     checked = state.reachability.start_round(
-        state.service_by_server, state.rng, now_ms
+        state.service_by_server, state.rng, now_ms, is_urgent
     )
     for name in checked:
         notice = state.server(name).record.notice
@@ -106,29 +109,6 @@
         effects.append(CheckReach(notice, service.health_path))
 
 
-def on_reach_checked(
-    state: GatewayState, event: ReachChecked, effects: list[GatewayEffect]
-) -> None:
-    """Records a check; the partition may begin or end with it."""
-    is_changed = state.reachability.record_check(event.server, event.is_reached)
-    if not is_changed:
-        return
-    is_partitioned = state.reachability.is_partitioned
-    name = "partition_began" if is_partitioned else "partition_ended"
-    fields = {"server": event.server, "peers": len(state.peers.by_host)}
-    effects.append(Log(name, fields))
-    # The leader names only peers that are not partitioned, so it is told.
-    state.poll_due_ms = event.at_ms
-    state.peers.requested_ms = float("-inf")
-    if is_partitioned:
-        for call in list(state.querying.values()):
-            send_to_peer(state, call, event.at_ms, effects)
-    else:
-        for service in state.services.values():
-            for server in service.servers.values():
-                server.end_pause()
-
-
 def end_relay(state: GatewayState, call: RoutedCall) -> None:
     """Ends the relay of a request whose caller no longer waits."""
     if call.peer:
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -11,7 +11,7 @@
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
-from gentianwall.gateway.events import Relay, RequestArrived
+from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
@@ -182,6 +182,7 @@
         poll_due_ms: When the next poll of the feed is due.
         is_draining: Whether the process stops once no request is outstanding.
         crash_reports: Number of crash reports so far.
+        unconfirmed_crashes: Crashes that may turn out to be a partition.
         typical_waits: Typical waits of the callers of each route.
         unrouted: Requests queued for the first configuration, by call id.
         started_ms: When the process started.
@@ -215,6 +216,7 @@
     poll_due_ms: float = 0.0
     is_draining: bool = False
     crash_reports: int = 0
+    unconfirmed_crashes: list[ServerCrashed] = attrs.field(factory=list)
     typical_waits: TypicalWaits = attrs.field(factory=TypicalWaits)
     unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
     started_ms: float = 0.0
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gentianwall.config.routes import RouteKind
-from gentianwall.control.messages import FeedPoll, PeerList
+from gentianwall.control.messages import CommandRequest, FeedPoll, PeerList
 from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
 from gentianwall.core.peers import MOST_PEERS, choose_peers
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
@@ -21,6 +21,7 @@
     ReachChecked,
     Relay,
     RequestArrived,
+    ServerCrashed,
 )
 from gentianwall.gateway.reachability import (
     CHECKS_PER_ROUND,
@@ -316,3 +317,33 @@
     for outcome in (RelayOutcome("i-1"), RelayOutcome("", refusal)):
         assert decode_outcome(encode(outcome).decode()) == outcome
     assert decode_relay(encode(RELAY).decode()) == RELAY
+
+
+def _crash_reports(effects):
+    return [
+        effect
+        for effect in effects_of_type(effects, fx.SendToControl)
+        if isinstance(effect.message, CommandRequest)
+    ]
+
+
+@pytest.mark.parametrize("is_reached", [True, False])
+def test_a_partition_is_not_reported_as_a_crash_by_requests(is_reached):
+    # Two such reports quarantine a request at all entries.
+    entry = Entry()
+    entry.deliver_update(*(server(name, i) for i, name in enumerate("abcd", 1)))
+    effects = entry.reduce(ServerCrashed(entry.now_ms, "a", "s", "f" * 32))
+    checks = effects_of_type(effects, fx.CheckReach)
+    assert not _crash_reports(effects)
+    assert checks
+    for check in checks:
+        name = check.notice.key.server
+        effects += entry.reduce(ReachChecked(entry.now_ms, name, is_reached))
+    assert len(_crash_reports(effects)) == is_reached
+
+
+def test_a_crash_is_reported_where_no_other_server_could_confirm_it():
+    entry = Entry()
+    entry.deliver_update(server("a", 1))
+    event = ServerCrashed(entry.now_ms, "a", "s", "f" * 32)
+    assert len(_crash_reports(entry.reduce(event))) == 1
