Test relaying beside a lost leader, a change, a stop and an upload

Two cases of real processes: entries partitioned by resets serve every first try while the leader is killed, a configuration changes and one of their two peers ends by SIGTERM; an upload of 1.5 MB through a peer arrives whole and once, and its answer names no peer.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import http.client
 import http.server
 import json
@@ -93,6 +94,7 @@
         executed_ids: The ids of all requests whose execution began, in order.
         executed_at_s: When the execution of each of them began.
         expected_instances: The expected instance that each of them names.
+        body_digests: SHA-256 of the body of each of them, by id.
     """
 
     name: str
@@ -103,6 +105,7 @@
     executed_ids: list[str] = attrs.field(factory=list)
     executed_at_s: list[float] = attrs.field(factory=list)
     expected_instances: list[str | None] = attrs.field(factory=list)
+    body_digests: dict[str, str] = attrs.field(factory=dict)
     _started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     _sequence: int = 0
     _running_requests: int = 0
@@ -119,7 +122,8 @@
 
             def do_GET(self) -> None:
                 """Answers a request or a health check."""
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                size = int(self.headers.get("Content-Length", 0))
+                body = self.rfile.read(size)
                 expected_name = self.headers.get(
                     "X-Gentianwall-Expect-Instance"
                 )
@@ -128,12 +132,14 @@
                 elif expected_name not in (None, fake_server.name):
                     self._send(421, b"", {"X-Gentianwall-Not-Executed": "1"})
                 else:
-                    self._execute()
+                    self._execute(body)
 
             do_POST = do_GET
 
-            def _execute(self) -> None:
+            def _execute(self, body: bytes) -> None:
                 request_id = self.headers["X-Gentianwall-Request-Id"]
+                digest = hashlib.sha256(body).hexdigest()
+                fake_server.body_digests[request_id] = digest
                 fake_server._running_requests += 1
                 fake_server.executed_ids.append(request_id)
                 fake_server.executed_at_s.append(time.monotonic())
--- a/tests/test_partitioned_entries.py
+++ b/tests/test_partitioned_entries.py
@@ -9,6 +9,10 @@
 
 import collections
 import contextlib
+import hashlib
+import math
+import os
+import signal
 import threading
 import time
 
@@ -16,11 +20,17 @@
 import pytest
 
 from harness.fleet import (
+    CALLERS_PORT,
+    HOST,
+    METRICS_PORT,
     SERVER_PORT,
     FakeServer,
+    call,
+    replace_configuration_until_acknowledged,
     running_fleet,
     running_server,
     send_heartbeat_until_acknowledged,
+    wait_until,
     wait_until_serving,
 )
 from soak.proxy import Partition, Proxy
@@ -181,3 +191,68 @@
     for entry in cut_entries:
         sent, served = tries[entry].count(end_s + REJOIN_S, end_s + 10.0)
         assert served == sent > 0, (entry, sent, served)
+
+
+def _cut(proxies, entries, partition):
+    for entry in entries:
+        for proxy in proxies[entry]:
+            proxy.begin_partition(partition)
+
+
+def _wait_until_partitioned(fleet, entry):
+    node = fleet.entries[entry - 1]
+
+    def is_partitioned() -> bool:
+        fleet.send_request(node, f"probe-{time.monotonic()}")
+        text = call(node.host, METRICS_PORT, "GET", "/metrics").body.decode()
+        return "gentianwall_is_partitioned 1" in text.splitlines()
+
+    wait_until(f"entry {entry} is partitioned", is_partitioned)
+
+
+def test_partitioned_entries_serve_through_changes_and_a_lost_leader(
+    fleet, servers, proxies
+):
+    _cut(proxies, (1, 2), Partition.RESET)
+    _wait_until_partitioned(fleet, 1)
+    _wait_until_partitioned(fleet, 2)
+    with _callers(fleet) as tries:
+        leader = next(
+            node
+            for node in fleet.controls
+            if "gentianwall_is_leader 1"
+            in call(node.host, METRICS_PORT, "GET", "/metrics").body.decode()
+        )
+        fleet.kill(leader)
+        replace_configuration_until_acknowledged(
+            fleet, 2, [node for node in fleet.controls if node is not leader]
+        )
+        fleet.start(leader)
+        # A peer that stops hands over to the others without a lost request.
+        stopped = fleet.entries[3]
+        fleet.signal(stopped, signal.SIGTERM)
+        time.sleep(4.0)
+    for entry in (1, 2, 3):
+        sent, served = tries[entry].count(0.0, math.inf)
+        assert served == sent > 0, (entry, sent, served)
+
+
+def test_uploads_of_partitioned_entries_arrive_whole_and_once(
+    fleet, servers, proxies
+):
+    _cut(proxies, (1,), Partition.HANG)
+    _wait_until_partitioned(fleet, 1)
+    body = os.urandom(1_500_000)
+    headers = {
+        "Host": HOST,
+        "X-Gentianwall-Request-Id": "upload",
+        "X-Gentianwall-Deadline-Ms": "2000",
+    }
+    host = fleet.entries[0].host
+    answer = call(host, CALLERS_PORT, "POST", "/orders/x", body, headers)
+    assert answer.status == 200
+    assert "Gentianwall-Relay" not in answer.headers
+    (server,) = [s for s in servers if "upload" in s.executed_ids]
+    assert server.body_digests["upload"] == hashlib.sha256(body).hexdigest()
+    executed = [name for server in servers for name in server.executed_ids]
+    assert executed.count("upload") == 1
