Show that servers which ask for rest get more requests

A server that turns a request away with 503 and Retry-After wants nothing from that entry for so long. While all servers rest, requests are still sent to them.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -91,6 +91,10 @@
     Attributes:
         service_s: Service time of a request.
         limit_per_s: Limit that it names in its answers; None for none.
+        rest_until_s: It turns requests away and asks for rest until then, by
+            the monotonic clock.
+        turned_away: Time and request id of each request that it turned away.
+        checked_at_s: Time of each health check.
         executed_ids: The ids of all requests whose execution began, in order.
         executed_at_s: When the execution of each of them began.
         expected_instances: The expected instance that each of them names.
@@ -102,6 +106,9 @@
     host: str
     service_s: float = 0.02
     limit_per_s: float | None = None
+    rest_until_s: float = float("-inf")
+    turned_away: list[tuple[float, str]] = attrs.field(factory=list)
+    checked_at_s: list[float] = attrs.field(factory=list)
     executed_ids: list[str] = attrs.field(factory=list)
     executed_at_s: list[float] = attrs.field(factory=list)
     expected_instances: list[str | None] = attrs.field(factory=list)
@@ -128,14 +135,30 @@
                     "X-Gentianwall-Expect-Instance"
                 )
                 if self.path == "/healthz":
+                    fake_server.checked_at_s.append(time.monotonic())
                     self._send(200, b"", {})
                 elif expected_name not in (None, fake_server.name):
                     self._send(421, b"", {"X-Gentianwall-Not-Executed": "1"})
+                elif time.monotonic() < fake_server.rest_until_s:
+                    self._turn_away()
                 else:
                     self._execute(body)
 
             do_POST = do_GET
 
+            def _turn_away(self) -> None:
+                now_s = time.monotonic()
+                request_id = self.headers["X-Gentianwall-Request-Id"]
+                fake_server.turned_away.append((now_s, request_id))
+                rest_s = fake_server.rest_until_s - now_s
+                headers = {
+                    "X-Gentianwall-Request-Id": request_id,
+                    "X-Gentianwall-Server-Stamp": f"stamp-{request_id}",
+                    "X-Gentianwall-Not-Executed": "1",
+                    "Retry-After": f"{max(0.001, rest_s):.3f}",
+                }
+                self._send(503, b"", headers)
+
             def _execute(self, body: bytes) -> None:
                 request_id = self.headers["X-Gentianwall-Request-Id"]
                 digest = hashlib.sha256(body).hexdigest()
