Leave servers alone for as long as they ask for rest

Cause: Retry-After of a server was read by listed clusters only, not where requests are routed. Class of fault: what a server states about itself in an answer has no effect on what it is sent (as the rate limit had none).

Change: a 503 with Retry-After, also of a health check, keeps requests, load queries and checks from that server for so long, over a removal of the server and until it starts anew. While all servers of a service rest, requests are refused at once with the time until the first rest ends. Rate limits and rests are asked in one place, GatewayState.may_send.

Ruled out: load queries or retries alone (first attempts exceed what is allowed).

Its load now starts 3.5 s before the rest, since entries may use the slack for retries only then (log: server_refused at attempt 1 in the first second); its assertions are unchanged.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -356,7 +356,7 @@
         service.servers,
         (*service.homes, *call.others),
         call.tried_servers,
-        state.rate_limits,
+        lambda name: state.may_send(name, now_ms),
         now_ms,
     )
     return placement.rank_servers(
@@ -379,11 +379,15 @@
 ) -> None:
     """Refuses a request because there is no server that it may be sent to.
 
-    If that is due to rate limits, the caller is told to return when the first
-    of them allows a request.
+    If that is due to rate limits or rests, the caller is told to return when
+    the first of them allows a request.
     """
-    untried = [n for n in service.servers if n not in call.tried_servers]
-    wait_ms = state.rate_limits.wait_ms(untried, now_ms)
+    waits_ms = [
+        state.wait_ms(name, now_ms)
+        for name in service.servers
+        if name not in call.tried_servers
+    ]
+    wait_ms = min((ms for ms in waits_ms if ms > 0.0), default=0.0)
     is_limited = wait_ms > 0.0
     refuse(
         state,
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -76,6 +76,7 @@
             be forwarded.
         report: Its load report, if any.
         rate_limit_per_s: Rate limit that the server names, if any.
+        rest_ms: Time for which the server wants nothing from this entry.
     """
 
     at_ms: float
@@ -86,6 +87,7 @@
     is_authentic: bool
     report: SpeedReport | None
     rate_limit_per_s: float | None = None
+    rest_ms: float = 0.0
 
 
 @attrs.define
@@ -150,6 +152,7 @@
         is_mismatched: Whether another server answered at that address.
         report: Its load report, if any.
         rate_limit_per_s: Rate limit that the server names, if any.
+        rest_ms: Time for which the server wants nothing from this entry.
     """
 
     at_ms: float
@@ -159,6 +162,7 @@
     is_mismatched: bool
     report: SpeedReport | None
     rate_limit_per_s: float | None = None
+    rest_ms: float = 0.0
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -202,6 +202,8 @@
         current.record = record
         return
     if current is not None:
+        if current.record.notice.incarnation != notice.incarnation:
+            state.rests.end(name)
         state.remove_server(name)
         effects.append(CloseIdleConnections(name))
     if record.is_present:
--- a/gentianwall/gateway/homes.py
+++ b/gentianwall/gateway/homes.py
@@ -16,9 +16,8 @@
 
 import hashlib
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
-from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.servers import RoutedServer
 
 # With this many home servers the chance that all of them are busy is small up
@@ -89,20 +88,20 @@
     servers: dict[str, RoutedServer],
     names: Iterable[str],
     excluded: Collection[str],
-    rate_limits: RateLimits,
+    may_send: Callable[[str], bool],
     now_ms: float,
 ) -> list[RoutedServer]:
     """Returns the servers of the given names that may get a request.
 
     All servers are considered if every one of these is paused or gone, so that
-    an entry whose home servers are lost uses the remaining ones. Servers whose
-    rate limit is used up are never returned.
+    an entry whose home servers are lost uses the remaining ones. Servers that
+    must not be sent a request now are never returned.
 
     Args:
         servers: All servers of the service by name.
         names: Names of the home servers and of those drawn.
         excluded: Names of servers that the request has tried.
-        rate_limits: Rate limits of servers.
+        may_send: Returns whether a server may be sent a request now.
         now_ms: The local clock.
     """
     candidates = [
@@ -111,10 +110,8 @@
         if name in servers
         and name not in excluded
         and servers[name].paused_until_ms <= now_ms
-        and rate_limits.may_send(name, now_ms)
+        and may_send(name)
     ]
     return candidates or [
-        server
-        for name, server in servers.items()
-        if rate_limits.may_send(name, now_ms)
+        server for name, server in servers.items() if may_send(name)
     ]
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -65,6 +65,8 @@
         _record_rate_limit(
             state, call.server, event.rate_limit_per_s, event.at_ms, effects
         )
+    if event.rest_ms > 0.0:
+        _record_rest(state, call.server, event.rest_ms, event.at_ms, effects)
     if event.is_refusal:
         retry_or_refuse(
             state, call, RefusalReason.SERVER_REFUSED, event.at_ms, effects
@@ -113,6 +115,19 @@
     state.poll_due_ms = now_ms
 
 
+def _record_rest(
+    state: GatewayState,
+    server: str,
+    rest_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Records that a server asked for rest."""
+    state.rests.record(server, rest_ms, now_ms)
+    fields = {"server": server, "rest_ms": round(rest_ms)}
+    effects.append(Log("server_rests", fields))
+
+
 def _forward_answer(
     state: GatewayState,
     call: RoutedCall,
@@ -204,7 +219,7 @@
     has_untried_server = relaying.can_relay(state, call, now_ms) or any(
         server.record.notice.state == "up"
         and server.name not in call.tried_servers
-        and state.rate_limits.may_send(server.name, now_ms)
+        and state.may_send(server.name, now_ms)
         for server in service.servers.values()
     )
     return has_untried_server and service.retry_window.spend(now_ms)
@@ -307,6 +322,10 @@
                     event.at_ms,
                     effects,
                 )
+            if event.rest_ms > 0.0:
+                _record_rest(
+                    state, server.name, event.rest_ms, event.at_ms, effects
+                )
             if event.report is not None:
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
@@ -340,6 +359,7 @@
             service.has_load_reports
             and service.health_path
             and overdue.is_check_due(server, now_ms)
+            and state.rests.wait_ms(name, now_ms) <= 0.0
         ):
             server.checked_ms = now_ms
             effects.append(
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -99,9 +99,16 @@
     effects: list[GatewayEffect],
     is_urgent: bool = False,
 ) -> None:
-    """Checks a few servers on new connections if a round is due or urgent."""
+    """Checks a few servers on new connections if a round is due or urgent.
+
+    Servers that asked for rest are left alone.
+    """
+    rests = state.rests
+    servers = state.service_by_server
+    if rests.until_ms:
+        servers = [n for n in servers if rests.wait_ms(n, now_ms) <= 0.0]
     checked = state.reachability.start_round(
-        state.service_by_server, state.rng, now_ms, is_urgent
+        servers, state.rng, now_ms, is_urgent
     )
     for name in checked:
         notice = state.server(name).record.notice
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -16,6 +16,7 @@
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.reachability import Reachability
+from gentianwall.gateway.rests import Rests
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
@@ -188,6 +189,7 @@
         started_ms: When the process started.
         link_name: Name under which the entry polls the control instances.
         rate_limits: Rate limits of servers and this entry's shares of them.
+        rests: Servers that asked this entry for rest.
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
@@ -222,6 +224,7 @@
     started_ms: float = 0.0
     link_name: str = ""
     rate_limits: RateLimits = attrs.field(factory=RateLimits)
+    rests: Rests = attrs.field(factory=Rests)
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
@@ -231,6 +234,20 @@
         """Whether the entry accepts new callers."""
         return self.table is not None and not self.is_draining
 
+    def wait_ms(self, server: str, now_ms: float) -> float:
+        """Returns the time for which a server must not be sent a request.
+
+        It is 0 if the server may be sent one now.
+        """
+        return max(
+            self.rate_limits.wait_ms((server,), now_ms),
+            self.rests.wait_ms(server, now_ms),
+        )
+
+    def may_send(self, server: str, now_ms: float) -> bool:
+        """Returns whether a server may be sent a request now."""
+        return self.wait_ms(server, now_ms) <= 0.0
+
     def service(self, name: str) -> ServiceState:
         """Returns the state of a service; creates it if it is unknown."""
         service = self.services.get(name)
--- a/gentianwall/routing/reports.py
+++ b/gentianwall/routing/reports.py
@@ -1,4 +1,4 @@
-"""Reports of servers about their load, speed and rate limit."""
+"""Reports of servers about their load, speed, rate limit and rest."""
 
 from __future__ import annotations
 
@@ -41,6 +41,18 @@
     )
 
 
+def parse_rest_ms(text: str) -> float:
+    """Parses the seconds of a `Retry-After`; returns 0 ms if malformed.
+
+    The other form of the header, a date, is not used by servers.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return 1000.0 * max(0.0, seconds) if math.isfinite(seconds) else 0.0
+
+
 def parse_rate_limit(text: str) -> float | None:
     """Parses a number of requests a second; returns None if malformed."""
     try:
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -47,7 +47,7 @@
 from gentianwall.logs import get_logger
 from gentianwall.membership.messages import ServerNotice
 from gentianwall.metrics import Metrics
-from gentianwall.routing.reports import parse_rate_limit
+from gentianwall.routing.reports import parse_rate_limit, parse_rest_ms
 from gentianwall.runtime.relay_headers import (
     RELAY_HEADER,
     RelayOutcome,
@@ -70,6 +70,7 @@
 HEALTH_CHECK_TIMEOUT_MS = 300.0
 HEALTH_CHECK_LIMIT_BYTES = 64 * 1024
 MISDIRECTED_STATUS = 421
+SHED_STATUS = 503
 
 
 @attrs.define
@@ -323,6 +324,7 @@
             rate_limit_per_s=(
                 None if is_misdirected else self._rate_limit_per_s(headers)
             ),
+            rest_ms=_rest_ms(answer),
         )
 
     def _is_authentic(self, answer: ServerAnswer) -> bool:
@@ -416,12 +418,14 @@
         name = notice.key.server
         is_mismatched = False
         report = rate_limit_per_s = None
+        rest_ms = 0.0
         if answer is not None:
             values = answer.headers.getRawHeaders(self._dialect.server_name)
             is_mismatched = bool(values) and values[0] != name.encode()
             if not is_mismatched:
                 report = self._report(answer.headers)
                 rate_limit_per_s = self._rate_limit_per_s(answer.headers)
+                rest_ms = _rest_ms(answer)
         return LoadQueryEnded(
             at_ms=monotonic_ms(),
             server=name,
@@ -430,6 +434,7 @@
             is_mismatched=is_mismatched,
             report=report,
             rate_limit_per_s=rate_limit_per_s,
+            rest_ms=rest_ms,
         )
 
     def check_reach(self, effect: CheckReach) -> None:
@@ -594,6 +599,18 @@
         return call
 
 
+def _rest_ms(answer: ServerAnswer) -> float:
+    """Returns for how long the server wants nothing from this entry.
+
+    Only a server that turns a request away asks for that: after a redirection,
+    for example, `Retry-After` is meant for the caller.
+    """
+    if answer.status != SHED_STATUS:
+        return 0.0
+    values = answer.headers.getRawHeaders(b"Retry-After") or [b""]
+    return parse_rest_ms(values[0].decode("latin-1"))
+
+
 def _fingerprint(request: CallerRequest) -> str:
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method, request.header(b"Host").encode(), request.uri):
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -16,7 +16,6 @@
     choose_homes,
     draw_others,
 )
-from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.servers import RoutedServer
 from harness.gateway_entry import FULL, IDLE, Entry, effects_of_type, server
 
@@ -91,7 +90,7 @@
     homes = choose_homes("e", "d0", servers.values())
     others = draw_others(servers, homes, excluded, random.Random(1))
     candidates = choose_candidates(
-        servers, (*homes, *others), excluded, RateLimits(), 0.0
+        servers, (*homes, *others), excluded, lambda name: True, 0.0
     )
     if set(servers) - excluded:
         assert {c.name for c in candidates} - excluded
--- a/tests/test_resting_servers.py
+++ b/tests/test_resting_servers.py
@@ -24,6 +24,7 @@
 REST_S = 3.0
 TRANSIT_S = 0.5
 MOST_DURING_REST = 2
+BEFORE_S = 3.5
 LOAD_S = 5.0
 REQUESTS_PER_ENTRY_PER_S = 20.0
 
@@ -75,7 +76,10 @@
 
 
 def test_a_server_that_asks_for_rest_gets_no_more_requests(fleet, servers):
-    resting, *others = servers
+    resting = servers[0]
+    # Only entries that know how many they are may use the slack of the limit on
+    # retries, and have a request that was turned away answered by another one.
+    _load_all_entries(fleet, time.monotonic() + BEFORE_S)
     started_s = time.monotonic()
     resting.rest_until_s = started_s + REST_S
     statuses = _load_all_entries(fleet, started_s + LOAD_S)
