Send nothing more to a server whose answers state that it leaves

What callers see: requests that reach a server after it was to have been drained, and end with it. A server that leaves now says so in all its answers; where it is cut off from the control instances, nothing else tells.

Cause: the field was not read; an entry learned of a departure from the feed only. The class of fault is that of the rests.

Change: an answer or a health check that states it excludes the server at this entry until it starts anew, also after it was removed and listed again. An answer that a peer relayed counts as well, since this entry passes it on.

--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -77,6 +77,7 @@
         report: Its load report, if any.
         rate_limit_per_s: Rate limit that the server names, if any.
         rest_ms: Time for which the server wants nothing from this entry.
+        is_leaving: Whether the server states that it leaves.
     """
 
     at_ms: float
@@ -88,6 +89,7 @@
     report: SpeedReport | None
     rate_limit_per_s: float | None = None
     rest_ms: float = 0.0
+    is_leaving: bool = False
 
 
 @attrs.define
@@ -111,6 +113,8 @@
         status: HTTP status.
         server: Name of the server that answered; empty if none did.
         refusal: The peer's refusal; None if a server answered.
+        rate_limit_per_s: Rate limit that the server names, if any.
+        is_leaving: Whether the server states that it leaves.
     """
 
     at_ms: float
@@ -119,6 +123,8 @@
     status: int
     server: str
     refusal: Refusal | None
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 @attrs.define
@@ -153,6 +159,7 @@
         report: Its load report, if any.
         rate_limit_per_s: Rate limit that the server names, if any.
         rest_ms: Time for which the server wants nothing from this entry.
+        is_leaving: Whether the server states that it leaves.
     """
 
     at_ms: float
@@ -163,6 +170,7 @@
     report: SpeedReport | None
     rate_limit_per_s: float | None = None
     rest_ms: float = 0.0
+    is_leaving: bool = False
 
 
 @attrs.define
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -59,10 +59,12 @@
     if server is not None and event.report is not None:
         service.has_load_reports = True
         server.record_report(event.report, event.at_ms)
+    if event.is_leaving:
+        record_leaving(state, call.server, effects)
     is_success = event.is_authentic and not event.is_refusal
     is_success = is_success and event.status < FIRST_ERROR_STATUS
     if event.rate_limit_per_s is not None or is_success:
-        _record_rate_limit(
+        record_rate_limit(
             state, call.server, event.rate_limit_per_s, event.at_ms, effects
         )
     if event.rest_ms > 0.0:
@@ -95,7 +97,15 @@
     _forward_answer(state, call, event, effects)
 
 
-def _record_rate_limit(
+def record_leaving(
+    state: GatewayState, server: str, effects: list[GatewayEffect]
+) -> None:
+    """Records that a server leaves, so that it gets no further requests."""
+    if state.record_leaving(server):
+        effects.append(Log("server_leaving", {"server": server}))
+
+
+def record_rate_limit(
     state: GatewayState,
     server: str,
     per_second: float | None,
@@ -315,13 +325,15 @@
             server.is_unhealthy = not event.is_healthy
             service = state.services[state.service_by_server[server.name]]
             if event.rate_limit_per_s is not None:
-                _record_rate_limit(
+                record_rate_limit(
                     state,
                     server.name,
                     event.rate_limit_per_s,
                     event.at_ms,
                     effects,
                 )
+            if event.is_leaving:
+                record_leaving(state, server.name, effects)
             if event.rest_ms > 0.0:
                 _record_rest(
                     state, server.name, event.rest_ms, event.at_ms, effects
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -4,7 +4,12 @@
 
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
-from gentianwall.gateway import crash_reports, dispatching, relaying
+from gentianwall.gateway import (
+    crash_reports,
+    dispatching,
+    outcomes,
+    relaying,
+)
 from gentianwall.gateway.effects import ForwardAnswer, GatewayEffect, Log
 from gentianwall.gateway.events import PeerAnswered, PeerFailed, ReachChecked
 from gentianwall.gateway.state import GatewayState, RoutedCall
@@ -51,6 +56,16 @@
     refusal = event.refusal
     if refusal is None:
         state.peers.record_success(call.peer)
+        if event.is_leaving:
+            outcomes.record_leaving(state, event.server, effects)
+        if event.rate_limit_per_s is not None:
+            outcomes.record_rate_limit(
+                state,
+                event.server,
+                event.rate_limit_per_s,
+                event.at_ms,
+                effects,
+            )
         _forward_answer(state, call, event, effects)
         return
     if refusal.executed is not Executed.NO:
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -28,6 +28,9 @@
 # An entry receives several reports for each request under load, so that this
 # weight follows a burst within a few requests.
 FULL_SHARE_WEIGHT = 0.05
+# Servers that left are remembered, since a late heartbeat may list one again,
+# until this many others have left after it.
+MAX_LEAVING = 1024
 
 
 class Phase(enum.Enum):
@@ -189,6 +192,8 @@
         started_ms: When the process started.
         link_name: Name under which the entry polls the control instances.
         rate_limits: Rate limits of servers and this entry's shares of them.
+        leaving: Incarnations of the servers that stated to this entry that
+            they leave, by their names.
         rests: Servers that asked this entry for rest.
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
@@ -224,6 +229,7 @@
     started_ms: float = 0.0
     link_name: str = ""
     rate_limits: RateLimits = attrs.field(factory=RateLimits)
+    leaving: dict[str, int] = attrs.field(factory=dict)
     rests: Rests = attrs.field(factory=Rests)
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
@@ -246,7 +252,27 @@
 
     def may_send(self, server: str, now_ms: float) -> bool:
         """Returns whether a server may be sent a request now."""
-        return self.wait_ms(server, now_ms) <= 0.0
+        return not self.is_leaving(server) and (
+            self.wait_ms(server, now_ms) <= 0.0
+        )
+
+    def is_leaving(self, server: str) -> bool:
+        """Returns whether a server has stated to this entry that it leaves."""
+        known = self.server(server) if server in self.leaving else None
+        return (
+            known is not None
+            and known.record.notice.incarnation == self.leaving[server]
+        )
+
+    def record_leaving(self, server: str) -> bool:
+        """Records that a server leaves; returns whether that is new."""
+        known = self.server(server)
+        if known is None or self.is_leaving(server):
+            return False
+        self.leaving[server] = known.record.notice.incarnation
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        return True
 
     def service(self, name: str) -> ServiceState:
         """Returns the state of a service; creates it if it is unknown."""
--- a/gentianwall/http/dialect.py
+++ b/gentianwall/http/dialect.py
@@ -24,6 +24,7 @@
         load: Load report of a server.
         rate_limit: Requests a second that a server takes from all entries
             together.
+        leaving: Set to 1 by a server that leaves, in all its answers.
         not_executed: Set by a server that did not execute a request.
         parse_load: Parses the value of `load`.
         statuses: Statuses of refusals that differ from the product's own.
@@ -36,6 +37,7 @@
     server_name: bytes = b"Gentianwall-Server"
     load: bytes = b"Gentianwall-Load"
     rate_limit: bytes = b"Gentianwall-Rate-Limit"
+    leaving: bytes = b"Gentianwall-Leaving"
     not_executed: bytes = b"Gentianwall-Not-Executed"
     parse_load: Callable[[str], SpeedReport | None] = parse_speed_report
     statuses: dict[RefusalReason, int] = attrs.field(factory=dict)
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -255,6 +255,8 @@
                     status=answer.status,
                     server=outcome.server,
                     refusal=outcome.refusal,
+                    rate_limit_per_s=self._rate_limit_per_s(answer.headers),
+                    is_leaving=self._is_leaving(answer.headers),
                 )
             )
 
@@ -325,6 +327,7 @@
                 None if is_misdirected else self._rate_limit_per_s(headers)
             ),
             rest_ms=_rest_ms(answer),
+            is_leaving=not is_misdirected and self._is_leaving(headers),
         )
 
     def _is_authentic(self, answer: ServerAnswer) -> bool:
@@ -348,6 +351,9 @@
         values = headers.getRawHeaders(self._dialect.rate_limit)
         return parse_rate_limit(values[0].decode("latin-1")) if values else None
 
+    def _is_leaving(self, headers: Headers) -> bool:
+        return headers.getRawHeaders(self._dialect.leaving) == [b"1"]
+
     def query_load(self, effect: QueryLoad) -> None:
         """Queries servers for their load and schedules the request's recheck.
 
@@ -419,6 +425,7 @@
         is_mismatched = False
         report = rate_limit_per_s = None
         rest_ms = 0.0
+        is_leaving = False
         if answer is not None:
             values = answer.headers.getRawHeaders(self._dialect.server_name)
             is_mismatched = bool(values) and values[0] != name.encode()
@@ -426,6 +433,7 @@
                 report = self._report(answer.headers)
                 rate_limit_per_s = self._rate_limit_per_s(answer.headers)
                 rest_ms = _rest_ms(answer)
+                is_leaving = self._is_leaving(answer.headers)
         return LoadQueryEnded(
             at_ms=monotonic_ms(),
             server=name,
@@ -435,6 +443,7 @@
             report=report,
             rate_limit_per_s=rate_limit_per_s,
             rest_ms=rest_ms,
+            is_leaving=is_leaving,
         )
 
     def check_reach(self, effect: CheckReach) -> None:
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -91,6 +91,7 @@
     Attributes:
         service_s: Service time of a request.
         limit_per_s: Limit that it names in its answers; None for none.
+        is_leaving: Whether it says in all its answers that it leaves.
         rest_until_s: It turns requests away and asks for rest until then, by
             the monotonic clock.
         turned_away: Time and request id of each request that it turned away.
@@ -106,6 +107,7 @@
     host: str
     service_s: float = 0.02
     limit_per_s: float | None = None
+    is_leaving: bool = False
     rest_until_s: float = float("-inf")
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
     checked_at_s: list[float] = attrs.field(factory=list)
@@ -186,6 +188,8 @@
                 self.send_header("X-Gentianwall-Instance-Id", fake_server.name)
                 load = f"{fake_server._running_requests},0,4,100"
                 self.send_header("X-Gentianwall-Server-Load", load)
+                if fake_server.is_leaving:
+                    self.send_header("Server-Leaving", "1")
                 for name, value in headers.items():
                     self.send_header(name, value)
                 self.end_headers()
