Do not apply changes that follow a notice which was lost

Cause: the leader sends an entry the changes since the versions that it assumes the entry to have. The first notice to an entry that has just started may be lost, since its link is not up yet. If a server then changes before the next poll, the push names only that server, and the entry took its revision as its own: it polled as up to date and never learned of the other servers. In the log each entry has 'server_changed ... state=left revision=82' as its only one.

Change: a notice names the revision that its list of servers is based on. An entry that holds an older one leaves the list, logs notice_missed and polls at once. Configurations, quarantines and rate limits are sent whole.

--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -238,6 +238,8 @@
             divided.
         rate_limits_version: Version of `rate_limits`.
         rate_limits: All rate limits in force; None if unchanged.
+        base_revision: Revision after which `servers` lists all changes. An
+            entry with an older one lacks others and must not apply them.
     """
 
     term: int
@@ -251,6 +253,7 @@
     entries: int
     rate_limits_version: int = 0
     rate_limits: tuple[SharedRateLimit, ...] | None = None
+    base_revision: int = 0
 
 
 @attrs.frozen
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -294,6 +294,7 @@
         entries=content.entries,
         rate_limits_version=current.rate_limits_version,
         rate_limits=None if has_shares else feed.rate_shares.shares,
+        base_revision=versions.revision,
     )
 
 
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -115,7 +115,15 @@
     _update_entries(state, notice.entries, event.at_ms)
     if notice.configuration is not None and notice.number > state.number:
         _apply_configuration(state, notice, effects)
-    if notice.revision > state.revision:
+    if notice.base_revision > state.revision:
+        # An earlier notice was lost; the next poll asks for its content.
+        state.poll_due_ms = event.at_ms
+        fields = {
+            "revision": state.revision,
+            "base_revision": notice.base_revision,
+        }
+        effects.append(Log("notice_missed", fields))
+    elif notice.revision > state.revision:
         state.revision = notice.revision
         for record in notice.servers:
             _apply_server(state, record, event.at_ms, effects)
