Split checks, pools and answer headers from the driver of requests

Health checks, connection pools and the headers of answers get modules of their own, the begin and end of partitions one in gateway/. One function forwards answers, whether a server or a peer sent them.

--- a/gentianwall/gateway/crash_reports.py
+++ b/gentianwall/gateway/crash_reports.py
@@ -10,7 +10,6 @@
 
 from gentianwall.claims.commands import ReportCrash
 from gentianwall.control.messages import CommandRequest
-from gentianwall.gateway import relaying
 from gentianwall.gateway.effects import GatewayEffect, Log, SendToControl
 from gentianwall.gateway.events import ServerCrashed
 from gentianwall.gateway.state import GatewayState
@@ -24,8 +23,6 @@
         _report(state, event, effects)
         return
     state.unconfirmed_crashes.append(event)
-    state.reachability.record_failure(event.server, event.at_ms)
-    relaying.start_checks(state, event.at_ms, effects, is_urgent=True)
 
 
 def on_server_reached(
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -10,6 +10,7 @@
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
+    ForwardAnswer,
     GatewayEffect,
     Log,
     QueryLoad,
@@ -501,6 +502,32 @@
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def forward_answer(
+    state: GatewayState,
+    call: RoutedCall,
+    server: str,
+    status: int,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Forwards the answer of a server, which a peer may have relayed."""
+    del state.calls[call.call_id]
+    effects.append(ForwardAnswer(call.call_id))
+    fields = {
+        "id": call.request_id,
+        "service": call.service,
+        "kind": call.route.kind.value,
+        "server": server,
+        "peer": call.peer,
+        "status": status,
+        "attempt": call.attempt,
+        "server_ms": round(now_ms - call.sent_ms),
+        "total_ms": round(now_ms - call.arrived_ms),
+        "target_ms": round(call.route.target_ms),
+    }
+    effects.append(Log("answered", fields))
+
+
 def cancel_attempt(
     state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
 ) -> RoutedServer | None:
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -8,6 +8,7 @@
     crash_reports,
     dispatching,
     overdue,
+    partitions,
     relaying,
 )
 from gentianwall.gateway.effects import (
@@ -15,7 +16,6 @@
     CheckOverdue,
     CheckServer,
     CloseIdleConnections,
-    ForwardAnswer,
     GatewayEffect,
     Log,
 )
@@ -96,7 +96,9 @@
         service.record_service_time(
             duration_ms / max(1.0, call.load_factor), call.route
         )
-    _forward_answer(state, call, event, effects)
+    dispatching.forward_answer(
+        state, call, call.server, event.status, event.at_ms, effects
+    )
 
 
 def record_leaving(
@@ -140,28 +142,6 @@
     effects.append(Log("server_rests", fields))
 
 
-def _forward_answer(
-    state: GatewayState,
-    call: RoutedCall,
-    event: ServerAnswered,
-    effects: list[GatewayEffect],
-) -> None:
-    del state.calls[call.call_id]
-    effects.append(ForwardAnswer(call.call_id))
-    fields = {
-        "id": call.request_id,
-        "service": call.service,
-        "kind": call.route.kind.value,
-        "server": call.server,
-        "status": event.status,
-        "attempt": call.attempt,
-        "server_ms": round(event.at_ms - call.sent_ms),
-        "total_ms": round(event.at_ms - call.arrived_ms),
-        "target_ms": round(call.route.target_ms),
-    }
-    effects.append(Log("answered", fields))
-
-
 def on_failed(
     state: GatewayState, event: ServerFailed, effects: list[GatewayEffect]
 ) -> None:
@@ -174,7 +154,7 @@
     if call is None or call.attempt != event.attempt:
         return
     server = dispatching.remove_from_server(state, call)
-    _record_lost_path(state, call.server, event.at_ms, effects)
+    partitions.record_lost_path(state, call.server, event.at_ms, effects)
     if event.kind is FailureKind.NOT_CONNECTED:
         call.attempt -= 1  # Nothing was sent.
         if server is not None:
@@ -191,17 +171,6 @@
     )
 
 
-def _record_lost_path(
-    state: GatewayState,
-    server: str,
-    now_ms: float,
-    effects: list[GatewayEffect],
-) -> None:
-    """Records a failed connection and checks other servers if it is due."""
-    state.reachability.record_failure(server, now_ms)
-    relaying.start_checks(state, now_ms, effects)
-
-
 def retry_or_refuse(
     state: GatewayState,
     call: RoutedCall,
@@ -322,7 +291,9 @@
         if not event.is_answered or event.is_mismatched:
             _pause_server(state, server, event.at_ms, effects)
             if not event.is_answered:
-                _record_lost_path(state, event.server, event.at_ms, effects)
+                partitions.record_lost_path(
+                    state, event.server, event.at_ms, effects
+                )
         else:
             server.is_unhealthy = not event.is_healthy
             service = state.services[state.service_by_server[server.name]]
@@ -434,3 +405,7 @@
     if server is not None:
         _pause_server(state, server, event.at_ms, effects)
     crash_reports.on_server_crashed(state, event, effects)
+    if state.unconfirmed_crashes:
+        partitions.record_lost_path(
+            state, event.server, event.at_ms, effects, is_urgent=True
+        )
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -1,50 +1,22 @@
-"""Handles the begin and end of partitions, and the answers of peers."""
+"""Handles answers and failures of peers that relay requests."""
 
 from __future__ import annotations
 
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
 from gentianwall.gateway import (
-    crash_reports,
     dispatching,
     outcomes,
     relaying,
 )
-from gentianwall.gateway.effects import ForwardAnswer, GatewayEffect, Log
-from gentianwall.gateway.events import PeerAnswered, PeerFailed, ReachChecked
+from gentianwall.gateway.effects import GatewayEffect, Log
+from gentianwall.gateway.events import PeerAnswered, PeerFailed
 from gentianwall.gateway.state import GatewayState, RoutedCall
 
 # Refusals after which another peer may still serve the request.
 UNUSABLE_PEER_REASONS = (RefusalReason.NO_SERVER, RefusalReason.NOT_READY)
 
 
-def on_reach_checked(
-    state: GatewayState, event: ReachChecked, effects: list[GatewayEffect]
-) -> None:
-    """Records a check; the partition may begin or end with it."""
-    is_changed = state.reachability.record_check(event.server, event.is_reached)
-    is_partitioned = state.reachability.is_partitioned
-    if event.is_reached:
-        crash_reports.on_server_reached(state, event.server, effects)
-    elif is_partitioned:
-        crash_reports.on_partition_began(state, effects)
-    if not is_changed:
-        return
-    name = "partition_began" if is_partitioned else "partition_ended"
-    fields = {"server": event.server, "peers": len(state.peers.by_host)}
-    effects.append(Log(name, fields))
-    # The leader names only peers that are not partitioned, so it is told.
-    state.poll_due_ms = event.at_ms
-    state.peers.requested_ms = float("-inf")
-    if is_partitioned:
-        for call in list(state.querying.values()):
-            relaying.send_to_peer(state, call, event.at_ms, effects)
-    else:
-        for service in state.services.values():
-            for server in service.servers.values():
-                server.end_pause()
-
-
 def on_peer_answered(
     state: GatewayState, event: PeerAnswered, effects: list[GatewayEffect]
 ) -> None:
@@ -66,7 +38,9 @@
                 event.at_ms,
                 effects,
             )
-        _forward_answer(state, call, event, effects)
+        dispatching.forward_answer(
+            state, call, event.server, event.status, event.at_ms, effects
+        )
         return
     if refusal.executed is not Executed.NO:
         call.is_maybe_executed = True
@@ -84,29 +58,6 @@
     )
 
 
-def _forward_answer(
-    state: GatewayState,
-    call: RoutedCall,
-    event: PeerAnswered,
-    effects: list[GatewayEffect],
-) -> None:
-    del state.calls[call.call_id]
-    effects.append(ForwardAnswer(call.call_id))
-    fields = {
-        "id": call.request_id,
-        "service": call.service,
-        "kind": call.route.kind.value,
-        "server": event.server,
-        "peer": call.peer,
-        "status": event.status,
-        "attempt": call.attempt,
-        "server_ms": round(event.at_ms - call.sent_ms),
-        "total_ms": round(event.at_ms - call.arrived_ms),
-        "target_ms": round(call.route.target_ms),
-    }
-    effects.append(Log("answered", fields))
-
-
 def on_peer_failed(
     state: GatewayState, event: PeerFailed, effects: list[GatewayEffect]
 ) -> None:
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -7,8 +7,8 @@
     dispatching,
     feed,
     outcomes,
+    partitions,
     peer_outcomes,
-    relaying,
 )
 from gentianwall.gateway.effects import GatewayEffect, Log
 from gentianwall.gateway.events import (
@@ -47,7 +47,7 @@
         case PeerFailed():
             peer_outcomes.on_peer_failed(state, event, effects)
         case ReachChecked():
-            peer_outcomes.on_reach_checked(state, event, effects)
+            partitions.on_reach_checked(state, event, effects)
         case RecheckDue():
             outcomes.on_recheck_due(state, event.call_id, event.at_ms, effects)
         case DeadlineExpired():
@@ -65,7 +65,7 @@
         case Tick():
             feed.send_due_poll(state, event.at_ms, effects)
             outcomes.on_tick(state, event.at_ms, effects)
-            relaying.start_checks(state, event.at_ms, effects)
+            partitions.start_checks(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
             effects.append(Log("draining", {"calls": len(state.calls)}))
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -10,12 +10,7 @@
 from __future__ import annotations
 
 from gentianwall.config.routes import Route
-from gentianwall.gateway.effects import (
-    CheckReach,
-    GatewayEffect,
-    Log,
-    RelayRequest,
-)
+from gentianwall.gateway.effects import GatewayEffect, Log, RelayRequest
 from gentianwall.gateway.events import Relay, RequestArrived
 from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
 
@@ -93,29 +88,6 @@
     )
 
 
-def start_checks(
-    state: GatewayState,
-    now_ms: float,
-    effects: list[GatewayEffect],
-    is_urgent: bool = False,
-) -> None:
-    """Checks a few servers on new connections if a round is due or urgent.
-
-    Servers that asked for rest are left alone.
-    """
-    rests = state.rests
-    servers = state.service_by_server
-    if rests.until_ms:
-        servers = [n for n in servers if rests.wait_ms(n, now_ms) <= 0.0]
-    checked = state.reachability.start_round(
-        servers, state.rng, now_ms, is_urgent
-    )
-    for name in checked:
-        notice = state.server(name).record.notice
-        service = state.services[state.service_by_server[name]]
-        effects.append(CheckReach(notice, service.health_path))
-
-
 def end_relay(state: GatewayState, call: RoutedCall) -> None:
     """Ends the relay of a request whose caller no longer waits."""
     if call.peer:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -53,6 +53,8 @@
     stop_listening,
 )
 from gentianwall.runtime.gateway_requests import GatewayRequestHandler
+from gentianwall.runtime.server_checks import ServerChecks
+from gentianwall.runtime.server_pools import ServerPools
 from gentianwall.timeline import Timeline
 from gentianwall.timers import TimerService, monotonic_ms
 
@@ -101,11 +103,16 @@
             link_name=settings.link_address,
             has_peers=settings.peer_port > 0,
         )
+        self.pools = ServerPools(reactor)
+        self.checks = ServerChecks(
+            self.pools, timers, dialect, self.metrics, self.handle
+        )
         self.requests = GatewayRequestHandler(
             reactor,
             timers,
             dialect,
-            self.metrics,
+            self.pools,
+            self.checks,
             self.handle,
             lambda: bool(self.state.quarantines),
             settings.peer_port,
@@ -193,7 +200,7 @@
             case QueryLoad():
                 self.requests.query_load(effect)
             case CheckOverdue():
-                self.requests.query_server(effect.notice, effect.health_path)
+                self.checks.query_server(effect.notice, effect.health_path)
             case ScheduleRecheck():
                 self.requests.schedule_recheck(effect.call_id, effect.at_ms)
             case SendRequest():
@@ -201,7 +208,7 @@
             case RelayRequest():
                 self.requests.relay(effect)
             case CheckReach():
-                self.requests.check_reach(effect)
+                self.checks.check_reach(effect)
             case ForwardAnswer():
                 self.requests.forward_answer(effect)
             case RefuseRequest():
@@ -211,7 +218,7 @@
             case CheckServer():
                 self.requests.check_server(effect)
             case CloseIdleConnections():
-                self.requests.close_idle_connections(effect.server)
+                self.pools.close_idle(effect.server)
             case SendToControl():
                 self.links.send(effect.receiver, effect.message)
 
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -8,13 +8,11 @@
 from collections.abc import Callable
 
 import attrs
-from twisted.web.http_headers import Headers
 
 from gentianwall.core.events import CallerDisconnected, FailureKind
 from gentianwall.core.refusals import Refusal
 from gentianwall.gateway.effects import (
     CancelRequest,
-    CheckReach,
     CheckServer,
     ForwardAnswer,
     QueryLoad,
@@ -24,10 +22,8 @@
 )
 from gentianwall.gateway.events import (
     GatewayEvent,
-    LoadQueryEnded,
     PeerAnswered,
     PeerFailed,
-    ReachChecked,
     RecheckDue,
     Relay,
     RequestArrived,
@@ -45,9 +41,7 @@
 from gentianwall.http.dialect import Dialect
 from gentianwall.http.headers import end_to_end_headers
 from gentianwall.logs import get_logger
-from gentianwall.membership.messages import ServerNotice
-from gentianwall.metrics import Metrics
-from gentianwall.routing.reports import parse_rate_limit, parse_rest_ms
+from gentianwall.runtime.answers import AnswerReader
 from gentianwall.runtime.relay_headers import (
     RELAY_HEADER,
     RelayOutcome,
@@ -55,22 +49,17 @@
     decode_relay,
     encode,
 )
+from gentianwall.runtime.server_checks import ServerChecks
+from gentianwall.runtime.server_pools import CONNECT_TIMEOUT_S, ServerPools
 from gentianwall.timers import TimerService, monotonic_ms
 
 log = get_logger("requests")
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
-# A connection is set up within two round trips of at most 40 ms between
-# regions. A lost SYN is resent only after 1 s, which is too long to wait.
-CONNECT_TIMEOUT_S = 0.25
 # Time that a request waits for load reports: one round trip within a region
 # and the time that a busy process needs to answer.
 LOAD_QUERY_WAIT_MS = 12.0
-# A server whose health check is unanswered for this long gets no requests.
-HEALTH_CHECK_TIMEOUT_MS = 300.0
-HEALTH_CHECK_LIMIT_BYTES = 64 * 1024
 MISDIRECTED_STATUS = 421
-SHED_STATUS = 503
 
 
 @attrs.define
@@ -105,7 +94,8 @@
         reactor: The reactor.
         timers: The timer service.
         dialect: Header names and formats that servers and callers use.
-        metrics: Counters of requests and load queries.
+        pools: Connection pools of the servers.
+        checks: Sends load queries to servers.
         handle: Handles an event in the reducer and performs its effects.
         is_fingerprint_needed: Returns whether any request is quarantined, so
             that fingerprints have to be computed.
@@ -117,22 +107,23 @@
         reactor,
         timers: TimerService,
         dialect: Dialect,
-        metrics: Metrics,
+        pools: ServerPools,
+        checks: ServerChecks,
         handle: Callable[[GatewayEvent], None],
         is_fingerprint_needed: Callable[[], bool],
         peer_port: int,
     ):
         self.open_requests: dict[int, OpenRequest] = {}
         self.is_closing = False
-        self._pools: dict[str, ConnectionPool] = {}
         self._peer_pools: dict[str, ConnectionPool] = {}
         self._peer_port = peer_port
-        self._load_queries: dict[str, Attempt] = {}
         self._call_id_by_request: dict[int, int] = {}
         self._reactor = reactor
         self._timers = timers
         self._dialect = dialect
-        self._metrics = metrics
+        self._reader = AnswerReader(dialect)
+        self._pools = pools
+        self._checks = checks
         self._handle = handle
         self._is_fingerprint_needed = is_fingerprint_needed
         self._last_id = 0
@@ -226,7 +217,7 @@
                 ServerFailed(now_ms, call.call_id, effect.attempt, kind)
             )
 
-        pool = self.pool_of(effect.notice)
+        pool = self._pools.pool_of(effect.notice)
         self._start_attempt(call, pool, request, on_answer, on_failure)
 
     def relay(self, effect: RelayRequest) -> None:
@@ -255,8 +246,8 @@
                     status=answer.status,
                     server=outcome.server,
                     refusal=outcome.refusal,
-                    rate_limit_per_s=self._rate_limit_per_s(answer.headers),
-                    is_leaving=self._is_leaving(answer.headers),
+                    rate_limit_per_s=self._reader.rate_limit_per_s(answer),
+                    is_leaving=self._reader.is_leaving(answer),
                 )
             )
 
@@ -310,50 +301,25 @@
     def _answered_event(
         self, call: OpenRequest, attempt: int, answer: ServerAnswer
     ) -> ServerAnswered:
-        names = self._dialect
-        headers = answer.headers
+        reader = self._reader
         is_misdirected = answer.status == MISDIRECTED_STATUS
-        is_refusal = headers.hasHeader(names.not_executed) or is_misdirected
+        is_refusal = is_misdirected or reader.is_not_executed(answer)
         return ServerAnswered(
             at_ms=monotonic_ms(),
             call_id=call.call_id,
             attempt=attempt,
             status=answer.status,
             is_refusal=is_refusal,
-            is_authentic=self._is_authentic(answer),
-            report=self._report(headers),
+            is_authentic=reader.is_authentic(answer),
+            report=reader.report(answer),
             # A misdirected request was answered by another server.
             rate_limit_per_s=(
-                None if is_misdirected else self._rate_limit_per_s(headers)
+                None if is_misdirected else reader.rate_limit_per_s(answer)
             ),
-            rest_ms=_rest_ms(answer),
-            is_leaving=not is_misdirected and self._is_leaving(headers),
+            rest_ms=reader.rest_ms(answer),
+            is_leaving=not is_misdirected and reader.is_leaving(answer),
         )
 
-    def _is_authentic(self, answer: ServerAnswer) -> bool:
-        """Returns whether an answer is authentic and may be forwarded."""
-        names = self._dialect
-        if answer.headers.hasHeader(b"Content-Encoding"):
-            return False  # Callers do not request encoded content.
-        if not names.server_stamp:
-            return True
-        return answer.headers.hasHeader(
-            names.server_stamp
-        ) and answer.headers.hasHeader(names.request_id)
-
-    def _report(self, headers: Headers):
-        values = headers.getRawHeaders(self._dialect.load)
-        if not values:
-            return None
-        return self._dialect.parse_load(values[0].decode("latin-1"))
-
-    def _rate_limit_per_s(self, headers: Headers) -> float | None:
-        values = headers.getRawHeaders(self._dialect.rate_limit)
-        return parse_rate_limit(values[0].decode("latin-1")) if values else None
-
-    def _is_leaving(self, headers: Headers) -> bool:
-        return headers.getRawHeaders(self._dialect.leaving) == [b"1"]
-
     def query_load(self, effect: QueryLoad) -> None:
         """Queries servers for their load and schedules the request's recheck.
 
@@ -363,12 +329,7 @@
             effect.call_id, monotonic_ms() + LOAD_QUERY_WAIT_MS
         )
         for notice in effect.notices:
-            self.query_server(notice, effect.health_path)
-
-    def query_server(self, notice: ServerNotice, health_path: str) -> None:
-        """Queries a server for its load unless a query is outstanding."""
-        if notice.key.server not in self._load_queries:
-            self._start_query(notice, health_path)
+            self._checks.query_server(notice, effect.health_path)
 
     def schedule_recheck(self, call_id: int, at_ms: float) -> None:
         """Schedules the recheck of a waiting request."""
@@ -378,136 +339,6 @@
             lambda: self._handle(RecheckDue(monotonic_ms(), call_id)),
         )
 
-    def _start_query(self, notice: ServerNotice, health_path: str) -> None:
-        name = notice.key.server
-        self._metrics.service(notice.key.service).probes += 1
-        request = self._health_check(notice, health_path)
-
-        def on_query_ended(answer: ServerAnswer | None) -> None:
-            self._timers.cancel(f"load-query.{name}")
-            self._load_queries.pop(name, None)
-            self._handle(self._load_query_ended(notice, answer))
-
-        pool = self.pool_of(notice)
-
-        def on_failure(kind: FailureKind) -> None:
-            if kind is FailureKind.LOST and attempt.is_reused:
-                # The server had closed an idle connection, which says nothing
-                # about its health; the query is retried on a new one.
-                pool.close_idle()
-                self._timers.cancel(f"load-query.{name}")
-                self._load_queries.pop(name, None)
-                self._start_query(notice, health_path)
-            else:
-                on_query_ended(None)
-
-        attempt = Attempt(
-            pool,
-            request,
-            "",
-            HEALTH_CHECK_LIMIT_BYTES,
-            float("inf"),
-            on_query_ended,
-            on_failure,
-        )
-        self._load_queries[name] = attempt
-        self._timers.start(
-            f"load-query.{name}",
-            monotonic_ms() + HEALTH_CHECK_TIMEOUT_MS,
-            lambda: attempt.fail(FailureKind.SILENT),
-        )
-        attempt.start()
-
-    def _load_query_ended(
-        self, notice: ServerNotice, answer: ServerAnswer | None
-    ) -> LoadQueryEnded:
-        name = notice.key.server
-        is_mismatched = False
-        report = rate_limit_per_s = None
-        rest_ms = 0.0
-        is_leaving = False
-        if answer is not None:
-            values = answer.headers.getRawHeaders(self._dialect.server_name)
-            is_mismatched = bool(values) and values[0] != name.encode()
-            if not is_mismatched:
-                report = self._report(answer.headers)
-                rate_limit_per_s = self._rate_limit_per_s(answer.headers)
-                rest_ms = _rest_ms(answer)
-                is_leaving = self._is_leaving(answer.headers)
-        return LoadQueryEnded(
-            at_ms=monotonic_ms(),
-            server=name,
-            is_answered=answer is not None,
-            is_healthy=answer is not None and answer.status < 400,
-            is_mismatched=is_mismatched,
-            report=report,
-            rate_limit_per_s=rate_limit_per_s,
-            rest_ms=rest_ms,
-            is_leaving=is_leaving,
-        )
-
-    def check_reach(self, effect: CheckReach) -> None:
-        """Checks on a new connection whether a server is reached.
-
-        It is reached if it answers its health check, with any status; without
-        a health check, if it accepts the connection.
-        """
-        notice = effect.notice
-        pool = self.pool_of(notice)
-
-        def end(is_reached: bool) -> None:
-            server = notice.key.server
-            self._handle(ReachChecked(monotonic_ms(), server, is_reached))
-
-        if not effect.health_path:
-
-            def on_connected(connection) -> None:
-                pool.release_connection(connection)
-                end(True)
-
-            pool.connect(on_connected, lambda: end(False))
-            return
-        self._metrics.service(notice.key.service).probes += 1
-        timer = f"reach.{notice.key.server}"
-
-        def on_answer(answer: ServerAnswer) -> None:
-            self._timers.cancel(timer)
-            end(True)
-
-        def on_failure(kind: FailureKind) -> None:
-            self._timers.cancel(timer)
-            end(False)
-
-        attempt = Attempt(
-            pool,
-            self._health_check(notice, effect.health_path),
-            "",
-            HEALTH_CHECK_LIMIT_BYTES,
-            float("inf"),
-            on_answer,
-            on_failure,
-        )
-        self._timers.start(
-            timer,
-            monotonic_ms() + HEALTH_CHECK_TIMEOUT_MS,
-            lambda: attempt.fail(FailureKind.SILENT),
-        )
-        attempt.start(is_new_connection=True)
-
-    def _health_check(
-        self, notice: ServerNotice, health_path: str
-    ) -> ServerRequest:
-        headers = Headers()
-        headers.addRawHeader(b"Host", f"{notice.host}:{notice.port}".encode())
-        return ServerRequest(
-            b"GET",
-            health_path.encode(),
-            headers,
-            b"",
-            True,
-            echo_header=self._dialect.request_id,
-        )
-
     def check_server(self, effect: CheckServer) -> None:
         """Checks whether a server that lost a request accepts connections.
 
@@ -518,7 +349,7 @@
         if call is None:
             return
         fingerprint = _fingerprint(call.request)
-        pool = self.pool_of(effect.notice)
+        pool = self._pools.pool_of(effect.notice)
         service, server = effect.notice.key.service, effect.notice.key.server
         pool.connect(
             pool.release_connection,
@@ -580,24 +411,6 @@
     def _answer(self, call, status, headers, body) -> None:
         call.request.answer(status, headers, body, self.is_closing)
 
-    def pool_of(self, notice: ServerNotice) -> ConnectionPool:
-        """Returns the connection pool for a server's current address."""
-        name = notice.key.server
-        pool = self._pools.get(name)
-        if pool is None or (pool.host, pool.port) != (notice.host, notice.port):
-            self.close_idle_connections(name)
-            pool = ConnectionPool(
-                self._reactor, notice.host, notice.port, CONNECT_TIMEOUT_S
-            )
-            self._pools[name] = pool
-        return pool
-
-    def close_idle_connections(self, server: str) -> None:
-        """Removes a server's pool and closes its idle connections."""
-        pool = self._pools.pop(server, None)
-        if pool is not None:
-            pool.close_idle()
-
     def _remove_call(self, call_id: int) -> OpenRequest | None:
         self._timers.cancel(f"recheck.{call_id}")
         self._timers.cancel(f"call.{call_id}")
@@ -608,18 +421,6 @@
         return call
 
 
-def _rest_ms(answer: ServerAnswer) -> float:
-    """Returns for how long the server wants nothing from this entry.
-
-    Only a server that turns a request away asks for that: after a redirection,
-    for example, `Retry-After` is meant for the caller.
-    """
-    if answer.status != SHED_STATUS:
-        return 0.0
-    values = answer.headers.getRawHeaders(b"Retry-After") or [b""]
-    return parse_rest_ms(values[0].decode("latin-1"))
-
-
 def _fingerprint(request: CallerRequest) -> str:
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method, request.header(b"Host").encode(), request.uri):
