Share the servers and the load of the tests of a fleet

Assertions, bounds and rates are unchanged; the ids of the load count nanoseconds instead of requests.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -33,6 +33,7 @@
 PEER_PORT = 9554
 METRICS_PORT = 9102
 SERVER_PORT = 9080
+SERVERS_PREFIX = "127.0.3."
 HOST = "shop.example"
 START_TIMEOUT_S = 15.0
 
@@ -481,6 +482,52 @@
         yield server
 
 
+@contextlib.contextmanager
+def registered_servers(fleet: Fleet, count: int) -> Iterator[list[FakeServer]]:
+    """Runs servers and waits until all entries dispatch to one of them."""
+    with contextlib.ExitStack() as stack:
+        servers = []
+        for number in range(1, count + 1):
+            server = FakeServer(
+                f"i-{number}", "orders", f"{SERVERS_PREFIX}{number}"
+            )
+            stack.enter_context(running_server(server))
+            send_heartbeat_until_acknowledged(fleet, server)
+            servers.append(server)
+        wait_until_serving(fleet)
+        yield servers
+
+
+def load_entries(
+    fleet: Fleet, until_s: float, requests_per_s: float
+) -> list[int]:
+    """Sends requests to all entries at once; returns the statuses.
+
+    The ids of the requests begin with the host of the entry.
+
+    Args:
+        fleet: The fleet.
+        until_s: When to stop, by the monotonic clock.
+        requests_per_s: At most this many requests a second to each entry.
+    """
+    statuses = []
+
+    def load(entry: Node) -> None:
+        while time.monotonic() < until_s:
+            request_id = f"{entry.host}-{time.monotonic_ns()}"
+            statuses.append(fleet.send_request(entry, request_id).status)
+            time.sleep(1.0 / requests_per_s)
+
+    threads = [
+        threading.Thread(target=load, args=(entry,)) for entry in fleet.entries
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
 def document(number: int, service: str = "orders") -> dict:
     """Returns a configuration with one route to a service."""
     route = {
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import threading
 import time
 
 import pytest
@@ -22,13 +20,7 @@
     PeerAnswered,
     ServerAnswered,
 )
-from harness.fleet import (
-    FakeServer,
-    running_fleet,
-    running_server,
-    send_heartbeat_until_acknowledged,
-    wait_until_serving,
-)
+from harness.fleet import load_entries, registered_servers, running_fleet
 from harness.gateway_entry import (
     IDLE,
     Entry,
@@ -52,15 +44,7 @@
 @pytest.fixture
 def servers(fleet):
     """Three servers, known to all entries."""
-    servers = [
-        FakeServer(f"i-{number}", "orders", f"127.0.3.{number}")
-        for number in (1, 2, 3)
-    ]
-    with contextlib.ExitStack() as stack:
-        for server in servers:
-            stack.enter_context(running_server(server))
-            send_heartbeat_until_acknowledged(fleet, server)
-        wait_until_serving(fleet)
+    with registered_servers(fleet, 3) as servers:
         yield servers
 
 
@@ -69,24 +53,9 @@
 ):
     leaving = servers[0]
     leaving.is_leaving = True
-    statuses = []
-    until_s = time.monotonic() + LOAD_S
-
-    def load(entry) -> None:
-        number = 0
-        while time.monotonic() < until_s:
-            number += 1
-            answer = fleet.send_request(entry, f"{entry.host}-{number}")
-            statuses.append(answer.status)
-            time.sleep(1.0 / REQUESTS_PER_ENTRY_PER_S)
-
-    threads = [
-        threading.Thread(target=load, args=(entry,)) for entry in fleet.entries
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    statuses = load_entries(
+        fleet, time.monotonic() + LOAD_S, REQUESTS_PER_ENTRY_PER_S
+    )
     for entry in fleet.entries:
         at_s = [
             at
--- a/tests/test_partitioned_entries.py
+++ b/tests/test_partitioned_entries.py
@@ -24,14 +24,12 @@
     HOST,
     METRICS_PORT,
     SERVER_PORT,
-    FakeServer,
+    SERVERS_PREFIX,
     call,
+    registered_servers,
     replace_configuration_until_acknowledged,
     running_fleet,
-    running_server,
-    send_heartbeat_until_acknowledged,
     wait_until,
-    wait_until_serving,
 )
 from soak.proxy import Partition, Proxy
 
@@ -40,7 +38,6 @@
 SETTLING_S = 3.0
 SAMPLE_S = 4.0
 REQUESTS_PER_ENTRY_PER_S = 8.0
-SERVERS_PREFIX = "127.0.3."
 # Time after the end of a partition within which an entry uses servers again.
 REJOIN_S = 2.0
 
@@ -99,15 +96,7 @@
 @pytest.fixture
 def servers(fleet):
     """Four servers, known to all entries."""
-    servers = [
-        FakeServer(f"i-{number}", "orders", f"{SERVERS_PREFIX}{number}")
-        for number in range(1, SERVERS + 1)
-    ]
-    with contextlib.ExitStack() as stack:
-        for server in servers:
-            stack.enter_context(running_server(server))
-            send_heartbeat_until_acknowledged(fleet, server)
-        wait_until_serving(fleet)
+    with registered_servers(fleet, SERVERS) as servers:
         yield servers
 
 
--- a/tests/test_resting_servers.py
+++ b/tests/test_resting_servers.py
@@ -7,19 +7,11 @@
 
 from __future__ import annotations
 
-import contextlib
-import threading
 import time
 
 import pytest
 
-from harness.fleet import (
-    FakeServer,
-    running_fleet,
-    running_server,
-    send_heartbeat_until_acknowledged,
-    wait_until_serving,
-)
+from harness.fleet import load_entries, registered_servers, running_fleet
 
 REST_S = 3.0
 TRANSIT_S = 0.5
@@ -39,50 +31,18 @@
 @pytest.fixture
 def servers(fleet):
     """Three servers, known to all entries."""
-    servers = [
-        FakeServer(f"i-{number}", "orders", f"127.0.3.{number}")
-        for number in (1, 2, 3)
-    ]
-    with contextlib.ExitStack() as stack:
-        for server in servers:
-            stack.enter_context(running_server(server))
-            send_heartbeat_until_acknowledged(fleet, server)
-        wait_until_serving(fleet)
+    with registered_servers(fleet, 3) as servers:
         yield servers
 
 
-def _load_entry(fleet, entry, until_s, statuses):
-    number = 0
-    while time.monotonic() < until_s:
-        number += 1
-        answer = fleet.send_request(entry, f"{entry.host}-{number}")
-        statuses.append(answer.status)
-        time.sleep(1.0 / REQUESTS_PER_ENTRY_PER_S)
-
-
-def _load_all_entries(fleet, until_s):
-    statuses = []
-    threads = [
-        threading.Thread(
-            target=_load_entry, args=(fleet, entry, until_s, statuses)
-        )
-        for entry in fleet.entries
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return statuses
-
-
 def test_a_server_that_asks_for_rest_gets_no_more_requests(fleet, servers):
     resting = servers[0]
     # Only entries that know how many they are may use the slack of the limit on
     # retries, and have a request that was turned away answered by another one.
-    _load_all_entries(fleet, time.monotonic() + BEFORE_S)
+    load_entries(fleet, time.monotonic() + BEFORE_S, REQUESTS_PER_ENTRY_PER_S)
     started_s = time.monotonic()
     resting.rest_until_s = started_s + REST_S
-    statuses = _load_all_entries(fleet, started_s + LOAD_S)
+    statuses = load_entries(fleet, started_s + LOAD_S, REQUESTS_PER_ENTRY_PER_S)
     told_s = []
     for entry in fleet.entries:
         at_s = [
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -7,19 +7,11 @@
 
 from __future__ import annotations
 
-import contextlib
-import threading
 import time
 
 import pytest
 
-from harness.fleet import (
-    FakeServer,
-    running_fleet,
-    running_server,
-    send_heartbeat_until_acknowledged,
-    wait_until_serving,
-)
+from harness.fleet import load_entries, registered_servers, running_fleet
 
 SETTLING_S = 3.0
 WINDOW_S = 4.0
@@ -40,42 +32,15 @@
 @pytest.fixture
 def servers(fleet):
     """Three servers, known to all entries."""
-    servers = [
-        FakeServer(f"i-{number}", "orders", f"127.0.3.{number}")
-        for number in (1, 2, 3)
-    ]
-    with contextlib.ExitStack() as stack:
-        for server in servers:
-            stack.enter_context(running_server(server))
-            send_heartbeat_until_acknowledged(fleet, server)
-        wait_until_serving(fleet)
+    with registered_servers(fleet, 3) as servers:
         yield servers
 
 
-def _load_entry(fleet, entry, until_s, statuses):
-    number = 0
-    while time.monotonic() < until_s:
-        number += 1
-        answer = fleet.send_request(entry, f"{entry.host}-{number}")
-        statuses.append(answer.status)
-        time.sleep(1.0 / REQUESTS_PER_ENTRY_PER_S)
-
-
 def test_entries_together_keep_to_the_limit_that_a_server_names(fleet, servers):
     limited, *others = servers
     limited.limit_per_s = LIMIT_PER_S
     named_s = time.monotonic()
-    statuses = []
-    threads = [
-        threading.Thread(
-            target=_load_entry, args=(fleet, entry, named_s + LOAD_S, statuses)
-        )
-        for entry in fleet.entries
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    statuses = load_entries(fleet, named_s + LOAD_S, REQUESTS_PER_ENTRY_PER_S)
     at_s = [s for s in limited.executed_at_s if s > named_s + SETTLING_S]
     most = max(
         (sum(start <= s < start + WINDOW_S for s in at_s) for start in at_s),
