--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -23,6 +23,7 @@
     RequestArrived,
     ServerCrashed,
 )
+from gentianwall.gateway.placement import QUERIES_PER_ROUND
 from gentianwall.gateway.reachability import (
     CHECKS_PER_ROUND,
     ROUND_INTERVAL_MS,
@@ -162,11 +163,13 @@
 
 
 def test_servers_are_used_again_at_once_when_the_partition_ends(partitioned):
-    for name in "abcd":
+    for name in "bcd":
         partitioned.state.server(name).pause(partitioned.now_ms)
+    partitioned.state.service("s").has_load_reports = True
     partitioned.reduce(ReachChecked(partitioned.now_ms, "a", True))
     effects = partitioned.deliver_request()
-    assert effects_of_type(effects, fx.QueryLoad)
+    (query,) = effects_of_type(effects, fx.QueryLoad)
+    assert len(query.notices) == QUERIES_PER_ROUND
     assert not effects_of_type(effects, fx.RelayRequest)
 
 
@@ -284,6 +287,15 @@
     assert refusal.executed is Executed.NO
 
 
+def test_a_relayed_request_stays_where_it_is_when_its_peer_is_partitioned(peer):
+    peer.state.has_peers = True
+    peer.reduce(FeedArrived(peer.now_ms, "c1", PeerList(PEERS)))
+    _deliver_relayed(peer)
+    peer.state.reachability.is_partitioned = True
+    effects = peer.fail_attempt(FailureKind.NOT_CONNECTED)
+    assert not effects_of_type(effects, fx.RelayRequest)
+
+
 def test_relayed_requests_do_not_extend_the_limit_on_retries(peer):
     for _ in range(30):
         _deliver_relayed(peer)
