--- a/benchmarks/fleet_load/model.py
+++ b/benchmarks/fleet_load/model.py
@@ -50,9 +50,9 @@
 from gentianwall.runtime.gateway import TICK_MS
 from gentianwall.runtime.gateway_requests import (
     CONNECT_TIMEOUT_S,
-    HEALTH_CHECK_TIMEOUT_MS,
     LOAD_QUERY_WAIT_MS,
 )
+from gentianwall.runtime.server_checks import HEALTH_CHECK_TIMEOUT_MS
 
 HOST = "model.example"
 HEALTH_PATH = "/h"
