--- a/review/standins.py
+++ b/review/standins.py
@@ -778,8 +778,8 @@
     """Runs a case, which returns whether the rule held, and exits."""
     try:
         held = case()
-    except NotRunError as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # noqa: BLE001 - the exit code 1 has a meaning
+        print(f"could not run: {type(error).__name__}: {error}", flush=True)
         os._exit(EXIT_NOT_RUN)
     print("the rule held" if held else "the rule was broken")
     sys.stdout.flush()
