Hand all bytes after a skipped answer to the next one

Cause: when a skipped answer ended within a 2 KiB part of the head, only the rest of that part was kept; the bytes behind it met no parser and twisted closed the connection. A close by this side ends with ConnectionDone like one by the server, so the body without a length counted as complete.

Change: the bytes that are not parsed when an answer ends are handed on as one. Unsolicited bytes behind the first 2 KiB now end the reuse of the connection as well. A body without a length is not complete if this side closed.

Ruled out: an early close by the server (its record has the whole body). A late answer with `Connection: close` had the same effect by the second cause alone.

--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -160,6 +160,7 @@
         self.pending_bytes = b""
         self.meter = AnswerMeter()
         self.is_limit_exceeded = False
+        self._unparsed_bytes = b""
 
     def _on_quiescent(self, _) -> None:
         if not self.is_answer_mismatched:
@@ -190,37 +191,40 @@
     def dataReceived(self, data) -> None:
         """Parses received bytes; aborts the connection on unsolicited ones."""
         self.last_received_ms = monotonic_ms()
-        if self._parser is None and self.is_answer_mismatched:
-            self.pending_bytes += data
-            if len(self.pending_bytes) > MAX_PENDING_BYTES:
-                self._abort_over_limit()
-            return
         if self._parser is None:
+            self._receive_between_answers(data)
+            return
+        self._unparsed_bytes = data
+        while self._unparsed_bytes and self._parser is not None:
+            self._parse_part()
+            if self.is_limit_exceeded or self.is_lost:
+                self._unparsed_bytes = b""
+
+    def _receive_between_answers(self, data: bytes) -> None:
+        if not self.is_answer_mismatched:
             self._on_unsolicited_bytes()
             self.transport.abortConnection()
             return
-        rest = self._parse_head(data)
-        if rest and not self.is_limit_exceeded:
-            self.meter.wire_body_bytes += len(rest)
-            super().dataReceived(rest)
-            self._check_limits()
+        self.pending_bytes += data
+        if len(self.pending_bytes) > MAX_PENDING_BYTES:
+            self._abort_over_limit()
 
-    def _parse_head(self, data: bytes) -> bytes:
-        """Parses bytes up to the end of the head; returns those after it.
+    def _parse_part(self) -> None:
+        """Parses the next part of the head, or all bytes after the head.
 
         A part that holds the end of the head counts to the head as a whole.
         """
-        position = 0
-        while position < len(data) and not self._is_head_received:
-            part = data[position : position + HEAD_PART_BYTES]
-            position += len(part)
+        if self._is_head_received:
+            part, self._unparsed_bytes = self._unparsed_bytes, b""
+            self.meter.wire_body_bytes += len(part)
+            super().dataReceived(part)
+        else:
+            part = self._unparsed_bytes[:HEAD_PART_BYTES]
+            self._unparsed_bytes = self._unparsed_bytes[HEAD_PART_BYTES:]
             super().dataReceived(part)
             if not self._is_head_received:
                 self.meter.head_bytes += len(part)
-                self._check_limits()
-            if self.is_limit_exceeded or self.is_lost:
-                return b""
-        return data[position:]
+        self._check_limits()
 
     @property
     def _is_head_received(self) -> bool:
@@ -236,6 +240,8 @@
         self.transport.abortConnection()
 
     def _finishResponse(self, rest) -> None:
+        rest += self._unparsed_bytes
+        self._unparsed_bytes = b""
         if self.is_answer_mismatched:
             self.pending_bytes = rest
         elif rest:
@@ -250,7 +256,10 @@
     def connectionLost(self, reason) -> None:
         """Removes the connection from the pool."""
         self.is_lost = True
-        self.is_closed_cleanly = bool(reason.check(ConnectionDone))
+        self.is_closed_cleanly = (
+            bool(reason.check(ConnectionDone))
+            and not self.transport.disconnecting
+        )
         self.pool.remove(self)
         super().connectionLost(reason)
 
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,206 @@
+"""Tests of how the bytes of a server's connection become answers."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+from twisted.web.http_headers import Headers
+
+from gentianwall.core.events import FailureKind
+from gentianwall.http.answer_limits import HEAD_PART_BYTES
+from gentianwall.http.connections import (
+    Attempt,
+    ConnectionPool,
+    ServerAnswer,
+    ServerRequest,
+)
+
+ID_HEADER = b"Gentianwall-Request-Id"
+BODY = bytes(range(256)) * 36
+LATE_BODY = b"late"
+
+
+class ServerTransport(StringTransport):
+    """A transport that acts as that of a socket after a close."""
+
+    def pauseProducing(self):  # noqa: N802
+        """Does nothing, since the test decides what is received."""
+
+    def resumeProducing(self):  # noqa: N802
+        """Does nothing; after a close, `StringTransport` raises an error."""
+
+    def loseConnection(self):  # noqa: N802
+        """Closes the connection after the current call, as a reactor does."""
+        super().loseConnection()
+        self.on_close(ConnectionDone())
+
+    def abortConnection(self):  # noqa: N802
+        """Closes the connection at once."""
+        super().abortConnection()
+        self.on_close(ConnectionLost())
+
+
+@attrs.define
+class Exchange:
+    """Requests on one connection to a server that the test plays.
+
+    Attributes:
+        results: An answer or a failure for each request that has ended.
+        is_closed: Whether this side has closed the connection.
+    """
+
+    reactor: MemoryReactorClock = attrs.field(factory=MemoryReactorClock)
+    results: list[ServerAnswer | FailureKind] = attrs.field(factory=list)
+    is_closed: bool = False
+    _pool: ConnectionPool | None = None
+    _protocol: object = None
+    _is_ended: bool = False
+
+    def request(self, request_id: str) -> None:
+        """Starts a request on the connection, which the first one opens."""
+        if self._pool is None:
+            self._pool = ConnectionPool(self.reactor, "127.0.0.1", 1)
+        headers = Headers({b"Host": [b"server"], ID_HEADER: [request_id]})
+        request = ServerRequest(
+            b"GET", b"/", headers, b"", True, is_close_delimited=True
+        )
+        attempt = Attempt(
+            self._pool,
+            request,
+            request_id,
+            1_000_000,
+            float("inf"),
+            self.results.append,
+            self.results.append,
+        )
+        attempt.start()
+        if self._protocol is None:
+            factory = self.reactor.tcpClients[0][2]
+            self._protocol = factory.buildProtocol(None)
+            transport = ServerTransport()
+            transport.on_close = self._on_close
+            self._protocol.makeConnection(transport)
+
+    def receive(self, *parts: bytes) -> None:
+        """Receives bytes of the server, each part in a read of its own."""
+        for part in parts:
+            if not self.is_closed:
+                self._protocol.dataReceived(part)
+            self.reactor.advance(0)
+
+    def end(self, error: Exception) -> None:
+        """Ends the connection from the server's side."""
+        if not self._is_ended:
+            self._is_ended = True
+            self._protocol.connectionLost(Failure(error))
+        self.reactor.advance(0)
+
+    def _on_close(self, error: Exception) -> None:
+        self.is_closed = True
+        # A reactor handles a close after the calls that are already due.
+        self.reactor.callLater(
+            0, lambda: self.reactor.callLater(0, self.end, error)
+        )
+
+
+def _answer(request_id: str, body: bytes, *headers: bytes) -> bytes:
+    lines = [b"HTTP/1.1 200 OK", ID_HEADER + b": " + request_id.encode()]
+    return b"\r\n".join([*lines, *headers, b"", body])
+
+
+def _sized(request_id: str, body: bytes, *headers: bytes) -> bytes:
+    return _answer(
+        request_id, body, b"Content-Length: %d" % len(body), *headers
+    )
+
+
+def _after_a_first_answer() -> Exchange:
+    """Returns a kept connection whose second request is outstanding."""
+    exchange = Exchange()
+    exchange.request("first")
+    exchange.receive(_sized("first", LATE_BODY))
+    exchange.request("second")
+    assert len(exchange.results) == 1
+    return exchange
+
+
+def _parts(data: bytes, cuts: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(cuts), len(data)]
+    return [
+        data[start:end]
+        for start, end in zip(bounds, bounds[1:], strict=False)
+        if start < end
+    ]
+
+
+LATE_AND_UNSIZED = _sized("first", LATE_BODY) + _answer("second", BODY)
+
+
+# The first 2 KiB of the next answer's read passed for its whole body.
+@given(cuts=st.lists(st.integers(1, len(LATE_AND_UNSIZED) - 1), max_size=4))
+def test_late_second_answer_does_not_shorten_an_unsized_body(cuts):
+    exchange = _after_a_first_answer()
+    exchange.receive(*_parts(LATE_AND_UNSIZED, cuts))
+    exchange.end(ConnectionDone())
+    answer = exchange.results[1]
+    assert isinstance(answer, ServerAnswer), answer
+    assert answer.body == BODY
+
+
+# A connection that this side closed was taken for the end of the body.
+@pytest.mark.parametrize("read_bytes", [1000, HEAD_PART_BYTES, 4000, 8000])
+def test_a_body_is_not_complete_because_this_side_closes(read_bytes):
+    late = _sized("first", LATE_BODY, b"Connection: close")
+    exchange = _after_a_first_answer()
+    exchange.receive((late + _answer("second", BODY))[:read_bytes])
+    exchange.end(ConnectionDone())
+    assert exchange.results[1:] == [FailureKind.TRUNCATED]
+
+
+def test_bytes_after_an_answer_end_the_reuse_of_its_connection():
+    exchange = Exchange()
+    exchange.request("first")
+    exchange.receive(_sized("first", b"") + bytes(2 * HEAD_PART_BYTES))
+    assert exchange.results[0].body == b""
+    assert exchange.is_closed
+
+
+CHUNKS = b"5\r\nhello\r\n3;a=b\r\nyou\r\n0\r\n"
+# Answers of servers, each with the bytes that make it complete.
+WHOLE_ANSWERS = {
+    "sized": _sized("second", b"hello"),
+    "chunked": _answer(
+        "second", CHUNKS + b"\r\n", b"Transfer-Encoding: chunked"
+    ),
+    "trailers": _answer(
+        "second",
+        CHUNKS + b"A: b\r\nC: d\r\n\r\n",
+        b"Transfer-Encoding: chunked",
+    ),
+    "interim": b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
+    + b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    + _sized("second", b"hello"),
+    "late answer first": _sized("first", LATE_BODY)
+    + _sized("second", b"hello"),
+}
+
+
+# A head or a body that broke off passed for a whole answer elsewhere.
+@pytest.mark.parametrize("error", [ConnectionDone(), ConnectionLost()])
+@pytest.mark.parametrize("shape", WHOLE_ANSWERS)
+def test_an_answer_that_breaks_off_at_any_byte_is_no_success(shape, error):
+    data = WHOLE_ANSWERS[shape]
+    for size in range(len(data)):
+        exchange = _after_a_first_answer()
+        exchange.receive(data[:size])
+        exchange.end(error)
+        (result,) = exchange.results[1:]
+        assert isinstance(result, FailureKind), (size, result)
+    exchange = _after_a_first_answer()
+    exchange.receive(data)
+    assert isinstance(exchange.results[1], ServerAnswer)
