--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -7,6 +7,12 @@
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.membership.messages import ServerNotice
 
+# Memory of the objects of a command without its texts and documents.
+COMMAND_BASE_BYTES = 512
+# Parsed routes take about twice the memory of the document that they are
+# parsed from.
+CONFIGURATION_MEMORY_FACTOR = 3
+
 
 @attrs.frozen
 class ClaimKey:
@@ -185,6 +191,24 @@
 )
 
 
+def approximate_bytes(command: Command) -> int:
+    """Returns about how much memory a command takes.
+
+    Load pattern: an operator changes a configuration of hundreds of routes many
+    times, so that some hundred commands fill the memory of a machine.
+    """
+    match command:
+        case PutConfiguration():
+            held_bytes = CONFIGURATION_MEMORY_FACTOR * len(command.document)
+        case ApplyDeclaration():
+            held_bytes = len(command.text)
+        case RecordOutcome():
+            held_bytes = len(command.outcome.body)
+        case _:
+            held_bytes = 0
+    return COMMAND_BASE_BYTES + held_bytes
+
+
 @attrs.frozen
 class DeclarationAccepted:
     """The declaration was accepted and has the version `version`."""
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -47,6 +47,9 @@
 from gentianwall.timeline import EventKind
 
 HISTORY_ITEMS = 50
+# Commands are refused while the log has this much that no majority has stored
+# yet, so that clients that send again cannot fill the memory.
+MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 
 ControlEvent = MessageArrived | Tick | BatchEnded | SnapshotTaken
 ControlEffect = StorageEffect | TakeSnapshot | SendMessage | RecordEvent
@@ -168,6 +171,10 @@
         refused = CommandRefused(request.request_id, leader, is_full)
         effects.append(SendMessage(event.sender, refused))
         return
+    if replica.uncommitted_bytes > MAX_UNCOMMITTED_BYTES:
+        refused = CommandRefused(request.request_id, "", False)
+        effects.append(SendMessage(event.sender, refused))
+        return
     pending_reply = PendingReply(
         event.sender, event.boot_id, request.request_id
     )
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianwall.claims.commands import ChangeMembers
+from gentianwall.claims.commands import ChangeMembers, approximate_bytes
 from gentianwall.claims.register import apply_command
 from gentianwall.claims.snapshot_codec import decode_register
 from gentianwall.replication import election
@@ -24,9 +24,18 @@
     Snapshot,
     SnapshotRequest,
 )
-from gentianwall.replication.state import Progress, ReplicaState, Role
+from gentianwall.replication.state import (
+    Progress,
+    ReplicaState,
+    Role,
+    bytes_of,
+)
 
 MAX_ENTRIES_PER_APPEND = 256
+MAX_APPEND_BYTES = 1024 * 1024
+# Entries and snapshots that one replica has not acknowledged yet. They fill a
+# link of 1 Gbit/s for 30 ms.
+MAX_UNACKED_BYTES = 4 * MAX_APPEND_BYTES
 
 
 def adopt_members(state: ReplicaState, entries: list[LogEntry]) -> None:
@@ -76,17 +85,32 @@
     now_ms: float,
     effects: list[ReplicationEffect],
 ) -> None:
+    """Sends a replica what it lacks, as far as it keeps up, or a heartbeat.
+
+    Load pattern: a replica whose disk is empty or slow needs a long log of
+    large configurations, which must fit into the memory of both sides.
+    """
     progress.sent_ms = now_ms
+    is_window_full = progress.unacked_bytes >= MAX_UNACKED_BYTES
     prev_index = progress.next_index - 1
+    if is_window_full:
+        # A heartbeat, which shows whether the follower received the rest.
+        prev_index = max(prev_index, state.log.base_index)
     prev_term = state.log.term_at(prev_index)
     if prev_term is None:
         assert state.snapshot is not None
         request = SnapshotRequest(state.term, state.snapshot, now_ms)
         progress.next_index = state.snapshot.index + 1
+        progress.unacked_bytes += len(state.snapshot.state)
         effects.append(SendToReplica(name, request))
         return
-    entries = state.log.after(prev_index, MAX_ENTRIES_PER_APPEND)
-    progress.next_index += len(entries)
+    entries = ()
+    if not is_window_full:
+        entries = state.log.after(
+            prev_index, MAX_ENTRIES_PER_APPEND, MAX_APPEND_BYTES
+        )
+        progress.next_index += len(entries)
+        progress.unacked_bytes += bytes_of(entries)
     request = AppendRequest(
         term=state.term,
         prev_index=prev_index,
@@ -219,8 +243,11 @@
     if reply.is_success:
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.match_index == progress.next_index - 1:
+            progress.unacked_bytes = 0
     else:
         progress.next_index = max(1, reply.match_index + 1)
+        progress.unacked_bytes = 0
     election.renew_lease(state, now_ms)
     advance_commit(state, effects)
     if progress.next_index <= state.log.last_index:
@@ -254,17 +281,14 @@
     state.commit_index = max(state.commit_index, index)
     while state.applied_index < state.commit_index:
         _apply_next(state, effects)
-    compactable = state.applied_index - state.log.base_index
-    if (
-        compactable >= _snapshot_interval(state)
-        and not state.is_snapshot_pending
-    ):
+    if _is_snapshot_due(state) and not state.is_snapshot_pending:
         _take_snapshot(state, effects)
 
 
 def _apply_next(state: ReplicaState, effects: list[ReplicationEffect]) -> None:
     entry = state.log.entry(state.applied_index + 1)
     state.applied_index = entry.index
+    state.applied_bytes += approximate_bytes(entry.command)
     if isinstance(entry.command, ChangeMembers):
         state.applied_members = _members_of(entry.command)
         names = tuple(name for name, _ in entry.command.members)
@@ -274,13 +298,19 @@
     effects.append(CommandApplied(entry.index, entry.command, result))
 
 
-def _snapshot_interval(state: ReplicaState) -> int:
-    """Returns the number of applied entries after which a snapshot is due.
+def _is_snapshot_due(state: ReplicaState) -> bool:
+    """Returns whether enough entries were applied since the last snapshot.
 
-    It grows with the register, so that the cost of encoding snapshots stays
-    a constant share of the cost of applying entries.
+    The intervals in entries and in bytes grow with the register, so that the
+    cost of encoding snapshots stays a constant share of the cost of applying
+    entries.
     """
-    return max(state.timing.snapshot_entries, len(state.register.claims))
+    timing = state.timing
+    entries = state.applied_index - state.log.base_index
+    snapshot_bytes = len(state.snapshot.state) if state.snapshot else 0
+    return entries >= max(
+        timing.snapshot_entries, len(state.register.claims)
+    ) or state.applied_bytes >= max(timing.snapshot_bytes, snapshot_bytes)
 
 
 def _take_snapshot(
@@ -304,6 +334,9 @@
         return  # A snapshot of the leader was installed in the meantime.
     state.snapshot = snapshot
     state.log.compact_to(snapshot.index, snapshot.term)
+    state.applied_bytes = state.log.bytes_between(
+        snapshot.index, state.applied_index
+    )
     effects.append(StoreSnapshot(snapshot))
 
 
@@ -333,6 +366,7 @@
     state.log.base_term = snapshot.term
     state.commit_index = snapshot.index
     state.applied_index = snapshot.index
+    state.applied_bytes = 0
     state.members = snapshot.members
     state.applied_members = snapshot.members
     state.members_index = snapshot.index
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import random
+from collections.abc import Iterable
 
 import attrs
 
+from gentianwall.claims.commands import approximate_bytes
 from gentianwall.claims.register import RegisterState
 from gentianwall.replication.messages import LogEntry, Member, Snapshot
 
@@ -17,6 +20,11 @@
 FAST_ELECTION_PERIOD_MS = 2000.0
 
 
+def bytes_of(entries: Iterable[LogEntry]) -> int:
+    """Returns about how much memory log entries take."""
+    return sum(approximate_bytes(entry.command) for entry in entries)
+
+
 class Role(enum.Enum):
     """Role of a replica in the current term."""
 
@@ -35,11 +43,15 @@
         election_timeout_ms: Time without contact to the leader before an
             election; the actual time is drawn between this and its double.
         snapshot_entries: Applied entries after which a snapshot is written.
+        snapshot_bytes: Memory of applied entries after which it is written in
+            any case.
     """
 
     heartbeat_ms: float = 50.0
     election_timeout_ms: float = 300.0
     snapshot_entries: int = 5000
+    # A fortieth of the memory of the smallest machines that replicas run on.
+    snapshot_bytes: int = 8 * 1024 * 1024
 
     @property
     def lease_ms(self) -> float:
@@ -80,10 +92,28 @@
         """Returns the entry at an index, which must be in the log."""
         return self.entries[index - self.base_index - 1]
 
-    def after(self, index: int, limit: int) -> tuple[LogEntry, ...]:
-        """Returns up to `limit` entries after an index."""
+    def after(
+        self, index: int, max_entries: int, max_bytes: int
+    ) -> tuple[LogEntry, ...]:
+        """Returns entries after an index, up to either limit.
+
+        The first entry is returned even if it alone is over `max_bytes`.
+        """
         start = index - self.base_index
-        return tuple(self.entries[start : start + limit])
+        taken = []
+        taken_bytes = 0
+        for entry in itertools.islice(self.entries, start, start + max_entries):
+            taken_bytes += approximate_bytes(entry.command)
+            if taken and taken_bytes > max_bytes:
+                break
+            taken.append(entry)
+        return tuple(taken)
+
+    def bytes_between(self, after: int, up_to: int) -> int:
+        """Returns the memory of the entries after an index up to another."""
+        first = max(0, after - self.base_index)
+        end = max(0, up_to - self.base_index)
+        return bytes_of(self.entries[first:end])
 
     def truncate_from(self, index: int) -> None:
         """Removes the entry at an index and all after it."""
@@ -107,6 +137,8 @@
         acked_ms: When the latest acknowledged request was sent, by the
             leader's clock.
         sent_ms: When the latest request was sent.
+        unacked_bytes: Memory of what was sent since the replica last
+            acknowledged or refused all that it had been sent.
     """
 
     disk_id: str
@@ -114,6 +146,7 @@
     match_index: int = 0
     acked_ms: float = float("-inf")
     sent_ms: float = float("-inf")
+    unacked_bytes: int = 0
 
 
 @attrs.define
@@ -136,6 +169,7 @@
         last_contact_ms: When a request of the leader was last accepted.
         election_due_ms: When the next pre-vote starts.
         is_snapshot_pending: Whether a snapshot is being encoded.
+        applied_bytes: Memory of the applied entries in the log.
         has_unsent_entries: Whether entries were appended since the last
             batch was sent.
         leader_since_ms: When this replica became leader.
@@ -169,6 +203,7 @@
     last_contact_ms: float = 0.0
     election_due_ms: float = 0.0
     is_snapshot_pending: bool = False
+    applied_bytes: int = 0
     has_unsent_entries: bool = False
     leader_since_ms: float = float("-inf")
     lease_start_ms: float = float("-inf")
@@ -185,6 +220,11 @@
         """Number of members that form a majority."""
         return len(self.members) // 2 + 1
 
+    @property
+    def uncommitted_bytes(self) -> int:
+        """Memory of the entries that are not committed yet."""
+        return self.log.bytes_between(self.commit_index, self.log.last_index)
+
     def progress_of(self, member: Member) -> Progress | None:
         """Returns the progress of a member, or None for another disk."""
         progress = self.progress.get(member.replica)
--- a/harness/replicas.py
+++ b/harness/replicas.py
@@ -93,10 +93,14 @@
         voters: Number of voters; the other replicas are learners. 0 makes all
             replicas voters. If set, the cluster has three founding members,
             otherwise one.
+        timing: Timing of all replicas.
     """
 
-    def __init__(self, size: int, seed: int, voters: int = 0):
+    def __init__(
+        self, size: int, seed: int, voters: int = 0, timing: Timing = TIMING
+    ):
         self.voters = voters
+        self.timing = timing
         self.rng = random.Random(seed)
         self.now_ms = 1000.0
         self.names = [f"r{n}" for n in range(size)]
@@ -145,7 +149,7 @@
             copy.deepcopy(node.disk),
             name=name,
             peers=tuple(n for n in self.names if n != name),
-            timing=TIMING,
+            timing=self.timing,
             seed=self.rng.getrandbits(32),
             now_ms=self.now_ms,
             target_voters=self.voters,
@@ -212,12 +216,18 @@
         """Resumes a suspended process."""
         self.nodes[name].is_suspended = False
 
-    def propose(self, name: str) -> None:
-        """Proposes a new command at a replica; only a leader appends it."""
+    def propose(self, name: str, command: Command | None = None) -> None:
+        """Proposes a command at a replica; only a leader appends it.
+
+        Args:
+            name: Name of the replica.
+            command: The command; by default a new one without a long text.
+        """
         self.proposal_count += 1
-        command = ReportCrash(
-            "s", f"f{self.proposal_count}", "x", self.proposal_count
-        )
+        if command is None:
+            command = ReportCrash(
+                "s", f"f{self.proposal_count}", "x", self.proposal_count
+            )
         self._handle_event(name, Proposed(self.now_ms, command))
         self._handle_event(name, BatchEnded(self.now_ms))
 
