Refuse texts that cannot be stored, and stop if an entry cannot be

Cause: Python's JSON parser accepts half surrogate pairs, and the decoders took any text.

Change: one decoder for the bodies of servers and operators, at the platform and at the product's own interface.

Ruled out: followers that refuse the entry (it is never sent); endless retries of the write (only after an OSError).

--- a/gentianwall/http/announcements.py
+++ b/gentianwall/http/announcements.py
@@ -16,6 +16,7 @@
 from gentianwall.core.effects import AcceptAnnouncement, RefuseAnnouncement
 from gentianwall.core.events import EntryEvent, ServerAnnounced
 from gentianwall.http.channel import CallerRequest
+from gentianwall.http.documents import UnreadableDocument, decode_document
 from gentianwall.http.problems import plain_problem
 from gentianwall.http.tokens import is_server_authorized
 from gentianwall.membership.messages import ServerKey, ServerNotice
@@ -111,7 +112,9 @@
 
     The body must have passed `parse_announcement`.
     """
-    sequence = json.loads(request.body).get("sequence")
+    content = decode_document(request.body)
+    assert not isinstance(content, UnreadableDocument)
+    sequence = content.get("sequence")
     if not _is_integer_in_range(sequence, 0, 2**62):
         reason = "sequence must be a non-negative integer"
         return InvalidAnnouncement((reason,))
@@ -126,12 +129,9 @@
     if is_deregistration and not request.body:
         # Without a body the last known incarnation is deregistered.
         return ServerNotice(key, "", 0, 0, "", -1, "left")
-    try:
-        content = json.loads(request.body)
-    except ValueError as error:
-        return InvalidAnnouncement((f"body is not valid JSON: {error}",))
-    if not isinstance(content, dict):
-        return InvalidAnnouncement(("body must be a JSON object",))
+    content = decode_document(request.body)
+    if isinstance(content, UnreadableDocument):
+        return InvalidAnnouncement((f"body: {content.reason}",))
     problems = _find_problems(content, is_deregistration)
     if problems:
         return InvalidAnnouncement(tuple(problems))
--- a/gentianwall/platform/announcements.py
+++ b/gentianwall/platform/announcements.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 import math
 from typing import Any
 
 import attrs
 
 from gentianwall.config.settings import Address, parse_address
+from gentianwall.http.documents import UnreadableDocument, decode_document
 from gentianwall.membership.messages import ServerKey, ServerNotice
 
 # Replicas store 64-bit integers and JSON integers are unbounded: a larger one
@@ -61,12 +61,9 @@
     All decoded fields are required, except `born` and `warmupLeftMs`, which
     default to 0.
     """
-    try:
-        table = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        return InvalidAnnouncement(str(error))
-    if not isinstance(table, dict):
-        return InvalidAnnouncement("must be a JSON object")
+    table = decode_document(body)
+    if isinstance(table, UnreadableDocument):
+        return InvalidAnnouncement(table.reason)
     for key, expected_type in (
         ("service", str),
         ("address", str),
@@ -117,11 +114,10 @@
         return InvalidAnnouncement("query parameter `of` must name a server")
     if not body.strip():
         return Deregistration(server, 0)
-    try:
-        table = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        return InvalidAnnouncement(str(error))
-    incarnation = table.get("born", 0) if isinstance(table, dict) else 0
+    table = decode_document(body)
+    if isinstance(table, UnreadableDocument):
+        return InvalidAnnouncement(table.reason)
+    incarnation = table.get("born", 0)
     if not _is_valid(incarnation, int) or incarnation < 0:
         return InvalidAnnouncement("born must be an integer from 0 to 2**62")
     return Deregistration(server, incarnation)
--- a/gentianwall/platform/configurations.py
+++ b/gentianwall/platform/configurations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from gentianwall.config.routes import (
@@ -15,6 +14,7 @@
     check_configuration,
 )
 from gentianwall.config.schema import ConfigErrors, ConfigProblem
+from gentianwall.http.documents import UnreadableDocument, decode_document
 
 VERSION_PREFIX = "r"
 # Numbers of up to 18 digits fit into the 64-bit integers of the replicas.
@@ -39,20 +39,18 @@
 
 def decode_configuration(body: bytes) -> RouteConfiguration | ConfigErrors:
     """Decodes a complete configuration and checks that it is valid."""
+    document = decode_document(body)
+    if isinstance(document, UnreadableDocument):
+        return ConfigErrors((ConfigProblem("(body)", document.reason),))
     try:
-        document = json.loads(body)
         configuration = _read_configuration(document)
-    except (ValueError, RecursionError) as error:
-        return ConfigErrors((ConfigProblem("(body)", str(error)),))
     except _InvalidDocumentError as error:
         return ConfigErrors((error.problem,))
     problems = check_configuration(configuration)
     return ConfigErrors(tuple(problems)) if problems else configuration
 
 
-def _read_configuration(document: Any) -> RouteConfiguration:
-    if not isinstance(document, dict):
-        raise _InvalidDocumentError("(body)", "must be a JSON object")
+def _read_configuration(document: dict[str, Any]) -> RouteConfiguration:
     routes, services, limits = [], [], CallerLimits()
     for item in _read_value(document, "resources", list, "(body)"):
         if not isinstance(item, dict):
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -225,7 +225,13 @@
         self.reactor.callLater(0, self.reactor.stop)
 
     def _perform(self, effects: list[ControlEffect]) -> None:
-        if not self._store(effects):
+        try:
+            is_stored = self._store(effects)
+        except Exception as error:  # noqa: BLE001 - any exception stops the process
+            # The disk can never hold what memory has, so no retry helps.
+            self._stop_on_fault(error)
+            return
+        if not is_stored:
             self.unstored_effects = effects
             self.timers.start(
                 f"{self.setup.name}.store",
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,9 +16,12 @@
 from twisted.python.failure import Failure
 
 from gentianwall.control.messages import FeedPoll
+from gentianwall.core.effects import SendMessage
 from gentianwall.core.events import MessageArrived
 from gentianwall.links.sockets import LinkSetup, open_links
 from gentianwall.logs import BoundedWriter, EventLog
+from gentianwall.replication.effects import StoreTerm
+from gentianwall.replication.messages import JoinRequest
 from gentianwall.replication.state import Timing
 from gentianwall.runtime import control as runtime_control
 from gentianwall.runtime.control import ControlRuntime, ControlSetup
@@ -103,6 +106,21 @@
     assert not control.links.sent
 
 
+# A leader kept an entry in memory that its disk could not hold.
+def test_a_control_instance_stops_if_an_entry_cannot_be_stored(
+    control, reactor, monkeypatch
+):
+    effects = [StoreTerm(2, "\ud83d"), SendMessage("b", JoinRequest("d"))]
+    monkeypatch.setattr(runtime_control, "reduce_control", lambda *_: effects)
+    size_bytes = control.journal.size_bytes
+    control.tick()
+    assert control.fault.startswith("UnicodeEncodeError")
+    reactor.advance(runtime_control.STORE_RETRY_MS)
+    assert reactor.is_stopped
+    assert control.journal.size_bytes == size_bytes
+    assert not control.links.sent
+
+
 @pytest.fixture
 def links(reactor):
     """Links of two processes; the receiver raises on its first message."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,11 @@
 import math
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from gentianwall import codec
+from gentianwall.claims.commands import AnnounceServer, Command
 from gentianwall.config.routes import RouteConfiguration, RouteKind
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.platform.announcements import (
@@ -118,6 +122,34 @@
     assert isinstance(decode_configuration(body), ConfigErrors)
 
 
+# Texts that JSON parsers of Python accept and that cannot be stored.
+UNSTORABLE_TEXTS = [b"\xed\xa0\xbd", b"\\ud83d", b"\\uDC00x", b"\xff"]
+
+
+# One such report ended all commits until its leader was killed.
+@pytest.mark.parametrize("text", UNSTORABLE_TEXTS)
+def test_a_text_that_cannot_be_stored_is_refused_wherever_it_is(text):
+    heartbeat = _make_heartbeat()
+    document = json.dumps(_make_document()).encode()
+    for value in (b"huvo11a", b"10.128.0.9", b'"pa', b"v1"):
+        body = heartbeat.replace(value, value + text)
+        assert isinstance(decode_heartbeat("i-1", body), InvalidAnnouncement)
+    for value in (b'"r"', b"huvo11a", b"Jepu9", b"/lepu270/", b"/healthz"):
+        body = document.replace(value, value[:-1] + text + value[-1:])
+        assert isinstance(decode_configuration(body), ConfigErrors)
+    body = b'{"born": 7, "note": "' + text + b'"}'
+    assert isinstance(decode_deregistration("i-1", body), InvalidAnnouncement)
+
+
+@given(text=st.text(st.characters(exclude_categories=())))
+def test_an_announcement_that_is_decoded_can_be_stored(text):
+    decoded = decode_heartbeat("i-1", _make_heartbeat(zone=text))
+    if isinstance(decoded, Announcement):
+        command = AnnounceServer(decoded.notice, decoded.sequence, 0.0, 0)
+        stored = codec.unpack(codec.pack(command, Command), Command)
+        assert stored == command
+
+
 def test_a_deregistration_may_have_an_empty_body():
     assert decode_deregistration("i-1", b"") == Deregistration("i-1", 0)
     assert decode_deregistration("i-1", b'{"born": 7}') == Deregistration(
