Record the departure of a server whose first heartbeat is late

Cause: a deregistration is recorded in the server's record. Where the registry did not know the start that ends, nothing was recorded, the acknowledgement was given all the same, and the first heartbeat, up to then on its way, registered the server.

Change: an announcement of this incarnation in the state `left`, without an address, is committed beside the deregistration; the acknowledgement waits for both. Versions before this one apply that command in the same way, so replicas of both versions hold the same registry, and no format changes.

Ruled out: entries that miss the notice (there was none); late heartbeats of known incarnations (they change nothing, tests/test_registry.py). Recording departures in the state machine itself was weighed and left: replicas of two versions would apply the same log to different registries.

--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -128,7 +128,8 @@
         for record in notice.servers:
             _apply_server(state, record, event.at_ms, effects)
         for name in {record.notice.key.service for record in notice.servers}:
-            state.choose_homes(state.service(name))
+            if name in state.services:
+                state.choose_homes(state.services[name])
     if state.unrouted and state.table is not None:
         dispatching.dispatch_unrouted(state, event.at_ms, effects)
     if notice.rate_limits is not None:
--- a/gentianwall/membership/registry.py
+++ b/gentianwall/membership/registry.py
@@ -10,12 +10,15 @@
 
 import attrs
 
-from gentianwall.membership.messages import ServerNotice
+from gentianwall.membership.messages import ServerKey, ServerNotice
 
 # Deregistered servers are kept, so that a delayed announcement does not
 # register one again. 1000 of them cover over two hours at the design target of
 # 8,900 changes a day.
 MAX_DEREGISTERED_SERVERS = 1000
+# Below the sequence of every announcement, so that it changes no record of the
+# same incarnation.
+DEPARTURE_SEQUENCE = -1
 STATE_RANKS = {"up": 0, "silent": 0, "draining": 1, "left": 2}
 
 
@@ -134,6 +137,33 @@
     _evict_oldest_deregistered(registry)
 
 
+def unrecorded_departure(
+    registry: ServerRegistry, server: str, incarnation: int
+) -> ServerNotice | None:
+    """Returns a notice that records the end of an unknown start of a server.
+
+    The first announcement of a server that deregisters may still be on its way.
+    `deregister_server` records nothing then, and the late announcement would
+    register the server again.
+
+    Returns:
+        The notice, without an address, or None if this start or a later one is
+        registered.
+    """
+    known = registry.servers.get(server)
+    if known is not None and known.notice.incarnation >= incarnation:
+        return None
+    return ServerNotice(
+        key=ServerKey(known.notice.key.service if known else "", server),
+        host="",
+        port=0,
+        slots=0,
+        failure_domain="",
+        incarnation=incarnation,
+        state="left",
+    )
+
+
 def mark_silent(
     registry: ServerRegistry, server: str, incarnation: int
 ) -> None:
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -34,7 +34,11 @@
 from gentianwall.links.messages import Message
 from gentianwall.logs import get_logger
 from gentianwall.membership.messages import ServerNotice
-from gentianwall.membership.registry import changes_registry
+from gentianwall.membership.registry import (
+    DEPARTURE_SEQUENCE,
+    changes_registry,
+    unrecorded_departure,
+)
 from gentianwall.runtime.control import ControlRuntime
 from gentianwall.timers import monotonic_ms, wall_ms
 
@@ -106,10 +110,23 @@
         incarnation: int,
         on_result: Callable[[LeaderResult], None],
     ) -> None:
-        """Deregisters a server."""
+        """Deregisters a server, also one that is not registered yet.
+
+        The result is reported once both the deregistration and the end of an
+        unknown start are committed, in either order.
+        """
         self._server_heartbeats.discard(server)
-        command = DeregisterServer(server, incarnation, wall_ms())
-        self._submit(command, REPLY_TIMEOUT_MS, on_result)
+        now_ms = wall_ms()
+        commands = [DeregisterServer(server, incarnation, now_ms)]
+        registry = self._runtime.state.replica.register.registry
+        departure = unrecorded_departure(registry, server, incarnation)
+        if departure is not None:
+            # Older versions apply this command in the same way, so that
+            # replicas of both versions have the same registry.
+            commands.append(
+                AnnounceServer(departure, DEPARTURE_SEQUENCE, 0.0, now_ms)
+            )
+        self._submit_all(commands, on_result)
 
     def put_configuration(
         self,
@@ -190,6 +207,29 @@
             self._server_heartbeats.clear()
             self._send(ControlSend(replica.leader, heartbeats))
 
+    def _submit_all(
+        self,
+        commands: list[Command],
+        on_result: Callable[[LeaderResult], None],
+    ) -> None:
+        """Commits commands in any order.
+
+        Reports the result of the last one, or the first timeout.
+        """
+        open_count = len(commands)
+
+        def on_command_result(result: LeaderResult) -> None:
+            nonlocal open_count
+            is_reported = open_count <= 0
+            open_count = (
+                0 if isinstance(result, LeaderTimeout) else open_count - 1
+            )
+            if open_count <= 0 and not is_reported:
+                on_result(result)
+
+        for command in commands:
+            self._submit(command, REPLY_TIMEOUT_MS, on_command_result)
+
     def _submit(
         self,
         command: Command,
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -215,6 +215,10 @@
             }
         ).encode()
 
+    def deregistration(self) -> bytes:
+        """Returns the body of the deregistration."""
+        return json.dumps({"born": self._started_ms}).encode()
+
 
 class _HttpServer(http.server.ThreadingHTTPServer):
     """An HTTP server that ignores connections that callers abort."""
@@ -381,15 +385,20 @@
     def send_heartbeat(
         self, node: Node, server: FakeServer, state="ready"
     ) -> int:
-        """Sends a server's heartbeat to a control instance."""
+        """Sends a server's next heartbeat to a control instance."""
+        return self.deliver_heartbeat(node, server, server.heartbeat(state))
+
+    def deliver_heartbeat(
+        self, node: Node, server: FakeServer, body: bytes
+    ) -> int:
+        """Sends a heartbeat that may have been made earlier."""
         query = f"instances.heartbeat&of={server.name}"
-        return self._rpc(node, query, server.heartbeat(state)).status
+        return self._rpc(node, query, body).status
 
     def deregister(self, node: Node, server: FakeServer) -> int:
         """Deregisters a server at a control instance."""
-        return self._rpc(
-            node, f"instances.deregister&of={server.name}", b""
-        ).status
+        query = f"instances.deregister&of={server.name}"
+        return self._rpc(node, query, server.deregistration()).status
 
     def _rpc(self, node, query, body, timeout_s=3.0) -> Answer:
         path = f"/rpc?call={query}"
--- a/harness/leader.py
+++ b/harness/leader.py
@@ -1,8 +1,11 @@
-"""Builds a leader with a valid lease, without sockets or clocks."""
+"""Builds a leader, or a client of another one, without sockets or clocks."""
 
 from __future__ import annotations
 
 import random
+import types
+
+import attrs
 
 from gentianwall.claims.commands import Noop
 from gentianwall.replication.messages import LogEntry, Member
@@ -34,3 +37,29 @@
         for name in "bc"
     }
     return replica
+
+
+@attrs.define
+class StubLinks:
+    """Collects the messages that are sent to other control instances."""
+
+    boot_id: str = "boot"
+    sent: list = attrs.field(factory=list)
+
+    def send(self, receiver: str, message: object) -> None:
+        """Records a message."""
+        self.sent.append((receiver, message))
+
+
+def following_runtime(now_ms: float) -> types.SimpleNamespace:
+    """Returns what a client needs of an instance that follows the leader b."""
+    replica = leading_replica(now_ms)
+    replica.leader = "b"
+    links = StubLinks()
+    return types.SimpleNamespace(
+        setup=types.SimpleNamespace(name="a"),
+        state=types.SimpleNamespace(replica=replica),
+        links=links,
+        handle_self_message=lambda event: links.send("a", event.message),
+        receive_reply=None,
+    )
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import types
-
 import attrs
 import pytest
 
@@ -23,7 +21,7 @@
 from gentianwall.core.events import MessageArrived
 from gentianwall.runtime import leader_client
 from gentianwall.runtime.leader_client import LeaderClient
-from harness.leader import leading_replica
+from harness.leader import following_runtime, leading_replica
 
 NOW_MS = 10_000.0
 LARGE_DOCUMENT = b"x" * 1024 * 1024
@@ -33,17 +31,6 @@
     return RouteConfiguration(number, (), (), CallerLimits())
 
 
-@attrs.define
-class StubLinks:
-    """Collects the messages that are sent to other control instances."""
-
-    boot_id: str = "boot"
-    sent: list = attrs.field(factory=list)
-
-    def send(self, receiver, message):
-        self.sent.append((receiver, message))
-
-
 @attrs.define
 class Clock:
     """The local clock of the client."""
@@ -62,16 +49,7 @@
 @pytest.fixture
 def follower(clock):
     """The runtime of a control instance that follows the leader b."""
-    replica = leading_replica(NOW_MS)
-    replica.leader = "b"
-    links = StubLinks()
-    return types.SimpleNamespace(
-        setup=types.SimpleNamespace(name="a"),
-        state=types.SimpleNamespace(replica=replica),
-        links=links,
-        handle_self_message=lambda event: links.send("a", event.message),
-        receive_reply=None,
-    )
+    return following_runtime(NOW_MS)
 
 
 def test_a_repeated_command_is_proposed_once_until_it_is_committed():
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,11 +9,13 @@
 
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.membership.registry import (
+    DEPARTURE_SEQUENCE,
     ServerRegistry,
     changes_registry,
     deregister_server,
     mark_silent,
     record_announcement,
+    unrecorded_departure,
 )
 
 UP = ServerNotice(ServerKey("s", "a"), "10.0.0.1", 80, 2, "z", 100, "up")
@@ -62,6 +64,61 @@
     assert _get_state(registry) == "left"
 
 
+def _deregister_unknown_start(registry, incarnation, order):
+    """Applies the commands of a deregistration as the control instances do."""
+    departure = unrecorded_departure(registry, "a", incarnation)
+    for step in order:
+        if step == "deregistration":
+            deregister_server(registry, "a", incarnation)
+        elif departure is not None:
+            record_announcement(registry, departure, DEPARTURE_SEQUENCE, 0.0)
+
+
+ORDERS = [("deregistration", "departure"), ("departure", "deregistration")]
+
+
+# Servers that had deregistered got requests for as long as they lived.
+@pytest.mark.parametrize("order", ORDERS)
+@pytest.mark.parametrize("known_incarnation", [None, 50])
+def test_a_first_announcement_after_the_deregistration_registers_nothing(
+    known_incarnation, order
+):
+    registry = ServerRegistry()
+    if known_incarnation is not None:
+        older = attrs.evolve(UP, incarnation=known_incarnation)
+        record_announcement(registry, older, 1, 0.0)
+    _deregister_unknown_start(registry, 100, order)
+    for sequence in (1, 2):
+        record_announcement(registry, UP, sequence, 0.0)
+    assert _get_state(registry) == "left"
+    restarted = attrs.evolve(UP, incarnation=200)
+    record_announcement(registry, restarted, 1, 0.0)
+    assert _get_state(registry) == "up"
+
+
+@pytest.mark.parametrize("order", ORDERS)
+def test_an_announcement_beside_the_deregistration_does_not_outlive_it(order):
+    """The announcement is committed between the check and the commands."""
+    registry = ServerRegistry()
+    departure = unrecorded_departure(registry, "a", 100)
+    record_announcement(registry, UP, 1, 0.0)
+    for step in order:
+        if step == "deregistration":
+            deregister_server(registry, "a", 100)
+        else:
+            record_announcement(registry, departure, DEPARTURE_SEQUENCE, 0.0)
+    left = attrs.evolve(UP, state="left")
+    assert registry.servers["a"].notice == left
+
+
+def test_the_end_of_an_unknown_start_leaves_other_servers_alone(registry):
+    other = attrs.evolve(UP, key=ServerKey("s", "b"), port=81)
+    record_announcement(registry, other, 1, 0.0)
+    departure = unrecorded_departure(registry, "a", 200)
+    record_announcement(registry, departure, DEPARTURE_SEQUENCE, 0.0)
+    assert (_get_state(registry), _get_state(registry, "b")) == ("left", "up")
+
+
 def test_a_newer_incarnation_replaces_the_registered_server(registry):
     record_announcement(registry, DRAINING, 7, 0.0)
     restarted = attrs.evolve(UP, incarnation=200, port=81)
