Step down when no voter stores the leader's open entries

Cause: a leader stayed for as long as a quorum answered its heartbeats, also with refusals. An entry that followers cannot read, for example, is in no log but the leader's, and blocks all later ones.

Change: if no voter stores an open entry for five election timeouts, the leader steps down, and stands for election again only after as long, since its log is the longest. Voters that catch up slowly store entries, so their leader stays.

Ruled out: a limit on the age of an open entry alone; it would depose a leader whose followers are slow.

Messages are unchanged.

--- a/gentianwall/replication/election.py
+++ b/gentianwall/replication/election.py
@@ -21,6 +21,11 @@
     Role,
 )
 
+# Election timeouts after which a leader steps down if voters answer its
+# heartbeats but store no open entry. They have received the entries before, so
+# they refuse them.
+COMMIT_STALL_TIMEOUTS = 5.0
+
 
 def reset_election_timer(state: ReplicaState, now_ms: float) -> None:
     """Schedules the next pre-vote a random one to two timeouts from now."""
@@ -217,6 +222,8 @@
     state.leader = state.name
     state.votes.clear()
     state.leader_since_ms = now_ms
+    state.stored_entries = 0
+    state.stored_ms = now_ms
     state.lease_start_ms = float("-inf")
     state.progress = {
         member.replica: Progress(member.disk_id, state.log.last_index + 1)
@@ -250,14 +257,31 @@
 def check_quorum(
     state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
 ) -> bool:
-    """Steps down when no quorum has replied within an election timeout.
+    """Steps down without replies of a quorum, or if nothing can be committed.
 
     Returns:
         Whether this replica is still the leader.
     """
     renew_lease(state, now_ms)
     last_quorum_ms = max(state.lease_start_ms, state.leader_since_ms)
-    if now_ms <= last_quorum_ms + state.timing.election_timeout_ms:
+    is_quorum_lost = now_ms > last_quorum_ms + state.timing.election_timeout_ms
+    stall_ms = COMMIT_STALL_TIMEOUTS * state.timing.election_timeout_ms
+    is_stalled = _commit_stalled_ms(state, now_ms) > stall_ms
+    if not is_quorum_lost and not is_stalled:
         return True
     become_follower(state, state.term, "", now_ms, effects)
+    if is_stalled:
+        # This log is the longest, so without a delay it would be elected again.
+        state.election_due_ms = now_ms + stall_ms
     return False
+
+
+def _commit_stalled_ms(state: ReplicaState, now_ms: float) -> float:
+    """Returns for how long no voter has stored any of the open entries."""
+    progresses = [state.progress_of(member) for member in state.members]
+    stored = sum(p.match_index for p in progresses if p is not None)
+    is_all_committed = state.commit_index == state.log.last_index
+    if is_all_committed or stored != state.stored_entries:
+        state.stored_entries = stored
+        state.stored_ms = now_ms
+    return now_ms - state.stored_ms
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -173,6 +173,9 @@
         has_unsent_entries: Whether entries were appended since the last
             batch was sent.
         leader_since_ms: When this replica became leader.
+        stored_entries: Sum of the voters' last match indexes, to detect a
+            leader whose entries no voter stores.
+        stored_ms: When it last changed, or when all entries were committed.
         fast_elections_until_ms: Until when a restarted former leader starts
             a pre-vote every `FAST_ELECTION_INTERVAL_MS`.
         lease_start_ms: Start of the lease: the latest time such that a quorum
@@ -207,6 +210,8 @@
     has_unsent_entries: bool = False
     leader_since_ms: float = float("-inf")
     lease_start_ms: float = float("-inf")
+    stored_entries: int = 0
+    stored_ms: float = 0.0
     join_due_ms: float = 0.0
     fast_elections_until_ms: float = float("-inf")
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -17,7 +17,7 @@
     rule,
 )
 
-from gentianwall.claims.commands import Noop
+from gentianwall.claims.commands import Noop, ReportCrash
 from gentianwall.replication import election, joining
 from gentianwall.replication.messages import AppendReply, LogEntry
 from gentianwall.replication.replica import (
@@ -284,3 +284,46 @@
         leader, ReplicaMessageArrived(simulation.now_ms, follower, reply)
     )
     assert leader.commit_index == old_entry.index + 1
+
+
+class RefusingSimulation(ReplicaSimulation):
+    """Followers cannot read messages with a certain entry."""
+
+    UNREADABLE = ReportCrash("s", "unreadable", "x", 0)
+
+    def _is_blocked(self, packet):
+        entries = getattr(packet.message, "entries", ())
+        is_unreadable = any(e.command == self.UNREADABLE for e in entries)
+        return is_unreadable or super()._is_blocked(packet)
+
+
+# Replies to heartbeats kept a leader in office that could commit nothing.
+@pytest.mark.parametrize("seed", range(5))
+def test_a_leader_whose_entries_no_follower_stores_steps_down(seed):
+    simulation = RefusingSimulation(3, seed, voters=3)
+    simulation.advance(2000)
+    leader = max(simulation.leader_by_term.items())[1]
+    simulation.propose(leader, simulation.UNREADABLE)
+    for _ in range(20):
+        simulation.advance(250)
+        for name in simulation.names:
+            simulation.propose(name)
+    simulation.check_progress()
+    assert simulation.UNREADABLE not in simulation.applied_commands.values()
+
+
+def test_a_leader_whose_followers_catch_up_slowly_stays(monkeypatch):
+    """Each reply acknowledges one more entry, so the leader is not stalled."""
+    monkeypatch.setattr(
+        "gentianwall.replication.appending.MAX_ENTRIES_PER_APPEND", 1
+    )
+    monkeypatch.setattr(
+        "gentianwall.replication.appending.MAX_UNACKED_BYTES", 1
+    )
+    simulation = ReplicaSimulation(3, 1, voters=3)
+    simulation.advance(2000)
+    leader = max(simulation.leader_by_term.items())[1]
+    for _ in range(400):
+        simulation.propose(leader)
+    simulation.advance(3000)
+    assert max(simulation.leader_by_term.items())[1] == leader
