Release a connection once its answer is accepted

What callers would see: 502 for a request whose answer was on its way, after its server had sent an earlier answer without a body once more.

Cause: twisted's parser reports the end of an answer without a body before its head. The connection was released at that end, when the attempt did not know yet that the answer belonged to an older request; bytes behind it in the same read counted as unsolicited, and the connection was closed.

Change: the attempt releases the connection when it accepts an answer; bytes behind an answer are kept until then. The next answer is parsed after the attempt listens to it. A connection that this side is closing is not released.

Ruled out: recognising empty answers in the parser alone; several late answers in one read would still be taken for unsolicited bytes.

--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -13,7 +13,7 @@
 
 import attrs
 from twisted.internet import protocol
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionDone
 from twisted.web import http_headers
 from twisted.web.client import HTTP11ClientProtocol, Request, ResponseDone
@@ -141,13 +141,13 @@
         idle_limit_ms: Maximum idle time for which it may still be reused.
         is_answer_mismatched: Whether the answer being received belongs to an
             older request.
-        pending_bytes: Bytes received after that answer.
+        pending_bytes: Bytes received after the latest answer.
         meter: Counts the bytes of the answer being received.
         is_limit_exceeded: Whether an answer was larger than its limits allow.
     """
 
     def __init__(self, pool: ConnectionPool):
-        super().__init__(self._on_quiescent)
+        super().__init__(lambda _: None)
         self.pool = pool
         self.opened_ms = monotonic_ms()
         self.idle_since_ms = self.opened_ms
@@ -162,9 +162,21 @@
         self.is_limit_exceeded = False
         self._unparsed_bytes = b""
 
-    def _on_quiescent(self, _) -> None:
-        if not self.is_answer_mismatched:
-            self.pool.release_connection(self)
+    @property
+    def is_closing(self) -> bool:
+        """Whether it is closed, or this side is closing it."""
+        return self.is_lost or self.transport.disconnecting
+
+    def accept_answer(self) -> None:
+        """Ends the request whose answer is complete, and releases itself.
+
+        Only the attempt knows that the answer belongs to it. An answer without
+        a body is complete before the attempt has seen its head.
+        """
+        rest, self.pending_bytes = self.pending_bytes, b""
+        if rest:
+            self._on_unsolicited_bytes()
+        self.pool.release_connection(self)
 
     def apply_keep_alive(self, headers: http_headers.Headers) -> None:
         """Limits the idle time by the timeout in the `Keep-Alive` header."""
@@ -174,19 +186,22 @@
                 limit_ms = KEEP_ALIVE_FRACTION * 1000.0 * int(match.group(1))
                 self.idle_limit_ms = min(MAX_IDLE_MS, limit_ms)
 
-    def await_next_answer(self, method: bytes):
+    def await_next_answer(
+        self, method: bytes, on_deferred: Callable[[Deferred], None]
+    ) -> None:
         """Reads the answer that follows a skipped mismatched answer.
 
-        Returns:
-            A deferred that fires with the next answer.
+        Args:
+            method: Method of the request.
+            on_deferred: Called with a deferred that fires with the next answer,
+                before any of its bytes are parsed.
         """
         self.is_answer_mismatched = False
         self.meter = AnswerMeter()
-        deferred = self.request(_NullRequest(method))
+        on_deferred(self.request(_NullRequest(method)))
         rest, self.pending_bytes = self.pending_bytes, b""
         if rest:
             self.dataReceived(rest)
-        return deferred
 
     def dataReceived(self, data) -> None:
         """Parses received bytes; aborts the connection on unsolicited ones."""
@@ -240,12 +255,8 @@
         self.transport.abortConnection()
 
     def _finishResponse(self, rest) -> None:
-        rest += self._unparsed_bytes
+        self.pending_bytes = rest + self._unparsed_bytes
         self._unparsed_bytes = b""
-        if self.is_answer_mismatched:
-            self.pending_bytes = rest
-        elif rest:
-            self._on_unsolicited_bytes()
         super()._finishResponse(rest)
 
     def _on_unsolicited_bytes(self) -> None:
@@ -468,8 +479,8 @@
             if connection.is_lost:
                 self.fail(FailureKind.LOST)
                 return
-            self._await_answer(
-                connection.await_next_answer(self.request.method)
+            connection.await_next_answer(
+                self.request.method, self._await_answer
             )
 
         response.deliverBody(
@@ -503,6 +514,7 @@
             if self._is_finished:
                 return
             self._is_finished = True
+            self._connection.accept_answer()
             self._on_answer(ServerAnswer(response.code, response.headers, body))
 
         def is_close_accepted() -> bool:
@@ -609,7 +621,7 @@
 
         It is closed when it may not be reused or while reuse is paused.
         """
-        if connection.is_lost:
+        if connection.is_closing:
             return
         now_ms = monotonic_ms()
         is_reuse_allowed = now_ms >= self._reuse_paused_until_ms
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -138,14 +138,18 @@
     ]
 
 
-LATE_AND_UNSIZED = _sized("first", LATE_BODY) + _answer("second", BODY)
+UNSIZED = _answer("second", BODY)
 
 
 # The first 2 KiB of the next answer's read passed for its whole body.
-@given(cuts=st.lists(st.integers(1, len(LATE_AND_UNSIZED) - 1), max_size=4))
-def test_late_second_answer_does_not_shorten_an_unsized_body(cuts):
+@given(
+    copies=st.integers(1, 3),
+    cuts=st.lists(st.integers(1, len(UNSIZED)), max_size=4),
+)
+def test_late_second_answer_does_not_shorten_an_unsized_body(copies, cuts):
     exchange = _after_a_first_answer()
-    exchange.receive(*_parts(LATE_AND_UNSIZED, cuts))
+    late = _sized("first", LATE_BODY) * copies
+    exchange.receive(*_parts(late + UNSIZED, cuts))
     exchange.end(ConnectionDone())
     answer = exchange.results[1]
     assert isinstance(answer, ServerAnswer), answer
@@ -162,6 +166,31 @@
     assert exchange.results[1:] == [FailureKind.TRUNCATED]
 
 
+EMPTY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+EMPTY_TO_FIRST = EMPTY + ID_HEADER + b": first\r\n\r\n"
+
+
+# A skipped answer without a body gave the connection to the next request.
+def test_a_connection_is_not_reused_while_its_answer_is_outstanding():
+    exchange = _after_a_first_answer()
+    exchange.receive(EMPTY_TO_FIRST)
+    exchange.request("third")
+    assert len(exchange.reactor.tcpClients) == 2
+    exchange.receive(_sized("second", BODY))
+    assert [a.status for a in exchange.results] == [200, 200]
+    assert exchange.results[1].body == BODY
+
+
+# The rest of the read was taken for bytes that nobody had asked for.
+@pytest.mark.parametrize("copies", [1, 2, 3])
+def test_late_answers_without_a_body_may_share_a_read_with_the_next(copies):
+    exchange = _after_a_first_answer()
+    exchange.receive(EMPTY_TO_FIRST * copies + _sized("second", BODY))
+    answer = exchange.results[1]
+    assert isinstance(answer, ServerAnswer), answer
+    assert answer.body == BODY
+
+
 def test_bytes_after_an_answer_end_the_reuse_of_its_connection():
     exchange = Exchange()
     exchange.request("first")
