Skip answers without an id that may be copies of earlier ones

What callers saw (operators of similar systems; here with real processes): 503 for a request that was running, or the request ran at a second server, after a server had written the refusal of a health check once more on a kept connection (REFUSED, TWICE).

Cause: health checks share the connections of requests, and their answers bear no id. An answer without an id was taken for the answer to the request that waited.

Change: such an answer speaks for a request only if no earlier answer on its connection lacked an id; otherwise it is skipped. Until a server has echoed an id, its requests use no connection with such answers; a connection is closed after an answer without an id to a request that had one.

Ruled out: refusals with the id of another request (skipped before); those with the id of the same request, which is never sent to one server twice; connections of their own for health checks, which would cost one more connection for each server and entry and leave other answers without an id.

--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -60,7 +60,8 @@
         is_idempotent: Whether the request may be retried, so that it may use a
             connection that has been idle for longer.
         is_echo_required: Whether a connection is not reused after an answer
-            without a request id.
+            without a request id, and an answer without one is skipped where it
+            may be a copy of an earlier answer.
         is_close_delimited: Whether an answer without a length is complete when
             the server closes the connection cleanly.
         echo_header: The header in which servers echo the request id.
@@ -139,6 +140,8 @@
         is_lost: Whether it is closed.
         is_closed_cleanly: Whether the server closed it without an error.
         idle_limit_ms: Maximum idle time for which it may still be reused.
+        has_unnamed_answer: Whether an answer without a request id was received,
+            which health checks get. A server may send it once more.
         is_answer_mismatched: Whether the answer being received belongs to an
             older request.
         pending_bytes: Bytes received after the latest answer.
@@ -156,6 +159,7 @@
         self.is_lost = False
         self.is_closed_cleanly = False
         self.idle_limit_ms = MAX_IDLE_MS
+        self.has_unnamed_answer = False
         self.is_answer_mismatched = False
         self.pending_bytes = b""
         self.meter = AnswerMeter()
@@ -377,7 +381,9 @@
         """
         connection = None
         if not is_new_connection:
-            connection = self._pool.take_idle(self.request.is_idempotent)
+            connection = self._pool.take_idle(
+                self.request.is_idempotent, self.request.is_echo_required
+            )
         self.is_reused = connection is not None
         if connection is not None:
             self._send_request(connection)
@@ -493,18 +499,33 @@
             )
         )
 
+    def _is_mismatched(self, echoed: list[bytes] | None) -> bool:
+        """Returns whether an answer belongs, or may belong, to another request.
+
+        An answer without an id speaks for a request only if no earlier answer
+        on its connection can have been sent again.
+        """
+        if echoed:
+            return echoed[0] != self._request_id.encode()
+        return (
+            self.request.is_echo_required
+            and self._connection.has_unnamed_answer
+        )
+
     def _on_headers(self, response) -> None:
         if self._is_finished:
             return
         echoed = response.headers.getRawHeaders(self.request.echo_header)
         if echoed:
             self._pool.is_echoing = True
-        if echoed and echoed[0] != self._request_id.encode():
+        if self._is_mismatched(echoed):
             self._skip_answer(response)
             return
         self._connection.apply_keep_alive(response.headers)
-        if not echoed and self.request.is_echo_required:
-            self._connection.is_reuse_forbidden = True
+        if not echoed:
+            self._connection.has_unnamed_answer = True
+            if self.request.is_echo_required:
+                self._connection.is_reuse_forbidden = True
         is_length_known = response.length is not UNKNOWN_LENGTH
         if is_length_known and response.length > self._limit_bytes:
             self.fail(FailureKind.TOO_LARGE)
@@ -595,17 +616,23 @@
         self._idle: list[Connection] = []
         self._all: set[Connection] = set()
 
-    def take_idle(self, is_idempotent: bool) -> Connection | None:
+    def take_idle(
+        self, is_idempotent: bool, is_echo_required: bool = False
+    ) -> Connection | None:
         """Returns the most recently used idle connection within its idle limit.
 
         A server may close an idle connection while a request is being sent.
         A request that is not idempotent therefore uses a connection only
         within a quarter of its idle limit. Connections over the limit are
-        closed.
+        closed. A request whose answer must bear an id uses no connection with
+        unnamed answers until the server is known to echo ids.
         """
         now_ms = monotonic_ms()
-        while self._idle:
-            connection = self._idle.pop()
+        is_named_required = is_echo_required and not self.is_echoing
+        for connection in reversed(self._idle.copy()):
+            if is_named_required and connection.has_unnamed_answer:
+                continue
+            self._idle.remove(connection)
             if connection.is_lost:
                 continue
             max_idle_ms = connection.idle_limit_ms
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -203,6 +203,7 @@
             call, effect.left_ms, effect.is_idempotent
         )
         request.is_close_delimited = True
+        request.is_echo_required = True
         request.headers.setRawHeaders(
             self._dialect.expected_server, [call.server.encode()]
         )
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -51,23 +51,37 @@
 
     Attributes:
         results: An answer or a failure for each request that has ended.
+        connections: Number of connections; the latest one is in use.
         is_closed: Whether this side has closed the connection.
     """
 
     reactor: MemoryReactorClock = attrs.field(factory=MemoryReactorClock)
     results: list[ServerAnswer | FailureKind] = attrs.field(factory=list)
+    connections: int = 0
     is_closed: bool = False
     _pool: ConnectionPool | None = None
     _protocol: object = None
+    _first_protocol: object = None
     _is_ended: bool = False
 
     def request(self, request_id: str) -> None:
-        """Starts a request on the connection, which the first one opens."""
+        """Starts a request on the connection, which the first one opens.
+
+        A health check has no id.
+        """
         if self._pool is None:
             self._pool = ConnectionPool(self.reactor, "127.0.0.1", 1)
-        headers = Headers({b"Host": [b"server"], ID_HEADER: [request_id]})
+        headers = Headers({b"Host": [b"server"]})
+        if request_id:
+            headers.setRawHeaders(ID_HEADER, [request_id])
         request = ServerRequest(
-            b"GET", b"/", headers, b"", True, is_close_delimited=True
+            b"GET",
+            b"/",
+            headers,
+            b"",
+            True,
+            is_echo_required=bool(request_id),
+            is_close_delimited=True,
         )
         attempt = Attempt(
             self._pool,
@@ -79,12 +93,19 @@
             self.results.append,
         )
         attempt.start()
-        if self._protocol is None:
-            factory = self.reactor.tcpClients[0][2]
+        if len(self.reactor.tcpClients) > self.connections:
+            self.connections += 1
+            factory = self.reactor.tcpClients[-1][2]
             self._protocol = factory.buildProtocol(None)
             transport = ServerTransport()
             transport.on_close = self._on_close
             self._protocol.makeConnection(transport)
+            self._first_protocol = self._first_protocol or self._protocol
+
+    def receive_on_first(self, data: bytes) -> None:
+        """Receives bytes of the server on the first connection."""
+        self._first_protocol.dataReceived(data)
+        self.reactor.advance(0)
 
     def receive(self, *parts: bytes) -> None:
         """Receives bytes of the server, each part in a read of its own."""
@@ -175,8 +196,8 @@
     exchange = _after_a_first_answer()
     exchange.receive(EMPTY_TO_FIRST)
     exchange.request("third")
-    assert len(exchange.reactor.tcpClients) == 2
-    exchange.receive(_sized("second", BODY))
+    assert exchange.connections == 2
+    exchange.receive_on_first(_sized("second", BODY))
     assert [a.status for a in exchange.results] == [200, 200]
     assert exchange.results[1].body == BODY
 
@@ -191,6 +212,39 @@
     assert answer.body == BODY
 
 
+UNNAMED_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nGentianwall-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+# Requests that ran were refused as not executed, or ran at a second server.
+@pytest.mark.parametrize("copies", [1, 2, 3])
+def test_a_refused_health_check_sent_again_refuses_no_request(copies):
+    exchange = Exchange()
+    exchange.request("first")
+    exchange.receive(_sized("first", b""))
+    exchange.request("")
+    exchange.receive(UNNAMED_REFUSAL)
+    assert [answer.status for answer in exchange.results] == [200, 503]
+    exchange.request("second")
+    exchange.receive(UNNAMED_REFUSAL * copies, _sized("second", BODY))
+    assert exchange.connections == 1
+    answer = exchange.results[2]
+    assert (answer.status, answer.body) == (200, BODY)
+
+
+def test_a_server_that_may_not_echo_ids_gets_requests_on_other_connections():
+    exchange = Exchange()
+    exchange.request("")
+    exchange.receive(UNNAMED_REFUSAL)
+    exchange.request("first")
+    assert exchange.connections == 2
+    exchange.receive(UNNAMED_REFUSAL)
+    assert [answer.status for answer in exchange.results] == [503, 503]
+    assert exchange.is_closed
+
+
 def test_bytes_after_an_answer_end_the_reuse_of_its_connection():
     exchange = Exchange()
     exchange.request("first")
