Refuse heartbeats with values that no server can have

Cause: the decoder checked the fields that it used, for their type only. For some hosts the resolver fails without calling the error callback of the connection, so that a request sent there is held until its deadline.

Change: all fields but `born` are required and checked for their range, also in deregistrations, in ids and at the product's own interface. A registered server is not moved to a service that does not exist. Connections are opened to IP addresses only, since a registry of an earlier version may hold other hosts.

--- a/gentianwall/config/settings.py
+++ b/gentianwall/config/settings.py
@@ -13,6 +13,7 @@
     option,
     structure,
 )
+from gentianwall.utils.addresses import is_ip_address
 
 ROLES = ("entry", "control")
 
@@ -126,8 +127,9 @@
 
 def parse_address(text: str) -> Address | ConfigProblem:
     """Parses `IP:PORT`."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not is_ip_address(host) or not is_port or not 0 < int(port) < 65536:
         return ConfigProblem(text, "must have the form IP:PORT")
     return Address(host, int(port))
 
--- a/gentianwall/http/announcements.py
+++ b/gentianwall/http/announcements.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import re
 from collections.abc import Callable
@@ -19,14 +18,19 @@
 from gentianwall.http.documents import UnreadableDocument, decode_document
 from gentianwall.http.problems import plain_problem
 from gentianwall.http.tokens import is_server_authorized
-from gentianwall.membership.messages import ServerKey, ServerNotice
+from gentianwall.membership.messages import (
+    MAX_SLOTS,
+    ServerKey,
+    ServerNotice,
+    is_name,
+)
 from gentianwall.timers import monotonic_ms
+from gentianwall.utils.addresses import is_ip_address
 
 SERVER_PATH = re.compile(
     r"/gentianwall/v1/services/([A-Za-z0-9._-]{1,64})"
     r"/servers/([A-Za-z0-9._:-]{1,128})"
 )
-MAX_SLOTS = 10_000
 
 
 @attrs.frozen
@@ -135,14 +139,17 @@
     problems = _find_problems(content, is_deregistration)
     if problems:
         return InvalidAnnouncement(tuple(problems))
+    if is_deregistration:
+        incarnation = content["incarnation"]
+        return ServerNotice(key, "", 0, 0, "", incarnation, "left")
     return ServerNotice(
         key=key,
-        host=content.get("address", ""),
-        port=content.get("port", 0),
-        slots=content.get("slots", 1),
+        host=content["address"],
+        port=content["port"],
+        slots=content["slots"],
         failure_domain=content.get("failure_domain", ""),
         incarnation=content["incarnation"],
-        state="left" if is_deregistration else content.get("state", "up"),
+        state=content.get("state", "up"),
     )
 
 
@@ -152,16 +159,16 @@
         problems.append("incarnation must be a non-negative integer")
     if is_deregistration:
         return problems
-    try:
-        ipaddress.ip_address(content.get("address", ""))
-    except ValueError:
+    address = content.get("address")
+    if not isinstance(address, str) or not is_ip_address(address):
         problems.append("address must be an IP address")
     if not _is_integer_in_range(content.get("port"), 1, 65535):
         problems.append("port must be an integer from 1 to 65535")
     if not _is_integer_in_range(content.get("slots"), 1, MAX_SLOTS):
         problems.append(f"slots must be an integer from 1 to {MAX_SLOTS}")
-    if not isinstance(content.get("failure_domain", ""), str):
-        problems.append("failure_domain must be a string")
+    domain = content.get("failure_domain", "")
+    if not isinstance(domain, str) or (domain and not is_name(domain)):
+        problems.append("failure_domain must be a short text")
     if content.get("state", "up") not in ("up", "draining"):
         problems.append('state must be "up" or "draining"')
     return problems
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -29,6 +29,7 @@
     AnswerMeter,
 )
 from gentianwall.timers import monotonic_ms
+from gentianwall.utils.addresses import is_ip_address
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_MS = 4000.0
@@ -664,6 +665,11 @@
         on_error: Callable[[], None],
     ) -> None:
         """Opens a connection and passes it to `on_success`."""
+        if not is_ip_address(self.host):
+            # The registry may still have such a host from an earlier version.
+            # Resolving it could block, or fail without a call of `on_error`.
+            self.call_soon(on_error)
+            return
         self._reactor.connectTCP(
             self.host,
             self.port,
--- a/gentianwall/http/control_pages.py
+++ b/gentianwall/http/control_pages.py
@@ -33,6 +33,7 @@
     LeaderClient,
     LeaderResult,
     LeaderTimeout,
+    UnknownService,
 )
 
 log = get_logger("control-pages")
@@ -191,6 +192,9 @@
     if isinstance(result, LeaderTimeout):
         _refuse(request, 503, "no majority answered in time; ask again")
         return
+    if isinstance(result, UnknownService):
+        _refuse(request, 400, f"unknown service {result.service!r}")
+        return
     log.error("Unexpected result of a command: %r.", result)
     _refuse(request, 500, "unexpected result")
 
--- a/gentianwall/membership/messages.py
+++ b/gentianwall/membership/messages.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+MAX_SLOTS = 10_000
+MAX_NAME_CHARS = 255
+
 
 @attrs.frozen
 class ServerKey:
@@ -38,6 +41,11 @@
     state: str
 
 
+def is_name(text: str) -> bool:
+    """Returns whether a text can name a server, a service or a domain."""
+    return 0 < len(text) <= MAX_NAME_CHARS and text.isprintable()
+
+
 @attrs.frozen
 class NoticeBroadcast:
     """Forwards new notices to the other entries.
--- a/gentianwall/platform/announcements.py
+++ b/gentianwall/platform/announcements.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import attrs
 
 from gentianwall.config.settings import Address, parse_address
 from gentianwall.http.documents import UnreadableDocument, decode_document
-from gentianwall.membership.messages import ServerKey, ServerNotice
-
-# Replicas store 64-bit integers and JSON integers are unbounded: a larger one
-# would raise an OverflowError when it is encoded for the journal.
-MAX_INTEGER = 2**62
+from gentianwall.membership.messages import (
+    MAX_SLOTS,
+    ServerKey,
+    ServerNotice,
+    is_name,
+)
+
+# Replicas store 64-bit integers, and JSON integers are unbounded.
+MAX_SEQUENCE = 2**62
+# The year 2100 in Unix ms. A later start than any real one would replace the
+# server of the same name for good.
+MAX_INCARNATION = 4_102_444_800_000
+# Servers are slow for some seconds after their start.
+MAX_WARMUP_MS = 3_600_000
 STATE_BY_WIRE_NAME = {"ready": "up", "draining": "draining"}
 
 
@@ -58,73 +66,78 @@
 ) -> Announcement | InvalidAnnouncement:
     """Decodes a heartbeat.
 
-    All decoded fields are required, except `born` and `warmupLeftMs`, which
-    default to 0.
+    All fields are required, except `born`, which defaults to 0. A heartbeat
+    with another value than a server can have may come from another writer. It
+    must not register a server, nor replace the one of that name.
     """
     table = decode_document(body)
     if isinstance(table, UnreadableDocument):
         return InvalidAnnouncement(table.reason)
-    for key, expected_type in (
-        ("service", str),
-        ("address", str),
-        ("zone", str),
-        ("state", str),
-        ("maxConcurrency", int),
-        ("sequence", int),
-    ):
-        if not _is_valid(table.get(key), expected_type):
-            return InvalidAnnouncement(
-                f"{key} must be a valid {expected_type.__name__}"
-            )
-    if table["state"] not in STATE_BY_WIRE_NAME:
-        return InvalidAnnouncement(f"unknown state {table['state']!r}")
+    problem = _find_problem(server, table)
+    if problem:
+        return InvalidAnnouncement(problem)
     address = parse_address(table["address"])
     if not isinstance(address, Address):
         return InvalidAnnouncement(f"address {address.reason}")
-    # `born` is the Unix time in ms at which the server started.
-    incarnation = table.get("born", 0)
-    if not _is_valid(incarnation, int) or incarnation < 0:
-        return InvalidAnnouncement("born must be an integer from 0 to 2**62")
-    warmup_ms = table.get("warmupLeftMs", 0)
-    is_number = isinstance(warmup_ms, int | float)
-    is_number = is_number and not isinstance(warmup_ms, bool)
-    if not is_number or not math.isfinite(warmup_ms):
-        return InvalidAnnouncement("warmupLeftMs must be a finite number")
-    if not server or not table["service"] or table["maxConcurrency"] < 1:
-        return InvalidAnnouncement(
-            "server and service must not be empty, maxConcurrency at least 1"
-        )
     notice = ServerNotice(
         key=ServerKey(table["service"], server),
         host=address.host,
         port=address.port,
         slots=table["maxConcurrency"],
         failure_domain=table["zone"],
-        incarnation=incarnation,
+        incarnation=table.get("born", 0),
         state=STATE_BY_WIRE_NAME[table["state"]],
     )
-    return Announcement(notice, table["sequence"], float(warmup_ms))
+    return Announcement(notice, table["sequence"], float(table["warmupLeftMs"]))
+
+
+def _find_problem(server: str, table: dict[str, Any]) -> str:
+    """Returns why a heartbeat names no server; empty if it does."""
+    if not is_name(server):
+        return "query parameter `of` must name a server"
+    for key in ("service", "zone", "version"):
+        value = table.get(key)
+        if not isinstance(value, str) or not is_name(value):
+            return f"{key} must be a short text"
+    if not isinstance(table.get("address"), str):
+        return "address must be a text"
+    state = table.get("state")
+    if not isinstance(state, str) or state not in STATE_BY_WIRE_NAME:
+        return "state must be one of " + ", ".join(STATE_BY_WIRE_NAME)
+    for key, minimum, maximum in (
+        ("maxConcurrency", 1, MAX_SLOTS),
+        ("sequence", 0, MAX_SEQUENCE),
+        ("warmupLeftMs", 0, MAX_WARMUP_MS),
+    ):
+        value = table.get(key)
+        is_number = type(value) is int or (
+            type(value) is float and key == "warmupLeftMs"
+        )
+        if not is_number or not minimum <= value <= maximum:
+            return f"{key} must be a number from {minimum} to {maximum}"
+    return _find_incarnation_problem(table)
+
+
+def _find_incarnation_problem(table: dict[str, Any]) -> str:
+    # `born` is the Unix time in ms at which the server started.
+    incarnation = table.get("born", 0)
+    if type(incarnation) is int and 0 <= incarnation <= MAX_INCARNATION:
+        return ""
+    return f"born must be an integer from 0 to {MAX_INCARNATION}"
 
 
 def decode_deregistration(
     server: str, body: bytes
 ) -> Deregistration | InvalidAnnouncement:
     """Decodes a deregistration; its body may be empty."""
-    if not server:
+    if not is_name(server):
         return InvalidAnnouncement("query parameter `of` must name a server")
     if not body.strip():
         return Deregistration(server, 0)
     table = decode_document(body)
     if isinstance(table, UnreadableDocument):
         return InvalidAnnouncement(table.reason)
-    incarnation = table.get("born", 0)
-    if not _is_valid(incarnation, int) or incarnation < 0:
-        return InvalidAnnouncement("born must be an integer from 0 to 2**62")
-    return Deregistration(server, incarnation)
-
-
-def _is_valid(value: Any, expected_type: type) -> bool:
-    """Returns whether a value has the type and, if an integer, is in range."""
-    if expected_type is int:
-        return type(value) is int and abs(value) <= MAX_INTEGER
-    return isinstance(value, expected_type)
+    problem = _find_incarnation_problem(table)
+    if problem:
+        return InvalidAnnouncement(problem)
+    return Deregistration(server, table.get("born", 0))
--- a/gentianwall/platform/control_api.py
+++ b/gentianwall/platform/control_api.py
@@ -20,6 +20,7 @@
     LeaderClient,
     LeaderResult,
     LeaderTimeout,
+    UnknownService,
 )
 
 log = get_logger("control-api")
@@ -124,6 +125,8 @@
     match result:
         case Done() | ConfigurationHeld():
             request.answer(200, [JSON_TYPE], b"{}")
+        case UnknownService():
+            _answer_error(request, 400, f"unknown service {result.service!r}")
         case LeaderTimeout():
             _answer_error(
                 request,
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -19,7 +19,7 @@
     Done,
     PutConfiguration,
 )
-from gentianwall.claims.register import held_configuration
+from gentianwall.claims.register import RegisterState, held_configuration
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.control.client import ControlClient, ControlSend
 from gentianwall.control.messages import (
@@ -69,7 +69,19 @@
     """No leader replied in time; the request may still take effect."""
 
 
-LeaderResult = CommandResult | ConfigurationReply | LeaderTimeout
+@attrs.frozen
+class UnknownService:
+    """A registered server is announced for a service that does not exist.
+
+    The announcement may come from another writer. It changes nothing.
+    """
+
+    service: str
+
+
+LeaderResult = (
+    CommandResult | ConfigurationReply | LeaderTimeout | UnknownService
+)
 
 
 class LeaderClient:
@@ -96,7 +108,11 @@
         A heartbeat that changes nothing in the registry is not committed; its
         result is reported at once.
         """
-        registry = self._runtime.state.replica.register.registry
+        register = self._runtime.state.replica.register
+        registry = register.registry
+        if not _is_service_possible(register, notice):
+            on_result(UnknownService(notice.key.service))
+            return
         self._server_heartbeats.add(notice.key.server)
         if not changes_registry(registry, notice, sequence):
             on_result(Done())
@@ -283,3 +299,18 @@
                 message=send.message,
             )
         )
+
+
+def _is_service_possible(register: RegisterState, notice: ServerNotice) -> bool:
+    """Returns whether a server may be announced for its service.
+
+    A new server may come before the configuration that names its service. The
+    service of a registered one does not become an unknown one.
+    """
+    known = register.registry.servers.get(notice.key.server)
+    if known is None or known.notice.key.service in ("", notice.key.service):
+        return True
+    if register.numbered is None:
+        return True
+    services = register.numbered.configuration.services
+    return any(service.name == notice.key.service for service in services)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -7,11 +7,21 @@
 
 import pytest
 
+from gentianwall.claims.commands import AnnounceServer, PutConfiguration
+from gentianwall.claims.register import apply_command
+from gentianwall.config.routes import (
+    CallerLimits,
+    RouteConfiguration,
+    RoutedService,
+)
 from gentianwall.http.announcements import (
     InvalidAnnouncement,
     parse_announcement,
 )
 from gentianwall.membership.messages import ServerKey, ServerNotice
+from gentianwall.runtime.leader_client import LeaderClient, UnknownService
+from gentianwall.timers import monotonic_ms
+from harness.leader import following_runtime
 
 KEY = ServerKey("orders", "i-1")
 CONTENT = {
@@ -49,3 +59,62 @@
     if not body and method == b"DELETE":
         body = b" "
     assert isinstance(_parse(body, method), InvalidAnnouncement)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": 5},
+        {"address": "fe80::1%x"},
+        {"address": "a\0b"},
+        {"address": None},
+        {"failure_domain": "z" * 300},
+        {"failure_domain": "z\0"},
+        {"port": 0},
+        {"slots": 10**6},
+    ],
+)
+def test_an_announcement_with_an_invalid_value_is_refused(change):
+    body = json.dumps({**CONTENT, **change}).encode()
+    assert isinstance(_parse(body), InvalidAnnouncement)
+
+
+def test_a_deregistration_keeps_only_its_incarnation():
+    body = json.dumps({**CONTENT, "address": [5], "slots": "x"}).encode()
+    left = ServerNotice(KEY, "", 0, 0, "", 7, "left")
+    assert _parse(body, b"DELETE") == left
+
+
+@pytest.fixture
+def runtime():
+    """A control instance with a configuration and a registered server."""
+    runtime = following_runtime(monotonic_ms())
+    register = runtime.state.replica.register
+    configuration = RouteConfiguration(
+        1, (), (RoutedService("orders", "", 0),), CallerLimits()
+    )
+    apply_command(register, PutConfiguration(configuration, b"", 0))
+    notice = _parse(json.dumps(CONTENT).encode())
+    apply_command(register, AnnounceServer(notice, 1, 0.0, 0))
+    return runtime
+
+
+# A report of another writer took a server out of its service for good.
+@pytest.mark.parametrize(
+    ("service", "server", "is_refused"),
+    [
+        ("unknown", "i-1", True),
+        ("orders", "i-1", False),
+        ("unknown", "i-2", False),
+    ],
+)
+def test_a_registered_server_is_not_moved_to_an_unknown_service(
+    service, server, is_refused, runtime
+):
+    notice = ServerNotice(
+        ServerKey(service, server), "127.0.0.2", 80, 2, "pa", 8, "up"
+    )
+    results = []
+    LeaderClient(runtime).announce(notice, 1, 0.0, results.append)
+    assert results == ([UnknownService(service)] if is_refused else [])
+    assert len(runtime.links.sent) == (0 if is_refused else 1)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -253,6 +253,20 @@
     assert exchange.is_closed
 
 
+# The registry may hold such hosts, which earlier versions accepted.
+@pytest.mark.parametrize(
+    "host", ["", "[::1", "127.9.9.9:80", "a\0b", "x" * 300, "\u0661.2.3.4"]
+)
+def test_a_host_that_is_no_ip_address_is_not_connected(host):
+    reactor = MemoryReactorClock()
+    failed = []
+    pool = ConnectionPool(reactor, host, 80)
+    pool.connect(failed.append, lambda: failed.append(host))
+    reactor.advance(0)
+    assert failed == [host]
+    assert not reactor.tcpClients
+
+
 CHUNKS = b"5\r\nhello\r\n3;a=b\r\nyou\r\n0\r\n"
 # Answers of servers, each with the bytes that make it complete.
 WHOLE_ANSWERS = {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,13 +6,14 @@
 import math
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gentianwall import codec
 from gentianwall.claims.commands import AnnounceServer, Command
 from gentianwall.config.routes import RouteConfiguration, RouteKind
 from gentianwall.config.schema import ConfigErrors
+from gentianwall.membership.messages import MAX_SLOTS
 from gentianwall.platform.announcements import (
     Announcement,
     Deregistration,
@@ -50,8 +51,13 @@
 }
 
 
+MISSING = object()
+
+
 def _make_heartbeat(**changes):
-    return json.dumps({**HEARTBEAT, **changes}).encode()
+    table = {**HEARTBEAT, **changes}
+    present = {k: v for k, v in table.items() if v is not MISSING}
+    return json.dumps(present).encode()
 
 
 def _make_document(version="r7", **changes):
@@ -109,6 +115,41 @@
         {"sequence": 2**64},
         {"born": 10**40},
         {"maxConcurrency": 2**64},
+        {"maxConcurrency": 10**6},
+        {"maxConcurrency": 4.0},
+        {"address": ":80"},
+        {"address": "[::1"},
+        {"address": "127.9.9.9:80:80"},
+        {"address": "127.9.9.9\0:80"},
+        {"address": "localhost:80"},
+        {"address": "fe80::1%x:80"},
+        {"address": "10.128.0.9:\u0668\u0660"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:70000"},
+        {"address": "10.128.0.9:" + "9" * 5000},
+        {"address": ["10.128.0.9:80"]},
+        {"warmupLeftMs": 1e308},
+        {"warmupLeftMs": -1},
+        {"warmupLeftMs": True},
+        {"warmupLeftMs": MISSING},
+        {"sequence": -1},
+        {"sequence": 4.5},
+        {"sequence": MISSING},
+        {"service": "s" * 100_000},
+        {"service": "a\nb"},
+        {"service": MISSING},
+        {"zone": ""},
+        {"zone": "z\0"},
+        {"zone": MISSING},
+        {"version": 1},
+        {"version": ["v1"]},
+        {"version": ""},
+        {"version": MISSING},
+        {"state": ["ready"]},
+        {"state": MISSING},
+        {"address": MISSING},
+        {"maxConcurrency": MISSING},
+        {"born": 2**62},
     ],
 )
 def test_a_heartbeat_with_an_invalid_value_is_refused(change):
@@ -141,11 +182,37 @@
     assert isinstance(decode_deregistration("i-1", body), InvalidAnnouncement)
 
 
-@given(text=st.text(st.characters(exclude_categories=())))
-def test_an_announcement_that_is_decoded_can_be_stored(text):
-    decoded = decode_heartbeat("i-1", _make_heartbeat(zone=text))
+@pytest.mark.parametrize("server", ["", "i" * 300, "i\0", "i\ud83d"])
+def test_a_server_without_a_usable_name_is_refused(server):
+    heartbeat = decode_heartbeat(server, _make_heartbeat())
+    assert isinstance(heartbeat, InvalidAnnouncement)
+    deregistration = decode_deregistration(server, b'{"born": 7}')
+    assert isinstance(deregistration, InvalidAnnouncement)
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(exclude_categories=())),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+
+
+@settings(max_examples=500)
+@given(
+    server=st.text(st.characters(exclude_categories=())),
+    changes=st.dictionaries(st.sampled_from(sorted(HEARTBEAT)), JSON_VALUES),
+)
+def test_an_announcement_that_is_decoded_can_be_stored(server, changes):
+    decoded = decode_heartbeat(server, _make_heartbeat(**changes))
     if isinstance(decoded, Announcement):
-        command = AnnounceServer(decoded.notice, decoded.sequence, 0.0, 0)
+        notice = decoded.notice
+        assert 0 < notice.port < 65536
+        assert 0 < notice.slots <= MAX_SLOTS
+        command = AnnounceServer(notice, decoded.sequence, decoded.warmup_ms, 0)
         stored = codec.unpack(codec.pack(command, Command), Command)
         assert stored == command
 
