Apply changed limits to open connections

Cause: each connection got a copy of the limits when it was opened.

A request that is being received keeps the limits that it began under.

Evidence: 5 cases of test_channel.py fail on the code before.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -175,7 +175,7 @@
     """One connection of a caller.
 
     Attributes:
-        bounds: Limits on requests.
+        bounds: Limits on the request that is received, or on the next one.
         pipeline: Requests that were received and not yet answered.
         is_refused: Whether a request was malformed, too large or too slow;
             whatever the caller sends after it is discarded.
@@ -187,11 +187,9 @@
 
     def __init__(self, bounds: CallerBounds):
         super().__init__()
-        self.bounds = bounds
-        self.maxHeaders = bounds.header_count
-        self.totalHeadersSize = bounds.header_bytes
-        self.MAX_LENGTH = bounds.header_bytes
+        self._set_bounds(bounds)
         self.timeOut = bounds.idle_timeout_s
+        self._next_bounds: CallerBounds | None = None
         self.pipeline: Pipeline[CallerRequest] = Pipeline()
         self.is_refused = False
         self._final_problem: Problem | None = None
@@ -200,6 +198,25 @@
         self._receive_timeout_call = None
         self._is_receiving = False
 
+    def apply_bounds(self, bounds: CallerBounds) -> None:
+        """Changes the limits, from the next request on.
+
+        A request that is being received keeps the limits that it began under.
+        """
+        if self._has_partial_request():
+            self._next_bounds = bounds
+            return
+        is_idle = self.timeOut is not None
+        if is_idle and bounds.idle_timeout_s != self.bounds.idle_timeout_s:
+            self.setTimeout(bounds.idle_timeout_s)
+        self._set_bounds(bounds)
+
+    def _set_bounds(self, bounds: CallerBounds) -> None:
+        self.bounds = bounds
+        self.maxHeaders = bounds.header_count
+        self.totalHeadersSize = bounds.header_bytes
+        self.MAX_LENGTH = bounds.header_bytes
+
     def dataReceived(self, data) -> None:
         """Parses received bytes and limits the time to receive a request."""
         if self.is_refused:
@@ -263,7 +280,7 @@
     def _resume_reading(self) -> None:
         if self.pipeline.is_empty:
             if self._savedTimeOut:
-                self.setTimeout(self._savedTimeOut)
+                self.setTimeout(self.bounds.idle_timeout_s)
             if self._is_continue_due:
                 self._is_continue_due = False
                 self._send100Continue()
@@ -307,6 +324,9 @@
     def allContentReceived(self) -> None:
         """Resets the body timeout once the request is complete."""
         self._is_body_timeout_running = False
+        if self._next_bounds is not None:
+            self._set_bounds(self._next_bounds)
+            self._next_bounds = None
         super().allContentReceived()
 
     def lineReceived(self, line) -> None:
@@ -409,7 +429,6 @@
             that it may run beside others of its connection.
 
     Attributes:
-        bounds: Limits for new connections.
         channels: Open connections, closed at a graceful shutdown.
     """
 
@@ -424,9 +443,20 @@
         self.handle = handle
         self.handle_disconnect = handle_disconnect
         self.is_repeatable = is_repeatable or has_repeatable_method
-        self.bounds = CallerBounds()
+        self._bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
+    @property
+    def bounds(self) -> CallerBounds:
+        """Limits on requests, on all open connections and on new ones."""
+        return self._bounds
+
+    @bounds.setter
+    def bounds(self, bounds: CallerBounds) -> None:
+        self._bounds = bounds
+        for channel in self.channels:
+            channel.apply_bounds(bounds)
+
     def buildProtocol(self, addr) -> CallerChannel:
         """Creates the protocol of one connection."""
         channel = CallerChannel(self.bounds)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -4,6 +4,7 @@
 
 import re
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -59,6 +60,63 @@
     assert connection[2].seconds() <= BOUNDS.body_timeout_s + 1
 
 
+UPLOAD = b"POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+TOO_LARGE = b"HTTP/1.1 413 "
+
+
+def _upload(connection, path, size):
+    connection[0].dataReceived(UPLOAD % (path, size) + bytes(size))
+
+
+# Connections kept their limits for good: 413 for what a change had allowed.
+def test_changed_limits_are_in_force_on_open_connections(connection):
+    channel, transport, _, received = connection
+    channel.site.bounds = attrs.evolve(BOUNDS, body_bytes=10)
+    _upload(connection, b"a", 10)
+    received[0].answer(200, [], b"")
+    channel.site.bounds = attrs.evolve(
+        BOUNDS, body_bytes=100, header_bytes=200, header_count=4
+    )
+    _upload(connection, b"b", 100)
+    assert _paths(connection) == [b"a", b"b"]
+    assert TOO_LARGE not in transport.value()
+    received[1].answer(200, [], b"")
+    channel.dataReceived(b"GET /c HTTP/1.1\r\nX: " + b"y" * 300 + b"\r\n")
+    assert b"HTTP/1.1 431 " in transport.value()
+
+
+@pytest.mark.parametrize("received_bytes", [20, len(UPLOAD % (b"a", 50)) + 5])
+def test_a_request_keeps_the_limits_that_it_began_under(
+    connection, received_bytes
+):
+    channel, transport, _, received = connection
+    data = UPLOAD % (b"a", 50) + bytes(50)
+    channel.dataReceived(data[:received_bytes])
+    channel.site.bounds = attrs.evolve(BOUNDS, body_bytes=10)
+    channel.dataReceived(data[received_bytes:])
+    assert _paths(connection) == [b"a"]
+    received[0].answer(200, [], b"")
+    _upload(connection, b"b", 50)
+    assert TOO_LARGE in transport.value()
+
+
+@pytest.mark.parametrize("is_changed_while_open", [False, True])
+def test_a_changed_idle_timeout_is_in_force_on_open_connections(
+    connection, is_changed_while_open
+):
+    channel, transport, clock, received = connection
+    changed = attrs.evolve(BOUNDS, idle_timeout_s=2 * BOUNDS.idle_timeout_s)
+    _upload(connection, b"a", 1)
+    if is_changed_while_open:
+        channel.site.bounds = changed
+    received[0].answer(200, [], b"")
+    channel.site.bounds = changed
+    clock.advance(1.9 * BOUNDS.idle_timeout_s)
+    assert not transport.disconnecting
+    clock.advance(0.2 * BOUNDS.idle_timeout_s)
+    assert transport.disconnecting
+
+
 def test_a_complete_request_cancels_the_receive_timeout(connection):
     channel, transport, clock, received = connection
     channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n")
