Start the servers of the repeated refusals by the shared fixture

Cause: the test repeated the loop of `registered_servers` for a server class of its own. Nothing else changes; the test keeps its assertions.

Run: the tests of repeated refusals, deregistration, leaving servers and server limits pass (11).

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -492,12 +492,14 @@
 
 
 @contextlib.contextmanager
-def registered_servers(fleet: Fleet, count: int) -> Iterator[list[FakeServer]]:
+def registered_servers(
+    fleet: Fleet, count: int, server_class: type[FakeServer] = FakeServer
+) -> Iterator[list[FakeServer]]:
     """Runs servers and waits until all entries dispatch to one of them."""
     with contextlib.ExitStack() as stack:
         servers = []
         for number in range(1, count + 1):
-            server = FakeServer(
+            server = server_class(
                 f"i-{number}", "orders", f"{SERVERS_PREFIX}{number}"
             )
             stack.enter_context(running_server(server))
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import random
 import time
 
@@ -16,13 +15,10 @@
 import pytest
 
 from harness.fleet import (
-    SERVERS_PREFIX,
     FakeServer,
     load_entries,
+    registered_servers,
     running_fleet,
-    running_server,
-    send_heartbeat_until_acknowledged,
-    wait_until_serving,
 )
 
 LOAD_S = 5.0
@@ -79,16 +75,7 @@
 
 # They were refused as not executed, or ran at a second server.
 def test_requests_that_run_are_neither_refused_nor_run_again(fleet):
-    with contextlib.ExitStack() as stack:
-        servers = []
-        for number in (1, 2, 3):
-            server = RepeatingServer(
-                f"i-{number}", "orders", f"{SERVERS_PREFIX}{number}"
-            )
-            stack.enter_context(running_server(server))
-            send_heartbeat_until_acknowledged(fleet, server)
-            servers.append(server)
-        wait_until_serving(fleet)
+    with registered_servers(fleet, 3, RepeatingServer) as servers:
         statuses = load_entries(
             fleet, time.monotonic() + LOAD_S, REQUESTS_PER_ENTRY_PER_S
         )
