Read downloads, public routes and warm-up limits from configurations

Cause: a configuration with a route of kind download, or with the other new fields, was refused whole or lost them. Change: the route kind download, which may be repeated; is_public, warm-up limits and the class Organisation, all behind the existing fields, so that earlier builds ignore them.

--- a/gentianwall/config/routes.py
+++ b/gentianwall/config/routes.py
@@ -19,11 +19,12 @@
     SAFE = "safe"
     NON_IDEMPOTENT = "non_idempotent"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
 
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may be executed more than once."""
-        return self is RouteKind.SAFE
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 @attrs.frozen
@@ -42,13 +43,14 @@
         name: Name of the route.
         host: Host whose requests the route matches, in lower case.
         path_prefix: Prefix of the paths that the route matches.
-        kind: Kind of the requests; only safe ones may be executed more than
-            once.
+        kind: Kind of the requests; only safe ones and downloads may be
+            executed more than once.
         timeout_ms: Time until the deadline; a caller may set a shorter one.
         target_ms: Time within which answers should arrive.
-        priority: Priority, 0 is the highest; stored but not evaluated.
+        priority: Priority, 0 is the highest.
         most_attempts: Most attempts for one request, the first included.
         targets: Services with their weights.
+        is_public: Whether requests need no key of an organisation.
     """
 
     name: str
@@ -60,6 +62,7 @@
     priority: int
     most_attempts: int
     targets: tuple[RouteTarget, ...]
+    is_public: bool = False
 
 
 @attrs.frozen
@@ -71,11 +74,37 @@
         health_path: Path of the health check; empty for none.
         most_connections: Connections that a server accepts from all entries
             together; 0 means no limit.
+        warmup_ms: Time for which a server is cold after its start.
+        warmup_per_s: Requests a second that a cold server takes from all
+            entries together; 0 means no limit.
     """
 
     name: str
     health_path: str
     most_connections: int
+    warmup_ms: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+@attrs.frozen
+class Organisation:
+    """An organisation, whose callers identify themselves by its keys.
+
+    Attributes:
+        name: Name of the organisation, which servers receive.
+        key_digests: SHA-256 digests of its keys.
+        priority: Priority of its requests, 0 is the highest; None for that of
+            the route.
+        rate_per_s: Requests a second over all entries together; 0 means no
+            limit.
+        burst: Requests beyond that rate that may come at once.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @attrs.frozen
@@ -97,12 +126,15 @@
         routes: All routes.
         services: All services.
         limits: Limits on requests and connections of callers.
+        organisations: Organisations; if there are any, requests of routes that
+            are not public need a key of one of them.
     """
 
     number: int
     routes: tuple[Route, ...]
     services: tuple[RoutedService, ...]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] = ()
 
 
 def check_configuration(
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -14,6 +14,11 @@
 RATE_LIMIT_MAX_AGE_MS = 60_000.0
 
 
+# Entries that understand organisations. Others would serve without keys, so
+# they receive no configuration that has organisations.
+FEATURE_ORGANISATIONS = 1
+
+
 @attrs.frozen
 class CommandRequest:
     """Asks the leader to commit a command; may be sent more than once."""
@@ -197,6 +202,8 @@
         rate_limits: What servers recently stated to the entry.
         is_partitioned: Whether the entry reaches no server.
         wants_peers: Whether the entry asks for a list of peers.
+        features: Sum of the `FEATURE_` constants of what the entry
+            understands; 0 for builds from before there were any.
     """
 
     number: int
@@ -207,6 +214,7 @@
     rate_limits: tuple[RateLimitReport, ...] = ()
     is_partitioned: bool = False
     wants_peers: bool = False
+    features: int = 0
 
 
 @attrs.frozen
--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -30,6 +30,8 @@
     KEY_NOT_TIMED = "the key must be a UUID of version 7"
     BAD_REQUEST = "bad request"
     LOOP = "the request came back"
+    UNAUTHENTICATED = "a key of an organisation is required"
+    OVER_QUOTA = "the quota of the organisation is used up"
 
 
 class Executed(enum.Enum):
@@ -61,6 +63,8 @@
     RefusalReason.KEY_NOT_TIMED: 400,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.LOOP: 508,
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.OVER_QUOTA: 429,
 }
 
 
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -111,6 +111,7 @@
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + wait_ms,
         target_at_ms=event.at_ms + route.target_ms - waited_ms,
+        priority=route.priority,
     )
     state.calls[call.call_id] = call
     state.service(name).retry_window.record_call(now_ms)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -74,6 +74,9 @@
             time at an idle, average server.
         is_maybe_executed: Whether a server may have executed the request.
         others: Names of servers considered beside the home servers.
+        organisation: Name of the organisation that sent it; empty for none.
+        priority: Priority of the organisation, or else of the route; 0 is the
+            highest.
     """
 
     call_id: int
@@ -99,6 +102,8 @@
     peer: str = ""
     tried_peers: set[str] = attrs.field(factory=set)
     relay: Relay | None = None
+    organisation: str = ""
+    priority: int = 0
 
 
 @attrs.define
--- a/gentianwall/platform/configurations.py
+++ b/gentianwall/platform/configurations.py
@@ -26,6 +26,7 @@
     "safe": RouteKind.SAFE,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "upload": RouteKind.UPLOAD,
+    "download": RouteKind.DOWNLOAD,
 }
 
 
@@ -111,6 +112,7 @@
         # `maxAttempts` includes the first attempt; less than 1 is read as 1.
         most_attempts=max(1, int(_read_number(spec, "maxAttempts", path, 1))),
         targets=_read_targets(spec, path),
+        is_public=spec.get("public") is True,
     )
 
 
@@ -136,7 +138,13 @@
     if not isinstance(health_path, str):
         raise _InvalidDocumentError(f"{path}.healthPath", "must be a string")
     most_connections = int(_read_number(spec, "maxConns", path, 0))
-    return RoutedService(name, health_path, most_connections)
+    return RoutedService(
+        name,
+        health_path,
+        most_connections,
+        1000.0 * _read_number(spec, "warmupS", path, 0),
+        _read_number(spec, "warmupPerS", path, 0),
+    )
 
 
 def _read_limits(spec: dict) -> CallerLimits:
