Relay only requests that entries of the deployment have signed

Cause: the port for relayed requests took anybody. A client that reached it chose service, kind, deadline and attempts, past routes and the retry limits: GET /no-route-here with a relay header of its own making was run by a server. Change: the leader gives entries a key with its notices. A relayed request carries HMACs over method, URI, host, id, deadline, relay header, body digest and peer, with a nonce and a time; a peer accepts each once and runs no more than its own route allows. Builds from before ignore the signature; a peer with the key refuses theirs as not executed, and they try another one.

--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -248,6 +248,8 @@
         rate_limits: All rate limits in force; None if unchanged.
         base_revision: Revision after which `servers` lists all changes. An
             entry with an older one lacks others and must not apply them.
+        relay_key: Key with which entries sign relayed requests; empty from
+            builds from before there were signatures.
     """
 
     term: int
@@ -262,6 +264,7 @@
     rate_limits_version: int = 0
     rate_limits: tuple[SharedRateLimit, ...] | None = None
     base_revision: int = 0
+    relay_key: bytes = b""
 
 
 @attrs.frozen
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -107,6 +107,8 @@
         notices: Notices by the versions of their receivers, so that each is
             encoded once.
         rate_shares: Rate limits of servers and the entries that share them.
+        relay_key: Key with which entries sign requests that they relay, drawn
+            anew by each process.
     """
 
     subscribers: dict[str, Subscriber] = attrs.field(factory=dict)
@@ -118,6 +120,7 @@
     content: FeedContent | None = None
     notices: dict[FeedVersions, FeedNotice] = attrs.field(factory=dict)
     rate_shares: RateShares = attrs.field(factory=RateShares)
+    relay_key: bytes = attrs.field(default=b"", repr=False)
 
 
 def on_poll(
@@ -295,6 +298,7 @@
         rate_limits_version=current.rate_limits_version,
         rate_limits=None if has_shares else feed.rate_shares.shares,
         base_revision=versions.revision,
+        relay_key=feed.relay_key,
     )
 
 
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -133,18 +133,25 @@
     if event.fingerprint and event.fingerprint in state.quarantines:
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
-    if state.reachability.is_partitioned or event.wait_ms is None:
+    own_route = (
+        None
+        if state.table is None
+        else state.table.find(event.host, event.path)
+    )
+    route = relaying.make_route(event, relay, own_route)
+    if state.reachability.is_partitioned or route is None:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
         return
     call = RoutedCall(
         call_id=event.call_id,
         request_id=event.request_id,
-        route=relaying.make_route(event, relay, event.wait_ms),
+        route=route,
         service=relay.service,
         arrived_ms=event.at_ms,
-        deadline_ms=event.at_ms + event.wait_ms,
+        deadline_ms=event.at_ms + route.timeout_ms,
         target_at_ms=event.at_ms + relay.target_left_ms,
         relay=relay,
+        priority=route.priority,
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -112,6 +112,7 @@
     state.feed_received_ms = event.at_ms
     state.leader = event.sender
     state.controls = notice.controls
+    state.relay_keys.add(notice.relay_key)
     _update_entries(state, notice.entries, event.at_ms)
     if notice.configuration is not None and notice.number > state.number:
         _apply_configuration(state, notice, effects)
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -1,14 +1,18 @@
 """Sends requests through other entries while the entry reaches no server.
 
-The partitioned entry keeps its decisions: route, service, deadline and number
-of attempts. The peer places the request among the servers of that service as
-its own, retries it within the attempts left, and never relays it further. So a
-request runs at most once for each attempt that the route allows, whichever way
-it takes.
+The partitioned entry decides route, service, deadline and number of attempts.
+The peer accepts no more than its own configuration allows: a service that is
+not a target of the route there, or a path without a route, is left to another
+peer. It places the request among the servers of that service as its own,
+retries it within the attempts left, and never relays it further. So a request
+runs at most once for each attempt that the route allows, whichever way it
+takes.
 """
 
 from __future__ import annotations
 
+import attrs
+
 from gentianwall.config.routes import Route
 from gentianwall.gateway.effects import GatewayEffect, Log, RelayRequest
 from gentianwall.gateway.events import Relay, RequestArrived
@@ -73,18 +77,33 @@
     return True
 
 
-def make_route(event: RequestArrived, relay: Relay, wait_ms: float) -> Route:
-    """Returns the route of a relayed request, as its first entry decided it."""
-    return Route(
-        name="",
-        host=event.host,
-        path_prefix="",
-        kind=relay.kind,
-        timeout_ms=wait_ms,
+def make_route(
+    event: RequestArrived, relay: Relay, own_route: Route | None
+) -> Route | None:
+    """Returns the route of a relayed request, bounded by this entry's own.
+
+    Args:
+        event: The request.
+        relay: Decisions of the first entry.
+        own_route: Route of the request at this entry, if any.
+
+    Returns:
+        The route, or None if the request is not allowed here.
+    """
+    if own_route is None or event.wait_ms is None:
+        return None
+    if relay.service not in {target.service for target in own_route.targets}:
+        return None
+    is_repeatable = relay.kind.is_idempotent and own_route.kind.is_idempotent
+    strictest_kind = (
+        own_route.kind if not own_route.kind.is_idempotent else relay.kind
+    )
+    return attrs.evolve(
+        own_route,
+        kind=relay.kind if is_repeatable else strictest_kind,
+        timeout_ms=min(event.wait_ms, own_route.timeout_ms),
         target_ms=relay.target_ms,
-        priority=0,
-        most_attempts=relay.attempts_left,
-        targets=(),
+        most_attempts=min(relay.attempts_left, own_route.most_attempts),
     )
 
 
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -16,6 +16,7 @@
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.reachability import Reachability
+from gentianwall.gateway.relay_signatures import RelayKeys
 from gentianwall.gateway.rests import Rests
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.routing.reports import SpeedReport
@@ -203,6 +204,7 @@
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
+        relay_keys: Keys by which entries recognize each other's requests.
     """
 
     name: str
@@ -239,6 +241,7 @@
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
+    relay_keys: RelayKeys = attrs.field(factory=RelayKeys, repr=False)
 
     @property
     def is_ready(self) -> bool:
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import secrets
 import traceback
 from collections.abc import Callable, Iterator
 
@@ -60,6 +61,8 @@
 log = get_logger("control")
 
 TICK_MS = 50.0
+# As long as the digests of the signatures made with it.
+RELAY_KEY_BYTES = 32
 SPACE_CHECK_MS = 1000.0
 # Writes resume at most this long after space is freed on a full disk, a fifth
 # of the time for which an operator is expected to wait.
@@ -155,6 +158,7 @@
         )
         self.state = ControlState(replica, setup.entries)
         self.state.feed.server_silence_ms = setup.server_silence_ms
+        self.state.feed.relay_key = secrets.token_bytes(RELAY_KEY_BYTES)
         log.info(
             "Journal read. Term %d, last entry %d, disk %s, member %s.",
             replica.term,
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -53,6 +53,7 @@
     stop_listening,
 )
 from gentianwall.runtime.gateway_requests import GatewayRequestHandler
+from gentianwall.runtime.relay_authentication import RelayAuthenticator
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import ServerPools
 from gentianwall.timeline import Timeline
@@ -110,7 +111,7 @@
         self.requests = GatewayRequestHandler(
             reactor,
             timers,
-            dialect,
+            RelayAuthenticator(settings.host, dialect, self.state.relay_keys),
             self.pools,
             self.checks,
             self.handle,
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -10,7 +10,7 @@
 import attrs
 
 from gentianwall.core.events import CallerDisconnected, FailureKind
-from gentianwall.core.refusals import Refusal
+from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckServer,
@@ -38,16 +38,17 @@
     ServerAnswer,
     ServerRequest,
 )
-from gentianwall.http.dialect import Dialect
 from gentianwall.http.headers import end_to_end_headers
 from gentianwall.logs import get_logger
 from gentianwall.runtime.answers import AnswerReader
+from gentianwall.runtime.relay_authentication import RelayAuthenticator
 from gentianwall.runtime.relay_headers import (
     RELAY_HEADER,
     RelayOutcome,
     decode_outcome,
     decode_relay,
     encode,
+    split_signature,
 )
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import CONNECT_TIMEOUT_S, ServerPools
@@ -93,7 +94,8 @@
     Args:
         reactor: The reactor.
         timers: The timer service.
-        dialect: Header names and formats that servers and callers use.
+        authenticator: Signs and checks relayed requests; it also holds the
+            header names and formats that servers and callers use.
         pools: Connection pools of the servers.
         checks: Sends load queries to servers.
         handle: Handles an event in the reducer and performs its effects.
@@ -106,7 +108,7 @@
         self,
         reactor,
         timers: TimerService,
-        dialect: Dialect,
+        authenticator: RelayAuthenticator,
         pools: ServerPools,
         checks: ServerChecks,
         handle: Callable[[GatewayEvent], None],
@@ -117,11 +119,12 @@
         self.is_closing = False
         self._peer_pools: dict[str, ConnectionPool] = {}
         self._peer_port = peer_port
+        self._authenticator = authenticator
         self._call_id_by_request: dict[int, int] = {}
         self._reactor = reactor
         self._timers = timers
-        self._dialect = dialect
-        self._reader = AnswerReader(dialect)
+        self._dialect = authenticator.dialect
+        self._reader = AnswerReader(authenticator.dialect)
         self._pools = pools
         self._checks = checks
         self._handle = handle
@@ -134,11 +137,20 @@
 
     def on_relayed_request_arrived(self, request: CallerRequest) -> None:
         """Passes a complete request that a peer relays to the reducer."""
-        relay = decode_relay(request.header(RELAY_HEADER))
+        text, _ = split_signature(request.header(RELAY_HEADER))
+        relay = decode_relay(text)
         if relay is None:
             log.warning("Refused a relayed request without a valid header.")
             request.answer(400, [], b"")
             return
+        if not self._authenticator.is_from_entry(request):
+            log.warning("Refused a relayed request without a valid signature.")
+            # Another peer may hold the key of the sender already.
+            refusal = Refusal(RefusalReason.NO_SERVER, Executed.NO)
+            outcome = RelayOutcome("", refusal)
+            headers = [(RELAY_HEADER, encode(outcome))]
+            request.answer(self._status(refusal), headers, b"")
+            return
         self._open_request(request, relay)
 
     def _open_request(
@@ -229,7 +241,7 @@
         request = self._server_request(
             call, effect.left_ms, effect.relay.kind.is_idempotent
         )
-        request.headers.setRawHeaders(RELAY_HEADER, [encode(effect.relay)])
+        self._authenticator.sign(request, effect.peer, encode(effect.relay))
         attempt = effect.attempt
 
         def on_answer(answer: ServerAnswer) -> None:
--- a/gentianwall/runtime/relay_headers.py
+++ b/gentianwall/runtime/relay_headers.py
@@ -1,4 +1,8 @@
-"""Header by which entries tell each other about relayed requests."""
+"""Header by which entries tell each other about relayed requests.
+
+The signature of a request is one more field of the header's JSON object, so
+that builds from before there were signatures ignore it.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +13,8 @@
 from gentianwall.gateway.events import Relay
 
 RELAY_HEADER = b"Gentianwall-Relay"
+SIGNATURE_START = ',"signature":"'
+SIGNATURE_END = '"}'
 
 _converter = make_converter()
 
@@ -35,6 +41,20 @@
     return _converter.dumps(value).encode()
 
 
+def add_signature(relay: bytes, signature: str) -> bytes:
+    """Returns the value of the header with the signature of the request."""
+    text = relay.decode().removesuffix("}")
+    return f"{text}{SIGNATURE_START}{signature}{SIGNATURE_END}".encode()
+
+
+def split_signature(text: str) -> tuple[str, str]:
+    """Returns the value that was signed, and the signature; "" for none."""
+    start, separator, signature = text.rpartition(SIGNATURE_START)
+    if not separator or not signature.endswith(SIGNATURE_END):
+        return text, ""
+    return start + "}", signature.removesuffix(SIGNATURE_END)
+
+
 def decode_relay(text: str) -> Relay | None:
     """Parses the header of a request; returns None if it is malformed."""
     return _decode(text, Relay)
--- a/tests/test_partitioned_entries.py
+++ b/tests/test_partitioned_entries.py
@@ -10,6 +10,7 @@
 import collections
 import contextlib
 import hashlib
+import json
 import math
 import os
 import signal
@@ -19,10 +20,13 @@
 import attrs
 import pytest
 
+from gentianwall.gateway.relay_signatures import RelaySignature, digest_of
+from gentianwall.runtime.relay_headers import add_signature
 from harness.fleet import (
     CALLERS_PORT,
     HOST,
     METRICS_PORT,
+    PEER_PORT,
     SERVER_PORT,
     SERVERS_PREFIX,
     call,
@@ -245,3 +249,46 @@
     assert server.body_digests["upload"] == hashlib.sha256(body).hexdigest()
     executed = [name for server in servers for name in server.executed_ids]
     assert executed.count("upload") == 1
+
+
+def test_strangers_run_nothing_through_the_port_for_peers(fleet, servers):
+    """Whoever reached the port chose service, kind and attempts, past routes.
+
+    Headers without a signature, with a malformed and with a forged one.
+    """
+    relay = json.dumps(
+        {
+            "service": "orders",
+            "kind": "safe",
+            "target_ms": 900.0,
+            "target_left_ms": 900.0,
+            "attempts_left": 99,
+        }
+    )
+    forged = RelaySignature(
+        int(time.time() * 1000), "n1", digest_of(b""), ("0" * 64,) * 2
+    )
+    values = [
+        "",
+        "{",
+        relay,
+        add_signature(relay.encode(), forged.encode()).decode(),
+        add_signature(relay.encode(), "1.n.d").decode(),
+    ]
+    for entry in fleet.entries:
+        for number, value in enumerate(values):
+            headers = {
+                "Host": HOST,
+                "X-Gentianwall-Request-Id": f"forged-{number}",
+                "X-Gentianwall-Deadline-Ms": "900",
+                "Gentianwall-Relay": value,
+            }
+            for path in ("/no-route-here", "/orders/x"):
+                answer = call(
+                    entry.host, PEER_PORT, "GET", path, headers=headers
+                )
+                assert answer.status in (400, 503), (value, answer)
+    executed = [name for server in servers for name in server.executed_ids]
+    assert not [name for name in executed if name.startswith("forged")]
+    for entry in fleet.entries:
+        assert fleet.send_request(entry, f"ordinary-{entry.host}").status == 200
