Identify requests by keys of organisations

Cause: organisations in a configuration were refused as an unknown type, and every caller of a route was served alike. Change: resources of type tenants are decoded, with keys kept as digests, and checked; the entry's reducer refuses requests without exactly one key with 401 before they are queued, and sets organisation and priority of the others. The route table indexes keys once per configuration. Servers receive the name of the organisation, never the key, also on a retry and through a peer.

--- a/gentianwall/config/routes.py
+++ b/gentianwall/config/routes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 import math
+import re
 
 import attrs
 
@@ -11,6 +13,19 @@
 
 # A target time this far above the timeout is taken for a wrong unit.
 MAX_TARGET_OVER_TIMEOUT_MS = 60_000.0
+# Servers receive the name in a header, and peers receive it within the limit
+# for the headers of relayed requests.
+MAX_ORGANISATION_NAME_BYTES = 256
+# Printable ASCII without spaces at its ends, which parsers of headers remove.
+_ORGANISATION_NAME = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+
+
+def digest_key(key: bytes) -> bytes:
+    """Returns the digest of a key by which it is stored and looked up."""
+    return hashlib.sha256(key).digest()
+
+
+_EMPTY_KEY_DIGEST = digest_key(b"")
 
 
 class RouteKind(enum.Enum):
@@ -101,7 +116,7 @@
     """
 
     name: str
-    key_digests: tuple[bytes, ...] = ()
+    key_digests: tuple[bytes, ...] = attrs.field(default=(), repr=False)
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -145,9 +160,62 @@
     problems = []
     for route in configuration.routes:
         problems += _check_route(route, services)
+    for service in configuration.services:
+        service_path = f"services.{service.name}"
+        for option in ("warmup_ms", "warmup_per_s"):
+            problems += _check_not_negative(service, option, service_path)
+    return problems + _check_organisations(configuration.organisations)
+
+
+def _check_organisations(
+    organisations: tuple[Organisation, ...],
+) -> list[ConfigProblem]:
+    problems = []
+    names: set[str] = set()
+    name_by_digest: dict[bytes, str] = {}
+    for organisation in organisations:
+        path = f"organisations.{organisation.name}"
+        if organisation.name in names:
+            problems.append(
+                ConfigProblem(f"{path}.name", "two organisations have it")
+            )
+        names.add(organisation.name)
+        if not _is_organisation_name(organisation.name):
+            reason = (
+                f"must be 1 to {MAX_ORGANISATION_NAME_BYTES} printable ASCII "
+                "characters without a space at either end"
+            )
+            problems.append(ConfigProblem(f"{path}.name", reason))
+        for option in ("priority", "rate_per_s", "burst"):
+            problems += _check_not_negative(organisation, option, path)
+        for digest in organisation.key_digests:
+            owner = name_by_digest.setdefault(digest, organisation.name)
+            if owner != organisation.name:
+                reason = f"shares a key with the organisation {owner!r}"
+                problems.append(ConfigProblem(f"{path}.keys", reason))
+            if digest == _EMPTY_KEY_DIGEST:
+                reason = "must not contain an empty key"
+                problems.append(ConfigProblem(f"{path}.keys", reason))
     return problems
 
 
+def _is_organisation_name(name: str) -> bool:
+    return (
+        len(name) <= MAX_ORGANISATION_NAME_BYTES
+        and _ORGANISATION_NAME.fullmatch(name) is not None
+    )
+
+
+def _check_not_negative(
+    part: RoutedService | Organisation, option: str, path: str
+) -> list[ConfigProblem]:
+    number = getattr(part, option)
+    if number is None or (math.isfinite(number) and number >= 0):
+        return []
+    reason = f"must be a finite number of at least 0, got {number:g}"
+    return [ConfigProblem(f"{path}.{option}", reason)]
+
+
 def _check_route(route: Route, services: set[str]) -> list[ConfigProblem]:
     route_path = f"routes.{route.name}"
     problems = []
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -12,6 +12,7 @@
 
 from gentianwall.claims.commands import MarkSilent
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     ConfigurationReply,
     FeedNotice,
     FeedPoll,
@@ -70,6 +71,7 @@
         update_count: Number of updates sent in a row for that base.
         update_sent_ms: Time of the last update.
         can_relay: Whether it is ready and reaches servers.
+        features: What the entry understands, as its last poll stated.
     """
 
     versions: FeedVersions
@@ -78,6 +80,7 @@
     update_count: int = 0
     update_sent_ms: float = float("-inf")
     can_relay: bool = False
+    features: int = 0
 
 
 @attrs.frozen
@@ -145,6 +148,7 @@
     subscriber.versions = versions
     subscriber.at_ms = now_ms
     subscriber.can_relay = poll.is_ready and not poll.is_partitioned
+    subscriber.features = poll.features
     if poll.wants_peers:
         names = [
             name
@@ -199,11 +203,31 @@
         )
         subscriber.update_base = subscriber.versions
         subscriber.update_sent_ms = now_ms
-    notice = _cached_notice(feed, replica, subscriber.versions, now_ms)
+    versions = subscriber.versions
+    if not _may_receive_configuration(replica, subscriber):
+        # The notice for an entry with the current number has no configuration.
+        versions = attrs.evolve(versions, number=current.number)
+    notice = _cached_notice(feed, replica, versions, now_ms)
     subscriber.versions = current
     effects.append(SendMessage(name, notice))
 
 
+def _may_receive_configuration(
+    replica: ReplicaState, subscriber: Subscriber
+) -> bool:
+    """Returns whether an entry understands the configuration in force.
+
+    A build that does not know organisations would serve requests without keys,
+    so it keeps the configuration that it has.
+    """
+    numbered = replica.register.numbered
+    return (
+        numbered is None
+        or not numbered.configuration.organisations
+        or bool(subscriber.features & FEATURE_ORGANISATIONS)
+    )
+
+
 def push_changes(
     feed: FeedState, replica: ReplicaState, now_ms: float, effects: list
 ) -> None:
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import homes, placement, relaying
+from gentianwall.gateway import homes, identity, placement, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -92,6 +92,10 @@
     if route is None:
         _refuse_unrouted(event, RefusalReason.NO_ROUTE, effects)
         return
+    organisation = identity.identify(state.table, route, event.authorization)
+    if organisation is None:
+        _refuse_unrouted(event, RefusalReason.UNAUTHENTICATED, effects)
+        return
     if event.fingerprint and event.fingerprint in state.quarantines:
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
@@ -111,7 +115,8 @@
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + wait_ms,
         target_at_ms=event.at_ms + route.target_ms - waited_ms,
-        priority=route.priority,
+        organisation=organisation.name,
+        priority=identity.priority_of(organisation, route),
     )
     state.calls[call.call_id] = call
     state.service(name).retry_window.record_call(now_ms)
@@ -145,12 +150,21 @@
         deadline_ms=event.at_ms + event.wait_ms,
         target_at_ms=event.at_ms + relay.target_left_ms,
         relay=relay,
+        organisation=relay.organisation,
+        priority=_relayed_priority(state, relay),
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
     dispatch(state, call, event.at_ms, effects)
 
 
+def _relayed_priority(state: GatewayState, relay: Relay) -> int:
+    """Returns the priority of the organisation of a relayed request."""
+    organisations = state.table.organisation_by_name if state.table else {}
+    organisation = organisations.get(relay.organisation)
+    return (organisation.priority or 0) if organisation else 0
+
+
 def _queue_unrouted(
     state: GatewayState, event: RequestArrived, effects: list[GatewayEffect]
 ) -> None:
@@ -421,10 +435,11 @@
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
     state.rate_limits.spend(best.server.name)
-    _send(call, best.server, best.expected_ms, now_ms, effects)
+    _send(state, call, best.server, best.expected_ms, now_ms, effects)
 
 
 def _send(
+    state: GatewayState,
     call: RoutedCall,
     server: RoutedServer,
     expected_ms: float,
@@ -450,6 +465,8 @@
             server.record.notice,
             left_ms,
             call.route.kind.is_idempotent,
+            call.organisation,
+            identity.is_key_hidden(state, call),
         )
     )
     age_ms = now_ms - server.reported_ms
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -21,6 +21,10 @@
         left_ms: Time left before the deadline of the request.
         is_idempotent: Whether the request may be sent on an idle connection
             that the server may have closed.
+        organisation: Name of the organisation that the server receives; empty
+            for none.
+        is_key_hidden: Whether the server must receive neither `Authorization`
+            nor an organisation that the caller named.
     """
 
     call_id: int
@@ -28,6 +32,8 @@
     notice: ServerNotice
     left_ms: float
     is_idempotent: bool
+    organisation: str = ""
+    is_key_hidden: bool = False
 
 
 @attrs.define
@@ -40,6 +46,8 @@
         peer: Host of the peer.
         left_ms: Time left before the deadline of the request.
         relay: Decisions that the peer follows.
+        is_key_hidden: Whether the peer must receive neither `Authorization`
+            nor an organisation that the caller named.
     """
 
     call_id: int
@@ -47,6 +55,7 @@
     peer: str
     left_ms: float
     relay: Relay
+    is_key_hidden: bool = False
 
 
 @attrs.define
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -26,6 +26,7 @@
         target_ms: Target time of its route.
         target_left_ms: Time left until its target; negative if that is over.
         attempts_left: Number of servers that it may be sent to.
+        organisation: Name of the organisation that sent it; empty for none.
     """
 
     service: str
@@ -33,6 +34,7 @@
     target_ms: float
     target_left_ms: float
     attempts_left: int
+    organisation: str = ""
 
 
 @attrs.define
@@ -50,6 +52,7 @@
             force.
         relay: Decisions of the peer that relays the request; None if a caller
             sent it.
+        authorization: Values of all its `Authorization` headers.
     """
 
     at_ms: float
@@ -60,6 +63,7 @@
     wait_ms: float | None
     fingerprint: str
     relay: Relay | None = None
+    authorization: tuple[bytes, ...] = attrs.field(default=(), repr=False)
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     FeedNotice,
     FeedPoll,
     FeedRedirect,
@@ -72,6 +73,7 @@
         state.reachability.is_partitioned,
         state.has_peers
         and state.peers.is_list_due(state.reachability.is_partitioned, now_ms),
+        FEATURE_ORGANISATIONS,
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -180,7 +182,11 @@
         service = state.service(declared.name)
         service.health_path = declared.health_path
         service.most_connections = declared.most_connections
-    fields = {"number": notice.number, "routes": len(configuration.routes)}
+    fields = {
+        "number": notice.number,
+        "routes": len(configuration.routes),
+        "organisations": len(configuration.organisations),
+    }
     effects.append(Log("configuration_in_force", fields))
 
 
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from gentianwall.config.routes import Route
+from gentianwall.gateway import identity
 from gentianwall.gateway.effects import GatewayEffect, Log, RelayRequest
 from gentianwall.gateway.events import Relay, RequestArrived
 from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
@@ -57,10 +58,18 @@
         target_ms=call.route.target_ms,
         target_left_ms=call.target_at_ms - now_ms,
         attempts_left=attempts_left,
+        organisation=call.organisation,
     )
     left_ms = call.deadline_ms - now_ms
     effects.append(
-        RelayRequest(call.call_id, call.attempt, peer, left_ms, relay)
+        RelayRequest(
+            call.call_id,
+            call.attempt,
+            peer,
+            left_ms,
+            relay,
+            identity.is_key_hidden(state, call),
+        )
     )
     fields = {
         "id": call.request_id,
--- a/gentianwall/http/dialect.py
+++ b/gentianwall/http/dialect.py
@@ -26,6 +26,7 @@
             together.
         leaving: Set to 1 by a server that leaves, in all its answers.
         not_executed: Set by a server that did not execute a request.
+        organisation: Organisation that sent a request; servers receive it.
         parse_load: Parses the value of `load`.
         statuses: Statuses of refusals that differ from the product's own.
     """
@@ -39,5 +40,6 @@
     rate_limit: bytes = b"Gentianwall-Rate-Limit"
     leaving: bytes = b"Gentianwall-Leaving"
     not_executed: bytes = b"Gentianwall-Not-Executed"
+    organisation: bytes = b"Gentianwall-Organisation"
     parse_load: Callable[[str], SpeedReport | None] = parse_speed_report
     statuses: dict[RefusalReason, int] = attrs.field(factory=dict)
--- a/gentianwall/platform/configurations.py
+++ b/gentianwall/platform/configurations.py
@@ -4,14 +4,18 @@
 
 from typing import Any
 
+import attrs
+
 from gentianwall.config.routes import (
     CallerLimits,
+    Organisation,
     Route,
     RouteConfiguration,
     RoutedService,
     RouteKind,
     RouteTarget,
     check_configuration,
+    digest_key,
 )
 from gentianwall.config.schema import ConfigErrors, ConfigProblem
 from gentianwall.http.documents import UnreadableDocument, decode_document
@@ -28,6 +32,13 @@
     "upload": RouteKind.UPLOAD,
     "download": RouteKind.DOWNLOAD,
 }
+# Names on the wire of options that the checks of configurations name.
+WIRE_NAME_BY_OPTION = {
+    "keys": "apiKeys",
+    "rate_per_s": "ratePerS",
+    "warmup_ms": "warmupS",
+    "warmup_per_s": "warmupPerS",
+}
 
 
 class _InvalidDocumentError(Exception):
@@ -47,12 +58,24 @@
         configuration = _read_configuration(document)
     except _InvalidDocumentError as error:
         return ConfigErrors((error.problem,))
-    problems = check_configuration(configuration)
+    problems = [
+        _with_wire_names(problem)
+        for problem in check_configuration(configuration)
+    ]
     return ConfigErrors(tuple(problems)) if problems else configuration
 
 
+def _with_wire_names(problem: ConfigProblem) -> ConfigProblem:
+    path, _, option = problem.option.rpartition(".")
+    if path.startswith("organisations."):
+        path = f"tenants.{path.removeprefix('organisations.')}"
+    option = WIRE_NAME_BY_OPTION.get(option, option)
+    return attrs.evolve(problem, option=f"{path}.{option}")
+
+
 def _read_configuration(document: dict[str, Any]) -> RouteConfiguration:
     routes, services, limits = [], [], CallerLimits()
+    organisations = []
     for item in _read_value(document, "resources", list, "(body)"):
         if not isinstance(item, dict):
             raise _InvalidDocumentError(
@@ -69,6 +92,8 @@
                 services.append(_read_service(str(name), spec))
             case "limits":
                 limits = _read_limits(spec)
+            case "tenants":
+                organisations.append(_read_organisation(str(name), spec))
             case _:
                 raise _InvalidDocumentError(
                     "resources.type", f"unknown type {resource_type!r}"
@@ -78,6 +103,7 @@
         tuple(routes),
         tuple(services),
         limits,
+        tuple(organisations),
     )
 
 
@@ -147,6 +173,24 @@
     )
 
 
+def _read_organisation(name: str, spec: dict) -> Organisation:
+    path = f"tenants.{name}"
+    keys = spec.get("apiKeys") or []
+    # The reason does not show the value, which may be a key.
+    if not isinstance(keys, list) or not all(isinstance(k, str) for k in keys):
+        raise _InvalidDocumentError(
+            f"{path}.apiKeys", "must be a list of strings"
+        )
+    has_priority = spec.get("priority") is not None
+    return Organisation(
+        name,
+        tuple(digest_key(key.encode("utf-8", "surrogatepass")) for key in keys),
+        int(_read_number(spec, "priority", path, 0)) if has_priority else None,
+        _read_number(spec, "ratePerS", path, 0),
+        _read_number(spec, "burst", path, 0),
+    )
+
+
 def _read_limits(spec: dict) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/gentianwall/platform/process.py
+++ b/gentianwall/platform/process.py
@@ -22,6 +22,7 @@
     rate_limit=b"Server-Limit",
     leaving=b"Server-Leaving",
     not_executed=b"X-Gentianwall-Not-Executed",
+    organisation=b"X-Gentianwall-Tenant-Id",
     # On this platform gentianwall itself may answer with a 4xx status only if
     # no configuration allows the request, so a quarantined request is refused
     # with 503 instead of 422.
--- a/gentianwall/routing/routes.py
+++ b/gentianwall/routing/routes.py
@@ -1,10 +1,10 @@
-"""Lookup of the route of a request and of the service it is sent to."""
+"""Lookup of the route, the organisation and the service of a request."""
 
 from __future__ import annotations
 
 import attrs
 
-from gentianwall.config.routes import Route, RouteConfiguration
+from gentianwall.config.routes import Organisation, Route, RouteConfiguration
 
 
 @attrs.define
@@ -36,7 +36,13 @@
 
 
 class RouteTable:
-    """Finds routes by host and longest path prefix."""
+    """Finds routes by host and longest path prefix, and organisations.
+
+    Attributes:
+        configuration: The configuration that the table was built from.
+        organisation_by_name: Organisations by name.
+        organisation_by_digest: Organisations by the digests of their keys.
+    """
 
     def __init__(self, configuration: RouteConfiguration):
         self.configuration = configuration
@@ -49,6 +55,20 @@
         for host, routes in self._routes.items():
             lengths = {len(prefix) for prefix in routes}
             self._prefix_lengths[host] = sorted(lengths, reverse=True)
+        self.organisation_by_name: dict[str, Organisation] = {
+            organisation.name: organisation
+            for organisation in configuration.organisations
+        }
+        self.organisation_by_digest: dict[bytes, Organisation] = {
+            digest: organisation
+            for organisation in configuration.organisations
+            for digest in organisation.key_digests
+        }
+
+    @property
+    def has_organisations(self) -> bool:
+        """Whether requests need a key, unless their route is public."""
+        return bool(self.organisation_by_name)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, or None if no route matches.
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -60,6 +60,8 @@
 # and the time that a busy process needs to answer.
 LOAD_QUERY_WAIT_MS = 12.0
 MISDIRECTED_STATUS = 421
+UNAUTHORIZED_STATUS = 401
+AUTHORIZATION = b"Authorization"
 
 
 @attrs.define
@@ -168,6 +170,9 @@
                 wait_ms=self._wait_ms(request, now_ms),
                 fingerprint=_fingerprint(request) if is_needed else "",
                 relay=relay,
+                authorization=tuple(
+                    request.requestHeaders.getRawHeaders(AUTHORIZATION) or ()
+                ),
             )
         )
 
@@ -200,7 +205,11 @@
             return
         call.server = effect.notice.key.server
         request = self._server_request(
-            call, effect.left_ms, effect.is_idempotent
+            call,
+            effect.left_ms,
+            effect.is_idempotent,
+            effect.organisation,
+            effect.is_key_hidden,
         )
         request.is_close_delimited = True
         request.is_echo_required = True
@@ -226,8 +235,14 @@
         call = self.open_requests.get(effect.call_id)
         if call is None:
             return
+        # A peer of a build that does not know organisations forwards the
+        # header as it is; others set it from the header about the relay.
         request = self._server_request(
-            call, effect.left_ms, effect.relay.kind.is_idempotent
+            call,
+            effect.left_ms,
+            effect.relay.kind.is_idempotent,
+            effect.relay.organisation,
+            effect.is_key_hidden,
         )
         request.headers.setRawHeaders(RELAY_HEADER, [encode(effect.relay)])
         attempt = effect.attempt
@@ -264,14 +279,21 @@
         self._start_attempt(call, pool, request, on_answer, on_failure)
 
     def _server_request(
-        self, call: OpenRequest, left_ms: float, is_idempotent: bool
+        self,
+        call: OpenRequest,
+        left_ms: float,
+        is_idempotent: bool,
+        organisation: str,
+        is_key_hidden: bool,
     ) -> ServerRequest:
         names = self._dialect
         received = call.request
-        headers = end_to_end_headers(
-            received.requestHeaders,
-            (names.deadline_ms, names.expected_server, RELAY_HEADER),
-        )
+        excluded = (names.deadline_ms, names.expected_server, RELAY_HEADER)
+        if is_key_hidden:
+            excluded += (AUTHORIZATION, names.organisation)
+        headers = end_to_end_headers(received.requestHeaders, excluded)
+        if organisation:
+            headers.setRawHeaders(names.organisation, [organisation.encode()])
         headers.setRawHeaders(b"Host", [received.header(b"Host").encode()])
         left = b"%d" % max(1, left_ms)
         headers.setRawHeaders(names.deadline_ms, [left])
@@ -401,6 +423,8 @@
             content["retry_after_ms"] = round(refusal.retry_after_ms)
             seconds = b"%.3f" % (refusal.retry_after_ms / 1000.0)
             headers.append((b"Retry-After", seconds))
+        if status == UNAUTHORIZED_STATUS:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         if call.is_relayed:
             outcome = RelayOutcome("", refusal)
             headers.append((RELAY_HEADER, encode(outcome)))
--- a/harness/gateway_entry.py
+++ b/harness/gateway_entry.py
@@ -102,7 +102,11 @@
         return self.reduce(FeedArrived(self.now_ms, "c1", notice))
 
     def deliver_request(
-        self, kind=RouteKind.SAFE, wait_ms=1000.0, fingerprint=""
+        self,
+        kind=RouteKind.SAFE,
+        wait_ms=1000.0,
+        fingerprint="",
+        authorization=(),
     ):
         """Delivers a new request of a caller."""
         self.last_call_id += 1
@@ -115,6 +119,7 @@
                 f"/{kind.value}/x",
                 wait_ms,
                 fingerprint,
+                authorization=authorization,
             )
         )
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -13,8 +13,13 @@
     PutConfiguration,
 )
 from gentianwall.claims.register import apply_command
-from gentianwall.config.routes import CallerLimits, RouteConfiguration
+from gentianwall.config.routes import (
+    CallerLimits,
+    Organisation,
+    RouteConfiguration,
+)
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     CommandRefused,
     ConfigurationReply,
     ConfigurationRequest,
@@ -154,3 +159,40 @@
         control.replica.lease_start_ms = NOW_MS + at_ms
         (notice,) = _send(control, FeedPoll(7, 1, 0, True), NOW_MS + at_ms)
         assert notice.servers == ()
+
+
+def test_an_older_build_receives_no_configuration_with_organisations(control):
+    """Guards against an entry that serves such a configuration without keys."""
+    configuration = RouteConfiguration(
+        8, (), (), CallerLimits(), (Organisation("acme"),)
+    )
+    old, new = (
+        FeedPoll(7, 0, 0, True),
+        FeedPoll(7, 0, 0, True, features=FEATURE_ORGANISATIONS),
+    )
+    for sender, poll in (("old", old), ("new", new)):
+        _send(control, poll, sender=sender)
+    apply_command(
+        control.replica.register, PutConfiguration(configuration, b"eight", 0)
+    )
+    effects = reduce_control(control, BatchEnded(NOW_MS + 50.0))
+    pushed = {e.receiver: e.message for e in effects if hasattr(e, "message")}
+    assert pushed["new"].configuration == configuration
+    assert pushed["old"].configuration is None
+    # Polls get the same, also of an entry that has no configuration yet, and
+    # the servers as before.
+    for poll in (old, FeedPoll(-1, 0, 0, False)):
+        (notice,) = _send(control, poll, sender="old")
+        assert notice.configuration is None
+        assert [server.name for server in notice.servers] == ["i-1"]
+    (notice,) = _send(control, new, sender="new")
+    assert notice.configuration == configuration
+    # The next one without organisations is sent to both.
+    apply_command(
+        control.replica.register,
+        PutConfiguration(
+            RouteConfiguration(9, (), (), CallerLimits()), b"nine", 0
+        ),
+    )
+    (notice,) = _send(control, old, sender="old")
+    assert notice.number == notice.configuration.number == 9
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import math
 
@@ -11,7 +12,12 @@
 
 from gentianwall import codec
 from gentianwall.claims.commands import AnnounceServer, Command
-from gentianwall.config.routes import RouteConfiguration, RouteKind
+from gentianwall.config.routes import (
+    Organisation,
+    RouteConfiguration,
+    RouteKind,
+    digest_key,
+)
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.membership.messages import MAX_SLOTS
 from gentianwall.platform.announcements import (
@@ -298,3 +304,64 @@
 )
 def test_a_load_report_is_parsed_or_ignored_if_malformed(text, report):
     assert parse_speed_report(text) == report
+
+
+def _organisation(name="acme", **spec):
+    return {"type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
+def _decode_with(*organisations):
+    document = _make_document(public=True, routeType="download")
+    document["resources"] += organisations
+    return decode_configuration(json.dumps(document).encode())
+
+
+def test_organisations_are_decoded_and_their_keys_kept_as_digests_only():
+    decoded = _decode_with(
+        _organisation(
+            apiKeys=["k-1", "k\u00e9"], priority=0, ratePerS=2.5, burst=9
+        ),
+        _organisation("no keys"),
+    )
+    digests = tuple(digest_key(k.encode()) for k in ("k-1", "k\u00e9"))
+    assert decoded.organisations == (
+        Organisation("acme", digests, 0, 2.5, 9.0),
+        Organisation("no keys", (), None, 0.0, 0.0),
+    )
+    assert decoded.routes[0].is_public
+    assert decoded.routes[0].kind is RouteKind.DOWNLOAD
+    assert "digest" not in repr(decoded)
+    packed = codec.pack(decoded, RouteConfiguration)
+    assert codec.unpack(packed, RouteConfiguration) == decoded
+    assert b"k-1" not in packed
+
+
+@pytest.mark.parametrize(
+    ("organisations", "option"),
+    [
+        ([{"apiKeys": ["k"]}, {"apiKeys": ["j", "k"]}], "tenants.t1.apiKeys"),
+        ([{"apiKeys": ["k", ""]}], "tenants.t0.apiKeys"),
+        ([{"apiKeys": "secret"}], "tenants.t0.apiKeys"),
+        ([{"apiKeys": ["secret", 7]}], "tenants.t0.apiKeys"),
+        ([{"priority": -1}], "tenants.t0.priority"),
+        ([{"ratePerS": -0.5}], "tenants.t0.ratePerS"),
+        ([{"burst": -1}], "tenants.t0.burst"),
+        ([{"name": "same"}, {"name": "same"}], "tenants.same.name"),
+        ([{"name": ""}], "tenants..name"),
+        ([{"name": "a\r\nb: c"}], "tenants.a\r\nb: c.name"),
+        ([{"name": " a"}], "tenants. a.name"),
+        ([{"name": "\u00e9"}], "tenants.\u00e9.name"),
+    ],
+)
+def test_invalid_organisations_are_refused_with_the_field(
+    organisations, option
+):
+    """Guards against keys that identify two, and against values in errors."""
+    resources = [
+        _organisation(spec.pop("name", f"t{index}"), **spec)
+        for index, spec in enumerate(copy.deepcopy(organisations))
+    ]
+    errors = _decode_with(*resources)
+    assert isinstance(errors, ConfigErrors)
+    assert [problem.option for problem in errors.problems] == [option]
+    assert "secret" not in str(errors)
