Merge the identification of requests by keys of organisations

A relayed request is run only if the organisation that its first entry found has keys in the configuration of the peer.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import homes, placement, relaying
+from gentianwall.gateway import homes, identity, placement, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -92,6 +92,10 @@
     if route is None:
         _refuse_unrouted(event, RefusalReason.NO_ROUTE, effects)
         return
+    organisation = identity.identify(state.table, route, event.authorization)
+    if organisation is None:
+        _refuse_unrouted(event, RefusalReason.UNAUTHENTICATED, effects)
+        return
     if event.fingerprint and event.fingerprint in state.quarantines:
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
@@ -111,7 +115,8 @@
         arrived_ms=event.at_ms,
         deadline_ms=event.at_ms + wait_ms,
         target_at_ms=event.at_ms + route.target_ms - waited_ms,
-        priority=route.priority,
+        organisation=organisation.name,
+        priority=identity.priority_of(organisation, route),
     )
     state.calls[call.call_id] = call
     state.service(name).retry_window.record_call(now_ms)
@@ -133,13 +138,15 @@
     if event.fingerprint and event.fingerprint in state.quarantines:
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
-    own_route = (
-        None
-        if state.table is None
-        else state.table.find(event.host, event.path)
-    )
+    if state.table is None or state.reachability.is_partitioned:
+        _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
+        return
+    own_route = state.table.find(event.host, event.path)
     route = relaying.make_route(event, relay, own_route)
-    if state.reachability.is_partitioned or route is None:
+    organisation = route and identity.identify_relayed(
+        state.table, route, relay.organisation
+    )
+    if route is None or organisation is None:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
         return
     call = RoutedCall(
@@ -151,7 +158,8 @@
         deadline_ms=event.at_ms + route.timeout_ms,
         target_at_ms=event.at_ms + relay.target_left_ms,
         relay=relay,
-        priority=route.priority,
+        organisation=organisation.name,
+        priority=identity.priority_of(organisation, route),
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
@@ -428,10 +436,11 @@
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
     state.rate_limits.spend(best.server.name)
-    _send(call, best.server, best.expected_ms, now_ms, effects)
+    _send(state, call, best.server, best.expected_ms, now_ms, effects)
 
 
 def _send(
+    state: GatewayState,
     call: RoutedCall,
     server: RoutedServer,
     expected_ms: float,
@@ -457,6 +466,8 @@
             server.record.notice,
             left_ms,
             call.route.kind.is_idempotent,
+            call.organisation,
+            identity.is_key_hidden(state, call),
         )
     )
     age_ms = now_ms - server.reported_ms
