Keep peers over a change of the leader, and name new ones at once

Change: every poll asks while an entry has no peers, the leader names entries that become ready to those that lack peers, and peers that a list lacks are kept for 20 s, behind the listed ones.

--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -21,7 +21,7 @@
     ServerHeartbeats,
 )
 from gentianwall.core.effects import SendMessage
-from gentianwall.core.peers import choose_peers
+from gentianwall.core.peers import MOST_PEERS, choose_peers
 from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
 
@@ -71,6 +71,8 @@
         update_count: Number of updates sent in a row for that base.
         update_sent_ms: Time of the last update.
         can_relay: Whether it is ready and reaches servers.
+        lacks_peers: Whether it asked for peers and was named fewer than the
+            usual number.
         features: What the entry understands, as its last poll stated.
     """
 
@@ -80,6 +82,7 @@
     update_count: int = 0
     update_sent_ms: float = float("-inf")
     can_relay: bool = False
+    lacks_peers: bool = False
     features: int = 0
 
 
@@ -150,16 +153,15 @@
         subscriber = feed.subscribers[sender] = Subscriber(versions, now_ms)
     subscriber.versions = versions
     subscriber.at_ms = now_ms
+    could_relay = subscriber.can_relay
     subscriber.can_relay = poll.is_ready and not poll.is_partitioned
     subscriber.features = poll.features
     if poll.wants_peers:
-        names = [
-            name
-            for name, other in feed.subscribers.items()
-            if other.can_relay and now_ms - other.at_ms <= PEER_MAX_AGE_MS
-        ]
-        peers = PeerList(choose_peers(sender, names))
-        effects.append(SendMessage(sender, peers))
+        subscriber.lacks_peers = True
+    if subscriber.can_relay and not could_relay:
+        _send_missing_peers(feed, now_ms, effects)
+    elif poll.wants_peers:
+        _send_peers(feed, sender, now_ms, effects)
     feed.rate_shares.record_reports(
         sender,
         poll.rate_limits,
@@ -171,6 +173,32 @@
         _send_notice(feed, replica, sender, now_ms, effects)
 
 
+def _send_peers(
+    feed: FeedState, name: str, now_ms: float, effects: list
+) -> None:
+    """Names to an entry some others that relay requests."""
+    names = [
+        other_name
+        for other_name, other in feed.subscribers.items()
+        if other.can_relay and now_ms - other.at_ms <= PEER_MAX_AGE_MS
+    ]
+    hosts = choose_peers(name, names)
+    feed.subscribers[name].lacks_peers = len(hosts) < MOST_PEERS
+    effects.append(SendMessage(name, PeerList(hosts)))
+
+
+def _send_missing_peers(feed: FeedState, now_ms: float, effects: list) -> None:
+    """Names an entry that became able to relay to those that lack peers.
+
+    Load pattern: all entries start at once, some of them are partitioned within
+    a second, and then the leader is lost. Whoever asked before the others were
+    ready would have no peers until there is another leader.
+    """
+    for name, subscriber in feed.subscribers.items():
+        if subscriber.lacks_peers:
+            _send_peers(feed, name, now_ms, effects)
+
+
 def _is_update_in_flight(
     feed: FeedState,
     replica: ReplicaState,
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -92,7 +92,7 @@
                 state.leader = leader
                 state.controls = (*state.controls, leader)
         case PeerList(hosts):
-            state.peers.apply_list(hosts)
+            state.peers.apply_list(hosts, event.at_ms)
         case FeedNotice():
             _on_notice(state, event, event.message, effects)
 
@@ -177,6 +177,7 @@
     state: GatewayState, notice: FeedNotice, effects: list[GatewayEffect]
 ) -> None:
     configuration = notice.configuration
+    was_ready = state.is_ready
     state.number = notice.number
     state.table = RouteTable(configuration)
     for declared in configuration.services:
@@ -189,6 +190,9 @@
         "organisations": len(configuration.organisations),
     }
     effects.append(Log("configuration_in_force", fields))
+    if not was_ready:
+        # The leader names ready entries as peers to those that may need them.
+        state.poll_due_ms = float("-inf")
 
 
 def _apply_server(
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -67,10 +67,15 @@
         record_rate_limit(
             state, call.server, event.rate_limit_per_s, event.at_ms, effects
         )
+    # A server that named a time is fit again after it; counted as a failure,
+    # its refusal would keep work away for seconds beyond that time.
+    is_kept_by_rest = event.rest_ms > 0.0 and not state.rests.has_relapsed(
+        call.server, event.at_ms
+    )
     if event.rest_ms > 0.0:
         _record_rest(state, call.server, event.rest_ms, event.at_ms, effects)
     if event.is_refusal:
-        if server is not None:
+        if server is not None and not is_kept_by_rest:
             server.record_refusal(event.at_ms)
         retry_or_refuse(
             state, call, RefusalReason.SERVER_REFUSED, event.at_ms, effects
--- a/gentianwall/gateway/peers.py
+++ b/gentianwall/gateway/peers.py
@@ -17,8 +17,12 @@
 MAX_PAUSE_MS = 1600.0
 # Interval at which the list of peers is renewed.
 LIST_INTERVAL_MS = 10_000.0
-# The same while the entry needs the list, or lacks one.
-URGENT_LIST_INTERVAL_MS = 400.0
+# The same while the entry needs the list, or lacks one: every poll asks for it,
+# since most of the first polls reach control instances that do not lead.
+URGENT_LIST_INTERVAL_MS = 50.0
+# A new leader names only the entries that have polled it so far, so peers that
+# a list lacks are kept for this long. Several lists arrive in that time.
+UNLISTED_MS = 20_000.0
 
 
 @attrs.define
@@ -29,11 +33,13 @@
         outstanding: Call ids of the requests that it relays.
         consecutive_pauses: Pauses since it last relayed a request.
         paused_until_ms: When its pause ends.
+        listed_ms: When a list last named it.
     """
 
     outstanding: set[int] = attrs.field(factory=set)
     consecutive_pauses: int = 0
     paused_until_ms: float = float("-inf")
+    listed_ms: float = float("-inf")
 
 
 @attrs.define
@@ -43,10 +49,12 @@
     Attributes:
         by_host: Peers by the host on which they accept requests.
         requested_ms: When the list was last requested.
+        received_ms: When the last list was received.
     """
 
     by_host: dict[str, Peer] = attrs.field(factory=dict)
     requested_ms: float = float("-inf")
+    received_ms: float = float("-inf")
 
     def is_list_due(self, is_partitioned: bool, now_ms: float) -> bool:
         """Returns whether to request the list; if so, notes the request."""
@@ -57,10 +65,15 @@
         self.requested_ms = now_ms
         return True
 
-    def apply_list(self, hosts: Iterable[str]) -> None:
-        """Replaces the list; peers that are still listed keep their state."""
+    def apply_list(self, hosts: Iterable[str], now_ms: float) -> None:
+        """Applies a list; peers that it lacks are kept for a while."""
+        self.received_ms = now_ms
+        for host in hosts:
+            self.by_host.setdefault(host, Peer()).listed_ms = now_ms
         self.by_host = {
-            host: self.by_host.get(host) or Peer() for host in hosts
+            host: peer
+            for host, peer in self.by_host.items()
+            if now_ms - peer.listed_ms < UNLISTED_MS
         }
 
     def choose(
@@ -68,17 +81,24 @@
     ) -> str | None:
         """Returns the host of the peer with the fewest requests, if any.
 
+        Peers that the last list lacks are chosen only if there is no other.
+
         Args:
             excluded: Hosts of the peers that the request has tried.
             rng: Breaks ties.
             now_ms: The local clock.
         """
         usable = [
-            (len(peer.outstanding), rng.random(), host)
+            (
+                peer.listed_ms < self.received_ms,
+                len(peer.outstanding),
+                rng.random(),
+                host,
+            )
             for host, peer in self.by_host.items()
             if peer.paused_until_ms <= now_ms and host not in excluded
         ]
-        return min(usable)[2] if usable else None
+        return min(usable)[-1] if usable else None
 
     def record_sent(self, host: str, call_id: int) -> None:
         """Records a request that was sent to a peer."""
--- a/gentianwall/gateway/rests.py
+++ b/gentianwall/gateway/rests.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+# A server that turns requests away again within this time after its rest is
+# not fit yet, although it named a time.
+RELAPSE_MS = 4000.0
+
 
 @attrs.define
 class Rests:
@@ -27,7 +31,7 @@
         arrive in another order than they were sent.
         """
         for other, until_ms in list(self.until_ms.items()):
-            if until_ms <= now_ms:
+            if until_ms + RELAPSE_MS <= now_ms:
                 del self.until_ms[other]
         known_ms = self.until_ms.get(server, float("-inf"))
         self.until_ms[server] = max(known_ms, now_ms + rest_ms)
@@ -37,6 +41,13 @@
         until_ms = self.until_ms.get(server)
         return 0.0 if until_ms is None else max(0.0, until_ms - now_ms)
 
+    def has_relapsed(self, server: str, now_ms: float) -> bool:
+        """Returns whether a server turns requests away soon after its rest."""
+        until_ms = self.until_ms.get(server)
+        return until_ms is not None and (
+            until_ms <= now_ms < until_ms + RELAPSE_MS
+        )
+
     def end(self, server: str) -> None:
         """Ends a rest, because the server has started anew."""
         self.until_ms.pop(server, None)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -26,6 +26,7 @@
     FeedNotice,
     FeedPoll,
     FeedRedirect,
+    PeerList,
     ServerHeartbeats,
 )
 from gentianwall.core import feed
@@ -86,6 +87,20 @@
     assert reply == CommandRefused("q", "b", False)
 
 
+def test_an_entry_that_lacks_peers_is_named_those_that_become_ready(control):
+    """The leader may be lost before the entry asks again."""
+    first = FeedPoll(7, 1, 0, True, wants_peers=True)
+    assert PeerList(()) in _send(control, first, sender="10.0.0.1:9")
+    starting = FeedPoll(-1, 0, 0, False, wants_peers=True)
+    messages = _send(control, starting, sender="10.0.0.2:9")
+    assert PeerList(("10.0.0.1",)) in messages
+    ready = FeedPoll(7, 1, 0, True)
+    messages = _send(control, ready, sender="10.0.0.2:9")
+    assert PeerList(("10.0.0.2",)) in messages
+    messages = _send(control, ready, sender="10.0.0.2:9")
+    assert not [m for m in messages if isinstance(m, PeerList)]
+
+
 def test_an_entry_is_sent_only_what_it_lacks(control):
     (full,) = _send(control, FeedPoll(-1, 0, 0, False))
     assert isinstance(full, FeedNotice)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -24,6 +24,7 @@
     RequestArrived,
     ServerCrashed,
 )
+from gentianwall.gateway.peers import UNLISTED_MS
 from gentianwall.gateway.placement import QUERIES_PER_ROUND
 from gentianwall.gateway.reachability import (
     CHECKS_PER_ROUND,
@@ -395,3 +396,17 @@
     entry.deliver_update(server("a", 1))
     event = ServerCrashed(entry.now_ms, "a", "s", "f" * 32)
     assert len(_crash_reports(entry.reduce(event))) == 1
+
+
+def test_a_new_leader_that_knows_few_entries_takes_no_peers_away(partitioned):
+    """Its first list named none, and requests were refused until the next."""
+    partitioned.reduce(FeedArrived(partitioned.now_ms, "c2", PeerList(())))
+    assert _relayed(partitioned.deliver_request()).peer in PEERS
+    partitioned.now_ms += 10.0
+    named = PeerList(("10.0.0.4",))
+    partitioned.reduce(FeedArrived(partitioned.now_ms, "c2", named))
+    for _ in range(3):
+        assert _relayed(partitioned.deliver_request()).peer == "10.0.0.4"
+    partitioned.now_ms += UNLISTED_MS
+    partitioned.reduce(FeedArrived(partitioned.now_ms, "c2", named))
+    assert set(partitioned.state.peers.by_host) == {"10.0.0.4"}
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -8,6 +8,7 @@
 from gentianwall.core.refusals import Executed, RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import LoadQueryEnded, ServerAnswered
+from gentianwall.gateway.rests import RELAPSE_MS
 from gentianwall.routing.reports import parse_rest_ms
 from harness.gateway_entry import (
     IDLE,
@@ -94,12 +95,27 @@
     assert resting in _deliver_all(entry, until_ms + 3000.0, "ab")
 
 
+def _penalty_of_refusing(entry):
+    server_state = entry.state.server(_sent(entry.deliver_request()))
+    _turn_away(entry)
+    return server_state.penalty(entry.now_ms)
+
+
+def test_only_a_refusal_soon_after_a_rest_counts_as_a_failure(entry):
+    """A server that had rested got no requests for seconds beyond its rest."""
+    entry.deliver_update(server("b", 3, state="left"))
+    assert _penalty_of_refusing(entry) == 1.0
+    entry.now_ms += REST_MS + 1.0
+    _report_all(entry)
+    assert _penalty_of_refusing(entry) > 1.0
+
+
 def test_a_shorter_rest_does_not_end_a_longer_one(entry):
     rests = entry.state.rests
     rests.record("a", 3000.0, 0.0)
     rests.record("a", 100.0, 50.0)
     assert rests.wait_ms("a", 1000.0) == 2000.0
-    rests.record("b", 10.0, 5000.0)
+    rests.record("b", 10.0, 3000.0 + RELAPSE_MS)
     assert set(rests.until_ms) == {"b"}
 
 
