Show organisations to operators, read them from route files

Cause: only the platform's format knew organisations, and operators saw neither them nor entries of older builds that keep an earlier configuration. Change: [organisations.NAME], public routes, downloads and warm-up limits in TOML route files; GET /gentianwall/v1/organisations and gentianwallctl organisations, without keys; the metrics organisations and entries_withheld; the event config-withheld; the organisation in the lines of answered and refused requests; problems with keys do not show them.

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -127,7 +127,7 @@
     """
 
     configuration: RouteConfiguration
-    document: bytes
+    document: bytes = attrs.field(repr=False)
     at_ms: int
 
 
--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -9,6 +9,7 @@
 
 from gentianwall.commands.signals import on_stop_signal
 from gentianwall.config.fleet import FleetSettings
+from gentianwall.core.feed import count_withheld
 from gentianwall.http.channel import CallerRequest, CallerSite
 from gentianwall.logs import get_logger
 from gentianwall.replication.state import Role, Timing
@@ -114,9 +115,13 @@
             "configuration_number": (
                 numbered.configuration.number if numbered else -1
             ),
+            "organisations": (
+                len(numbered.configuration.organisations) if numbered else 0
+            ),
             "servers_revision": registry.revision,
             "servers": sum(s.is_present for s in registry.servers.values()),
             "entries_heard": len(runtime.state.feed.subscribers),
+            "entries_withheld": count_withheld(runtime.state.feed, replica),
         }
     )
     return runtime.metrics.text()
--- a/gentianwall/commands/routes.py
+++ b/gentianwall/commands/routes.py
@@ -11,8 +11,10 @@
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.config.schema import ConfigErrors, ConfigProblem
 from gentianwall.ctl.client import OperatorClient, Reply, Unreachable
+from gentianwall.ctl.tables import render_table
 
 ROUTES_PATH = "/gentianwall/v1/routes"
+ORGANISATIONS_PATH = "/gentianwall/v1/organisations"
 
 
 @attrs.frozen
@@ -23,6 +25,15 @@
     message: str
 
 
+@attrs.frozen
+class OrganisationsResult:
+    """Exit code of a command, its text, and the organisations as received."""
+
+    code: ExitCode
+    message: str
+    organisations: list[dict] = attrs.field(factory=list)
+
+
 def read_routes(path: str) -> RouteConfiguration | ConfigErrors:
     """Reads and checks a route file."""
     return _parse(_read(path))
@@ -66,6 +77,34 @@
     return _failure_result(reply)
 
 
+def get_organisations(client: OperatorClient) -> OrganisationsResult:
+    """Gets the organisations in force, without their keys."""
+    reply = client.get(ORGANISATIONS_PATH)
+    if isinstance(reply, Unreachable):
+        return OrganisationsResult(ExitCode.FAILED, reply.reason)
+    if reply.status != 200:
+        failure = _failure_result(reply)
+        return OrganisationsResult(failure.code, failure.message)
+    organisations = reply.content["organisations"]
+    rows = [
+        (
+            organisation["name"],
+            _cell(organisation["priority"], "of the route"),
+            _cell(organisation["rate_per_s"] or None, "no limit"),
+            organisation["burst"],
+            organisation["keys"],
+        )
+        for organisation in organisations
+    ]
+    header = ("ORGANISATION", "PRIORITY", "PER SECOND", "BURST", "KEYS")
+    table = render_table(header, rows) if rows else "no organisations"
+    return OrganisationsResult(ExitCode.OK, table, organisations)
+
+
+def _cell(value: float | None, none_text: str) -> float | str:
+    return none_text if value is None else value
+
+
 def _failure_result(reply: Reply) -> RoutesResult:
     """Converts a reply with a status other than 200 to a result."""
     codes = {
--- a/gentianwall/config/route_file.py
+++ b/gentianwall/config/route_file.py
@@ -8,12 +8,14 @@
 
 from gentianwall.config.routes import (
     CallerLimits,
+    Organisation,
     Route,
     RouteConfiguration,
     RoutedService,
     RouteKind,
     RouteTarget,
     check_configuration,
+    digest_key,
 )
 from gentianwall.config.schema import (
     ConfigErrors,
@@ -38,8 +40,9 @@
         "prefix is used."
     )
     kind: str = option(
-        "Kind of the requests: only `safe` ones may be executed more than "
-        "once; `upload` ones have large bodies and are sent to another failure "
+        "Kind of the requests: only `safe` ones and those of the kind "
+        "`download`, which have large answers, may be executed more than once; "
+        "`upload` ones have large bodies and are sent to another failure "
         "domain only if a server there is much faster.",
         choices=KINDS,
     )
@@ -66,6 +69,9 @@
         "unless it is the only target.",
         minimum=0,
     )
+    public: bool = option(
+        "Whether requests need no key where the file has organisations.", False
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -83,6 +89,43 @@
         0,
         minimum=0,
     )
+    warmup_ms: float = option(
+        "Time in ms for which a server is cold after its start.",
+        0.0,
+        minimum=0,
+    )
+    warmup_per_s: float = option(
+        "Requests a second that a cold server takes from all entries "
+        "together; 0 sets no limit.",
+        0.0,
+        minimum=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class OrganisationOptions:
+    """Options of one organisation, `[organisations.NAME]`."""
+
+    keys: tuple[str, ...] = option(
+        "Keys that its callers send as `Authorization: Bearer KEY`; nobody can "
+        "use an organisation without keys.",
+        (),
+        is_secret=True,
+    )
+    priority: int | None = option(
+        "Priority of its requests, 0 is the highest; without it, that of the "
+        "route.",
+        None,
+        minimum=0,
+    )
+    rate_per_s: float = option(
+        "Requests a second over all entries together; 0 sets no limit.",
+        0.0,
+        minimum=0,
+    )
+    burst: float = option(
+        "Requests beyond that rate that may come at once.", 0.0, minimum=0
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -123,6 +166,11 @@
     limits: LimitOptions = option(
         "Limits on requests and connections of callers.", factory=LimitOptions
     )
+    organisations: dict[str, OrganisationOptions] = option(
+        "Organisations by name. If there are any, requests need a key of one "
+        "of them, unless their route is public.",
+        factory=dict,
+    )
 
 
 def parse_route_file(document: bytes) -> RouteConfiguration | ConfigErrors:
@@ -152,10 +200,20 @@
         file.number,
         tuple(_build_route(name, route) for name, route in file.routes.items()),
         tuple(
-            RoutedService(name, service.health_path, service.most_connections)
+            RoutedService(name, **attrs.asdict(service))
             for name, service in file.services.items()
         ),
         CallerLimits(**attrs.asdict(file.limits)),
+        tuple(
+            Organisation(
+                name,
+                tuple(digest_key(key.encode()) for key in organisation.keys),
+                organisation.priority,
+                organisation.rate_per_s,
+                organisation.burst,
+            )
+            for name, organisation in file.organisations.items()
+        ),
     )
 
 
@@ -173,4 +231,5 @@
             RouteTarget(service, weight)
             for service, weight in options.targets.items()
         ),
+        is_public=options.public,
     )
--- a/gentianwall/config/schema.py
+++ b/gentianwall/config/schema.py
@@ -48,6 +48,7 @@
     minimum: float | None = None,
     maximum: float | None = None,
     choices: tuple[str, ...] = (),
+    is_secret: bool = False,
 ) -> Any:
     """Defines one documented option of a settings class.
 
@@ -58,12 +59,14 @@
         minimum: Smallest value allowed.
         maximum: Largest value allowed.
         choices: All values allowed, if not empty.
+        is_secret: Whether problems must not show the value.
     """
     metadata = {
         "doc": doc,
         "minimum": minimum,
         "maximum": maximum,
         "choices": choices,
+        "is_secret": is_secret,
     }
     if factory is not None:
         return attrs.field(factory=factory, metadata=metadata)
@@ -202,10 +205,9 @@
         if hint is float and type(value) is int:
             value = float(value)
         if type(value) is not hint:
-            self.add_problem(
-                path,
-                f"must be of type {hint.__name__}, got {value!r}",
-            )
+            is_secret = field.metadata.get("is_secret", False)
+            shown = "" if is_secret else f", got {value!r}"
+            self.add_problem(path, f"must be of type {hint.__name__}{shown}")
             return None
         self._check_bounds(value, field.metadata, path)
         return value
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -306,7 +306,7 @@
 
     request_id: str
     number: int
-    document: bytes
+    document: bytes = attrs.field(repr=False)
 
 
 ControlMessage = (
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -20,10 +20,11 @@
     PeerList,
     ServerHeartbeats,
 )
-from gentianwall.core.effects import SendMessage
+from gentianwall.core.effects import RecordEvent, SendMessage
 from gentianwall.core.peers import choose_peers
 from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
+from gentianwall.timeline import EventKind
 
 # Seven poll intervals; an entry that missed seven polls is down or
 # disconnected.
@@ -72,6 +73,8 @@
         update_sent_ms: Time of the last update.
         can_relay: Whether it is ready and reaches servers.
         features: What the entry understands, as its last poll stated.
+        withheld_number: Number of the last configuration that was not sent
+            to it because it would not understand it.
     """
 
     versions: FeedVersions
@@ -81,6 +84,7 @@
     update_sent_ms: float = float("-inf")
     can_relay: bool = False
     features: int = 0
+    withheld_number: int = NO_CONFIGURATION_NUMBER
 
 
 @attrs.frozen
@@ -207,6 +211,10 @@
     if not _may_receive_configuration(replica, subscriber):
         # The notice for an entry with the current number has no configuration.
         versions = attrs.evolve(versions, number=current.number)
+        if subscriber.withheld_number != current.number:
+            subscriber.withheld_number = current.number
+            detail = f"number {current.number}: a build without organisations"
+            effects.append(RecordEvent(EventKind.CONFIG_WITHHELD, name, detail))
     notice = _cached_notice(feed, replica, versions, now_ms)
     subscriber.versions = current
     effects.append(SendMessage(name, notice))
@@ -228,6 +236,14 @@
     )
 
 
+def count_withheld(feed: FeedState, replica: ReplicaState) -> int:
+    """Counts entries that must not receive the configuration in force."""
+    return sum(
+        not _may_receive_configuration(replica, subscriber)
+        for subscriber in feed.subscribers.values()
+    )
+
+
 def push_changes(
     feed: FeedState, replica: ReplicaState, now_ms: float, effects: list
 ) -> None:
--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -268,6 +268,14 @@
     return result.code
 
 
+@app.command
+def organisations(*, common: Common = COMMON) -> int:
+    """Lists the organisations of a fleet: priority, quota, number of keys."""
+    result = routes_command.get_organisations(common.client())
+    print_output(attrs.asdict(result), result.message, common.format)
+    return result.code
+
+
 @app.command
 def explain(
     request_id: Annotated[
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -514,12 +514,17 @@
         "after_ms": round(now_ms - call.arrived_ms),
         "left_ms": round(call.deadline_ms - now_ms),
         "retry_after_ms": round(after_ms),
+        **_organisation_fields(call),
     }
     effects.append(Log("refused", fields))
     refusal = Refusal(reason, executed, after_ms)
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def _organisation_fields(call: RoutedCall) -> dict[str, str]:
+    return {"organisation": call.organisation} if call.organisation else {}
+
+
 def forward_answer(
     state: GatewayState,
     call: RoutedCall,
@@ -542,6 +547,7 @@
         "server_ms": round(now_ms - call.sent_ms),
         "total_ms": round(now_ms - call.arrived_ms),
         "target_ms": round(call.route.target_ms),
+        **_organisation_fields(call),
     }
     effects.append(Log("answered", fields))
 
--- a/gentianwall/http/control_pages.py
+++ b/gentianwall/http/control_pages.py
@@ -1,7 +1,8 @@
 """HTTP interface of a fleet's control instances.
 
-Operators use `PUT` and `GET` of `/gentianwall/v1/routes`. Servers use `PUT`
-and `DELETE` of `/gentianwall/v1/services/SERVICE/servers/ID`, as at an entry.
+Operators use `PUT` and `GET` of `/gentianwall/v1/routes`, and `GET` of
+`/gentianwall/v1/organisations`, which shows no keys. Servers use `PUT` and
+`DELETE` of `/gentianwall/v1/services/SERVICE/servers/ID`, as at an entry.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from gentianwall.claims.commands import ConfigurationHeld, Done
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.route_file import parse_route_file
+from gentianwall.config.routes import Organisation
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.control.messages import ConfigurationReply
 from gentianwall.http.announcements import (
@@ -39,6 +41,7 @@
 log = get_logger("control-pages")
 
 ROUTES_PATH = b"/gentianwall/v1/routes"
+ORGANISATIONS_PATH = b"/gentianwall/v1/organisations"
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -70,7 +73,7 @@
         key = parse_server_path(request.path)
         if key is not None:
             self._handle_server(request, key)
-        elif request.path == ROUTES_PATH:
+        elif request.path in (ROUTES_PATH, ORGANISATIONS_PATH):
             self._handle_operator(request)
         else:
             _refuse(request, 404, "no such page")
@@ -117,6 +120,11 @@
         authorization = request.header(b"Authorization")
         if not has_bearer_token(self._operator_token, authorization):
             _refuse(request, 401, "wrong token")
+        elif request.path == ORGANISATIONS_PATH:
+            if request.method == b"GET":
+                self._get_organisations(request)
+            else:
+                _refuse(request, 405, "use GET")
         elif request.method == b"PUT":
             self._put_configuration(request)
         elif request.method == b"GET":
@@ -158,19 +166,56 @@
         )
 
     def _get_configuration(self, request: CallerRequest) -> None:
+        def on_document(number: int, document: bytes) -> None:
+            text = document.decode("utf-8", "replace")
+            _answer(request, {"number": number, "document": text})
+
+        self._read_document(request, on_document)
+
+    def _get_organisations(self, request: CallerRequest) -> None:
+        def on_document(number: int, document: bytes) -> None:
+            configuration = parse_route_file(document)
+            if isinstance(configuration, ConfigErrors):
+                # An operator put it in another format than a route file.
+                _refuse(request, 500, "the configuration is no route file")
+                return
+            organisations = [
+                describe_organisation(organisation)
+                for organisation in configuration.organisations
+            ]
+            _answer(request, {"number": number, "organisations": organisations})
+
+        self._read_document(request, on_document)
+
+    def _read_document(
+        self,
+        request: CallerRequest,
+        on_document: Callable[[int, bytes], None],
+    ) -> None:
+        """Reads the configuration in force, or refuses the request."""
+
         def on_result(result: LeaderResult) -> None:
             if not isinstance(result, ConfigurationReply):
                 _refuse_result(request, result)
             elif not result.document:
                 _refuse(request, 404, "no configuration was put yet")
             else:
-                document = result.document.decode("utf-8", "replace")
-                content = {"number": result.number, "document": document}
-                _answer(request, content)
+                on_document(result.number, result.document)
 
         self._leader_client.read_configuration(on_result)
 
 
+def describe_organisation(organisation: Organisation) -> dict:
+    """Returns what operators see of an organisation: no key and no digest."""
+    return {
+        "name": organisation.name,
+        "priority": organisation.priority,
+        "rate_per_s": organisation.rate_per_s,
+        "burst": organisation.burst,
+        "keys": len(organisation.key_digests),
+    }
+
+
 def make_control_pages(
     leader_client: LeaderClient, settings: FleetSettings
 ) -> Callable[[CallerRequest], None]:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -267,6 +267,9 @@
         self.metrics.process_values.update(
             {
                 "configuration_number": state.number,
+                "organisations": (
+                    len(state.table.organisation_by_name) if state.table else 0
+                ),
                 "servers_revision": state.revision,
                 "servers": len(state.service_by_server),
                 "requests_in_flight": len(self.requests.open_requests),
--- a/gentianwall/timeline.py
+++ b/gentianwall/timeline.py
@@ -30,6 +30,7 @@
     SERVER_RETURNED = "server-returned"
     CONNECTIONS_CLOSED = "connections-closed"
     CONFIG_IN_FORCE = "config-in-force"
+    CONFIG_WITHHELD = "config-withheld"
     REQUEST_QUARANTINED = "request-quarantined"
     LEADER_CHANGED = "leader-changed"
     MEMBERS_CHANGED = "members-changed"
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -30,10 +30,12 @@
 )
 from gentianwall.core import feed
 from gentianwall.core.control import ControlState, reduce_control
+from gentianwall.core.effects import RecordEvent, SendMessage
 from gentianwall.core.events import MessageArrived
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.replication.replica import BatchEnded
 from gentianwall.replication.state import Role
+from gentianwall.timeline import EventKind
 from harness.leader import leading_replica
 
 NOW_MS = 10_000.0
@@ -176,7 +178,11 @@
         control.replica.register, PutConfiguration(configuration, b"eight", 0)
     )
     effects = reduce_control(control, BatchEnded(NOW_MS + 50.0))
-    pushed = {e.receiver: e.message for e in effects if hasattr(e, "message")}
+    sent = [e for e in effects if isinstance(e, SendMessage)]
+    pushed = {e.receiver: e.message for e in sent}
+    (event,) = [e for e in effects if isinstance(e, RecordEvent)]
+    assert (event.kind, event.subject) == (EventKind.CONFIG_WITHHELD, "old")
+    assert feed.count_withheld(control.feed, control.replica) == 1
     assert pushed["new"].configuration == configuration
     assert pushed["old"].configuration is None
     # Polls get the same, also of an entry that has no configuration yet, and
@@ -196,3 +202,4 @@
     )
     (notice,) = _send(control, old, sender="old")
     assert notice.number == notice.configuration.number == 9
+    assert feed.count_withheld(control.feed, control.replica) == 0
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import attrs
 import pytest
 
+from gentianwall.commands.routes import get_organisations
+from gentianwall.config.route_file import parse_route_file
 from gentianwall.config.routes import Organisation, RouteKind, digest_key
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
+from gentianwall.ctl.client import Reply
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import RequestArrived
 from gentianwall.gateway.identity import check_head
+from gentianwall.http.control_pages import describe_organisation
 from harness.gateway_entry import (
     CONFIGURATION,
     IDLE,
@@ -173,3 +179,60 @@
         entry.now_ms, 5, "i", "a.example", "/safe/x", 9.0, "", None, KEY
     )
     assert "k-1" not in repr(event)
+
+
+ROUTE_FILE = """number = 7
+[services.s]
+[routes.r]
+host = "a.example"
+path_prefix = "/"
+kind = "download"
+timeout_ms = 1000
+targets = { s = 1 }
+public = true
+[organisations.acme]
+keys = ["k-1", "k-2"]
+priority = 0
+[organisations."e m c a"]
+keys = ["k-3"]
+rate_per_s = 2.5
+burst = 4
+"""
+
+
+def test_organisations_are_read_from_a_route_file_and_listed_without_keys():
+    configuration = parse_route_file(ROUTE_FILE.encode())
+    emca = Organisation("e m c a", EMCA.key_digests, None, 2.5, 4.0)
+    assert configuration.organisations == (ACME, emca)
+    assert configuration.routes[0].is_public
+    listed = [describe_organisation(o) for o in configuration.organisations]
+    client = SimpleNamespace(
+        get=lambda path: Reply(200, {"number": 7, "organisations": listed})
+    )
+    result = get_organisations(client)
+    assert result.message.splitlines()[1:] == [
+        "acme          0             no limit    0.0    2",
+        "e m c a       of the route  2.5         4.0    1",
+    ]
+    assert "k-" not in str(result)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "option"),
+    [
+        ('"k-3"', '"k-1"', "organisations.e m c a.keys"),
+        ('"k-2"', '""', "organisations.acme.keys"),
+        ('"k-2"', "1234567", "organisations.acme.keys[1]"),
+        ("priority = 0", "priority = -1", "organisations.acme.priority"),
+        ("2.5", "-2.5", "organisations.e m c a.rate_per_s"),
+        ("2.5", "inf", "organisations.e m c a.rate_per_s"),
+        ("burst = 4", "burst = -4", "organisations.e m c a.burst"),
+    ],
+)
+def test_invalid_organisations_of_a_route_file_are_refused(old, new, option):
+    """Guards against keys that identify two, and against keys in errors."""
+    errors = parse_route_file(ROUTE_FILE.replace(old, new).encode())
+    assert [problem.option for problem in errors.problems] == [option]
+    assert errors.problems[0].line
+    assert "k-" not in str(errors)
+    assert "1234567" not in str(errors)
