--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -309,7 +309,7 @@
 
     request_id: str
     number: int
-    document: bytes
+    document: bytes = attrs.field(repr=False)
 
 
 ControlMessage = (
