Promise that a request was not executed with 429 only if that is true

Cause: the reason for exceeded quotas came with status 429, which promises that the request has not run, also for requests that may have. Change: 429 is replaced by 502 there, as 503 is.

--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -68,6 +68,9 @@
 }
 
 
+PROMISING_STATUSES = (429, 503)
+
+
 @attrs.frozen
 class Refusal:
     """Refusal sent to the caller instead of an answer.
@@ -88,9 +91,11 @@
     def status(self) -> int:
         """The HTTP status of the reason.
 
-        Status 503 promises that the request was not executed, so a request
-        that may have been is refused with 502 instead.
+        Statuses 429 and 503 promise that the request was not executed, so a
+        request that may have been is refused with 502 instead.
         """
         status = STATUS[self.reason]
-        is_promise_kept = self.executed is Executed.NO or status != 503
+        is_promise_kept = self.executed is Executed.NO or (
+            status not in PROMISING_STATUSES
+        )
         return status if is_promise_kept else 502
