Refuse the requests that cost callers least under overload

Cause: an entry judged each request by itself and knew one service time per service. A route with long answers made all requests of its service look long, so that those with a short target were refused or placed badly, and long ones were taken for lost and sent twice. RequestArrived gains organisation, empty unless authentication fills it in.

--- a/benchmarks/fleet_load/__main__.py
+++ b/benchmarks/fleet_load/__main__.py
@@ -5,10 +5,12 @@
 import sys
 from typing import Annotated
 
+import attrs
 import cyclopts
 
 from benchmarks.fleet_load.model import FleetModel
 from benchmarks.fleet_load.scenario import load_scenario
+from gentianwall.config.fleet import OverloadPolicy
 
 app = cyclopts.App(
     name="fleet_load",
@@ -27,6 +29,10 @@
     as_json: Annotated[
         bool, cyclopts.Parameter(help="Print JSON, one line a run.")
     ] = False,
+    policy: Annotated[
+        OverloadPolicy | None,
+        cyclopts.Parameter(help="Overload policy instead of the scenario's."),
+    ] = None,
 ) -> int:
     """Runs each scenario with each seed and prints its figures."""
     for path in scenarios:
@@ -35,6 +41,8 @@
         except (OSError, ValueError) as error:
             print(error, file=sys.stderr)
             return 2
+        if policy is not None:
+            scenario = attrs.evolve(scenario, overload_policy=policy)
         for number in range(seed, seed + seeds):
             result = FleetModel(scenario, number).run()
             if as_json:
@@ -44,7 +52,8 @@
                 f"{name} {value:.3g}"
                 for name, value in result.summary().items()
             )
-            print(f"{path} seed {number}: {figures}", flush=True)
+            print(f"{path} seed {number}: {figures}")
+            print(result.kinds_text(), flush=True)
     return 0
 
 
--- a/benchmarks/fleet_load/model.py
+++ b/benchmarks/fleet_load/model.py
@@ -1,8 +1,8 @@
 """Runs entries with their real reducer against model servers.
 
-Virtual time. Callers retry once, as told by the retry-after time. Control
-instances are not modelled: every entry knows all servers from the start and
-learns of a lost one from its own attempts and load queries.
+Virtual time. Callers retry once or twice, as told by the retry-after time.
+Control instances are not modelled: every entry knows all servers from the start
+and learns of a lost one from its own attempts and load queries.
 """
 
 from __future__ import annotations
@@ -24,13 +24,14 @@
 from benchmarks.fleet_load.servers import Job, ModelServer
 from gentianwall.config.routes import (
     CallerLimits,
+    Organisation,
     Route,
     RouteConfiguration,
     RoutedService,
     RouteTarget,
 )
 from gentianwall.control.messages import FeedNotice
-from gentianwall.core.events import FailureKind, Tick
+from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.budget import RetryLimits
 from gentianwall.gateway.events import (
@@ -63,6 +64,10 @@
 WARM_UP_MS = 4000.0
 # Time that an idle connection to a server is kept.
 IDLE_CONNECTION_MS = 4000.0
+# A caller that cannot connect tries again after this time.
+RECONNECT_MS = 100.0
+# Most times that a patient caller sends a request again, drawn evenly.
+MOST_RETRIES = 2
 # A caller waits for a retry-after time of at most this share of its time left.
 RETRY_AFTER_SHARE = 1.0 / 3.0
 
@@ -78,6 +83,8 @@
     retries_left: int
     is_impatient: bool
     is_counted: bool
+    organisation: str = ""
+    has_ended: bool = False
 
     @property
     def deadline_ms(self) -> float:
@@ -117,6 +124,9 @@
         self._burst_factor: dict[int, float] = {}
         self._moved_share: dict[int, float] = {}
         self._abuse: tuple[float, float] = (0.0, 0.0)
+        self._kind_factor: dict[str, float] = {}
+        self._organisation_factor: dict[str, float] = {}
+        self._disconnect: tuple[float, float] = (0.0, 0.0)
         self.servers: dict[str, ModelServer] = {}
         records = self._make_servers(seed)
         self._entries = [
@@ -199,6 +209,21 @@
         )
         for_ms = disruption.for_s * 1000.0
         match disruption.kind:
+            case DisruptionKind.BURST if disruption.only:
+                self._kind_factor[disruption.only] = disruption.factor
+                self.schedule(for_ms, self._kind_factor.clear)
+            case DisruptionKind.ORGANISATION:
+                self._organisation_factor[disruption.only] = disruption.factor
+                self.schedule(for_ms, self._organisation_factor.clear)
+            case DisruptionKind.DISCONNECT:
+                self._disconnect = (disruption.share, disruption.factor)
+                self.schedule(for_ms, self._end_disconnects)
+            case DisruptionKind.KILL_ENTRIES:
+                entries = [e for e in self._entries if e.domain in domains]
+                count = round(disruption.share * len(entries))
+                for entry in self._load_rng.sample(entries, count):
+                    entry.kill()
+                    self.schedule(for_ms, entry.restart)
             case DisruptionKind.BURST:
                 for domain in domains:
                     self._burst_factor[domain] = disruption.factor
@@ -228,6 +253,9 @@
     def _end_abuse(self) -> None:
         self._abuse = (0.0, 0.0)
 
+    def _end_disconnects(self) -> None:
+        self._disconnect = (0.0, 0.0)
+
     def _recover(self, server: ModelServer) -> None:
         server.advance(self.now_ms)
         server.slow_factor = 1.0
@@ -240,6 +268,12 @@
         domains = len(self.scenario.entries_per_domain)
         per_ms = model.per_s / domains / 1000.0
         factor = self._burst_factor.get(domain, 1.0)
+        factor *= self._kind_factor.get(model.name, 1.0)
+        factor *= 1.0 + sum(
+            organisation.share
+            * (self._organisation_factor.get(organisation.name, 1.0) - 1.0)
+            for organisation in self.scenario.organisations
+        )
         delay_ms = self._load_rng.expovariate(per_ms * factor)
         self.schedule(delay_ms, lambda: self._arrive(model, domain))
 
@@ -256,29 +290,86 @@
         work_ms = model.work_ms * rng.lognormvariate(
             -(model.spread**2) / 2.0, model.spread
         )
+        organisation = ""
+        if self.scenario.organisations:
+            organisation = self._draw_organisation(rng)
+        retries = rng.randint(1, MOST_RETRIES)
         request = _Request(
             model,
             domain,
             self.now_ms,
             work_ms,
-            1 + round(factor) if is_impatient else 1,
+            1 + round(factor) if is_impatient else retries,
             is_impatient,
             self.now_ms >= WARM_UP_MS,
+            organisation,
         )
         if request.is_counted:
-            self.result.record_request(self.now_ms - WARM_UP_MS, model)
+            self.result.record_request(
+                self.now_ms - WARM_UP_MS, model, organisation
+            )
+        share, target_share = self._disconnect
+        if rng.random() < share:
+            self.schedule(
+                target_share * model.target_ms, lambda: self._give_up(request)
+            )
         self._send(request)
 
+    def _draw_organisation(self, rng: random.Random) -> str:
+        names = [o.name for o in self.scenario.organisations]
+        weights = [
+            o.share * self._organisation_factor.get(o.name, 1.0)
+            for o in self.scenario.organisations
+        ]
+        return rng.choices(names, weights)[0]
+
     def _send(self, request: _Request) -> None:
-        entries = [e for e in self._entries if e.domain == request.domain]
-        self._caller_rng.choice(entries).receive(request)
+        if request.has_ended:
+            return
+        if self.now_ms >= request.deadline_ms:
+            self._record_loss(request, "failed")
+            return
+        entries = [
+            e
+            for e in self._entries
+            if e.domain == request.domain and not e.is_dark
+        ]
+        if entries:
+            self._caller_rng.choice(entries).receive(request)
+        else:
+            self.schedule(RECONNECT_MS, lambda: self._send(request))
+
+    def _give_up(self, request: _Request) -> None:
+        if request.has_ended:
+            return
+        self._record_loss(request, "given up")
+        for entry in self._entries:
+            entry.disconnect(request)
+
+    def _record_loss(self, request: _Request, outcome: str) -> None:
+        request.has_ended = True
+        if request.is_counted:
+            self.result.record_loss(
+                request.model, request.organisation, outcome
+            )
+
+    def on_connection_lost(self, request: _Request) -> None:
+        """Sends a request of a killed entry again, if that is allowed."""
+        if request.model.kind.is_idempotent and request.retries_left > 0:
+            request.retries_left -= 1
+            self.schedule(RECONNECT_MS, lambda: self._send(request))
+        else:
+            self._record_loss(request, "failed")
 
     def on_answer(self, request: _Request) -> None:
         """Records a successful answer to a caller."""
+        request.has_ended = True
         if request.is_counted:
             started_ms = request.started_ms - WARM_UP_MS
             latency_ms = self.now_ms - request.started_ms
-            self.result.record_answer(started_ms, request.model, latency_ms)
+            self.result.record_answer(
+                started_ms, request.model, request.organisation, latency_ms
+            )
 
     def on_refusal(
         self, request: _Request, is_executed: bool, retry_after_ms: float
@@ -294,9 +385,8 @@
         if can_retry:
             request.retries_left -= 1
             self.schedule(wait_ms, lambda: self._send(request))
-        elif request.is_counted:
-            started_ms = request.started_ms - WARM_UP_MS
-            self.result.record_loss(started_ms, request.model, is_executed)
+        else:
+            self._record_loss(request, "failed" if is_executed else "refused")
 
 
 class _Entry:
@@ -309,14 +399,10 @@
         self._sent: dict[int, _Sent] = {}
         self._queries: set[str] = set()
         self._idle_until_ms: dict[str, list[float]] = {}
+        self.is_dark = False
+        self._name = name
+        self._rng = random.Random(f"{seed} {name}")
         scenario = model.scenario
-        self.state = GatewayState(
-            name,
-            f"d{domain}",
-            random.Random(f"{seed} {name}"),
-            RETRY_LIMITS,
-            seeds=("c",),
-        )
         routes = tuple(
             Route(
                 request.name,
@@ -325,7 +411,7 @@
                 request.kind,
                 request.deadline_ms,
                 request.target_ms,
-                1,
+                request.priority,
                 MAX_ATTEMPTS,
                 (RouteTarget(request.service, 1.0),),
             )
@@ -338,7 +424,13 @@
         self._notice = FeedNotice(
             1,
             1,
-            RouteConfiguration(1, routes, services, CallerLimits()),
+            RouteConfiguration(
+                1,
+                routes,
+                services,
+                CallerLimits(),
+                tuple(Organisation(o.name) for o in scenario.organisations),
+            ),
             len(records),
             records,
             0,
@@ -346,15 +438,52 @@
             ("c",),
             sum(scenario.entries_per_domain),
         )
-        self._handle(FeedArrived(0.0, "c", self._notice))
+        self._start()
+
+    def _start(self) -> None:
+        self.state = GatewayState(
+            self._name,
+            f"d{self.domain}",
+            self._rng,
+            RETRY_LIMITS,
+            seeds=("c",),
+            started_ms=self.model.now_ms,
+            overload_policy=self.model.scenario.overload_policy,
+        )
+        self._handle(FeedArrived(self.model.now_ms, "c", self._notice))
+
+    def kill(self) -> None:
+        """Ends the process: its callers lose their connections."""
+        self.is_dark = True
+        requests = list(self._open.values())
+        self._open.clear()
+        self._sent.clear()
+        self._queries.clear()
+        self._idle_until_ms.clear()
+        for request in requests:
+            self.model.on_connection_lost(request)
+
+    def restart(self) -> None:
+        """Starts the process anew, without what it knew."""
+        self.is_dark = False
+        self._start()
+
+    def disconnect(self, request: _Request) -> None:
+        """Handles that the caller of a request closes its connection."""
+        for call_id, other in list(self._open.items()):
+            if other is request:
+                self._handle(CallerDisconnected(self.model.now_ms, call_id))
+                del self._open[call_id]
 
     def tick(self) -> None:
         """Passes the time to the reducer, as the driver does."""
+        self.model.schedule(TICK_MS, self.tick)
+        if self.is_dark:
+            return
         self._handle(Tick(self.model.now_ms))
         if self.model.now_ms % 1000.0 < TICK_MS:
             notice = attrs.evolve(self._notice, configuration=None, servers=())
             self._handle(FeedArrived(self.model.now_ms, "c", notice))
-        self.model.schedule(TICK_MS, self.tick)
 
     def receive(self, request: _Request) -> None:
         """Receives a request of a caller."""
@@ -370,10 +499,13 @@
                 f"/{request.model.name}/x",
                 request.deadline_ms - now_ms,
                 "",
+                organisation=request.organisation,
             )
         )
 
     def _handle(self, event: GatewayEvent) -> None:
+        if self.is_dark:
+            return
         for effect in reduce_gateway(self.state, event):
             self._perform(effect)
 
@@ -450,6 +582,8 @@
 
         def end(report) -> None:
             self._queries.discard(name)
+            if self.is_dark:
+                return
             if report is not None:
                 self._release(server)
             is_answered = report is not None
--- a/benchmarks/fleet_load/results.py
+++ b/benchmarks/fleet_load/results.py
@@ -12,6 +12,7 @@
 LATE_SHARE = 0.1
 WINDOW_MS = 1000.0
 PERCENTILES = (50, 90, 99)
+OUTCOMES = ("in time", "late", "refused", "failed", "given up")
 
 
 @attrs.define
@@ -22,6 +23,7 @@
         owed: Worth of all requests, by second of arrival.
         earned: Worth of their answers, by second of arrival of the request.
         outcomes: Number of requests by kind and outcome.
+        organisations: Number of requests by organisation and outcome.
         latencies_ms: Latencies of answers by kind.
         queries: Load queries.
         connections: New connections to servers.
@@ -32,6 +34,9 @@
     owed: collections.Counter = attrs.field(factory=collections.Counter)
     earned: collections.Counter = attrs.field(factory=collections.Counter)
     outcomes: collections.Counter = attrs.field(factory=collections.Counter)
+    organisations: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     latencies_ms: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
@@ -40,27 +45,40 @@
     arrivals: int = 0
     arrivals_when_full: int = 0
 
-    def record_request(self, started_ms: float, model: RequestModel) -> None:
+    def record_request(
+        self, started_ms: float, model: RequestModel, organisation: str
+    ) -> None:
         """Counts a new request."""
         self.owed[int(started_ms / WINDOW_MS)] += model.worth
-        self.outcomes[model.name, "sent"] += 1
+        self._count_outcome(model, organisation, "sent")
+
+    def _count_outcome(
+        self, model: RequestModel, organisation: str, outcome: str
+    ) -> None:
+        self.outcomes[model.name, outcome] += 1
+        if organisation:
+            self.organisations[organisation, outcome] += 1
 
     def record_answer(
-        self, started_ms: float, model: RequestModel, latency_ms: float
+        self,
+        started_ms: float,
+        model: RequestModel,
+        organisation: str,
+        latency_ms: float,
     ) -> None:
         """Counts a successful answer."""
         is_late = latency_ms > model.target_ms
         worth = model.worth * (LATE_SHARE if is_late else 1.0)
         self.earned[int(started_ms / WINDOW_MS)] += worth
-        self.outcomes[model.name, "late" if is_late else "in time"] += 1
+        outcome = "late" if is_late else "in time"
+        self._count_outcome(model, organisation, outcome)
         self.latencies_ms[model.name].append(latency_ms)
 
     def record_loss(
-        self, started_ms: float, model: RequestModel, is_executed: bool
+        self, model: RequestModel, organisation: str, outcome: str
     ) -> None:
-        """Counts a request that was refused or failed in the end."""
-        outcome = "failed" if is_executed else "refused"
-        self.outcomes[model.name, outcome] += 1
+        """Counts a request that was refused, failed or given up."""
+        self._count_outcome(model, organisation, outcome)
 
     @property
     def requests(self) -> int:
@@ -82,6 +100,37 @@
         """Returns the share of requests with an outcome."""
         return self._count(outcome) / max(1, self.requests)
 
+    def share_of(self, name: str, outcome: str) -> float:
+        """Returns the share of a kind's requests with an outcome."""
+        sent = self.outcomes[name, "sent"]
+        return self.outcomes[name, outcome] / max(1, sent)
+
+    def worth_of(self, name: str) -> float:
+        """Returns the share of a kind's worth that was earned."""
+        late = LATE_SHARE * self.share_of(name, "late")
+        return self.share_of(name, "in time") + late
+
+    def served_of(self, name: str) -> float:
+        """Returns the share of a kind's requests that were answered."""
+        return self.share_of(name, "in time") + self.share_of(name, "late")
+
+    def organisation_share(self, name: str, outcome: str) -> float:
+        """Returns the share of an organisation's requests with an outcome."""
+        sent = self.organisations[name, "sent"]
+        return self.organisations[name, outcome] / max(1, sent)
+
+    def kinds_text(self) -> str:
+        """Returns a table of the outcomes by kind."""
+        rows = []
+        for name in sorted({name for name, _ in self.outcomes}):
+            columns = "  ".join(
+                f"{outcome} {self.share_of(name, outcome):.3f}"
+                for outcome in OUTCOMES
+            )
+            sent = self.outcomes[name, "sent"]
+            rows.append(f"  {name:<10} {sent:>6}  {columns}")
+        return "\n".join(rows)
+
     def _count(self, outcome: str) -> int:
         return sum(n for (_, key), n in self.outcomes.items() if key == outcome)
 
--- a/benchmarks/fleet_load/scenario.py
+++ b/benchmarks/fleet_load/scenario.py
@@ -8,6 +8,7 @@
 import attrs
 import cattrs
 
+from gentianwall.config.fleet import OverloadPolicy
 from gentianwall.config.routes import RouteKind
 
 
@@ -26,6 +27,9 @@
     CRASH = "crash"
     ABUSE = "abuse"
     SHIFT = "shift"
+    ORGANISATION = "organisation"
+    KILL_ENTRIES = "kill_entries"
+    DISCONNECT = "disconnect"
 
 
 @attrs.frozen(kw_only=True)
@@ -70,6 +74,7 @@
         worth: Worth of an answer within the target time; late ones earn a
             tenth of it.
         spread: Standard deviation of the logarithm of the service time.
+        priority: Priority of its route, 0 is the highest.
     """
 
     name: str
@@ -81,6 +86,7 @@
     deadline_ms: float
     worth: float = 1.0
     spread: float = 0.3
+    priority: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -91,9 +97,12 @@
         kind: Its kind.
         at_s: Start, in seconds.
         for_s: Duration, in seconds.
-        share: Share of the servers or callers that are affected.
-        factor: Factor of the load, of service times or of the retries.
+        share: Share of the servers, entries or callers that are affected.
+        factor: Factor of the load, of service times or of the retries; for
+            callers that disconnect, the share of their target time after
+            which they do.
         domain: Only in this failure domain; -1 for all.
+        only: Only this kind of requests, or this organisation; empty for all.
     """
 
     kind: DisruptionKind
@@ -102,6 +111,21 @@
     share: float = 0.2
     factor: float = 2.0
     domain: int = -1
+    only: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class OrganisationModel:
+    """An organisation with its share of the requests of all kinds.
+
+    Attributes:
+        name: Name of the organisation.
+        share: Share of the requests that it sends; those of no organisation
+            have none.
+    """
+
+    name: str
+    share: float
 
 
 @attrs.frozen(kw_only=True)
@@ -116,6 +140,8 @@
         services: Services.
         requests: Kinds of requests.
         disruptions: Disruptions.
+        organisations: Organisations that send the requests.
+        overload_policy: Setting of the entries of that name.
     """
 
     seconds: float
@@ -125,6 +151,8 @@
     services: tuple[ServiceModel, ...]
     requests: tuple[RequestModel, ...]
     disruptions: tuple[Disruption, ...] = ()
+    organisations: tuple[OrganisationModel, ...] = ()
+    overload_policy: OverloadPolicy = OverloadPolicy.NONE
 
 
 def load_scenario(path: str) -> Scenario:
--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 import tomllib
 
@@ -18,6 +19,14 @@
 MIN_VOTERS = 3
 
 
+class OverloadPolicy(enum.Enum):
+    """Which requests an entry refuses first when there is too little room."""
+
+    NONE = "none"
+    COST = "cost"
+    AUTO = "auto"
+
+
 @attrs.frozen(kw_only=True)
 class FleetSettings:
     """Settings of one process of a fleet whose members change at run time."""
@@ -113,6 +122,14 @@
         10.0,
         minimum=0.1,
     )
+    overload_policy: str = option(
+        "Which requests an entry refuses first when there is too little room: "
+        '"none" judges each request by itself; "cost" refuses those that cost '
+        'callers least; "auto" does so if the configuration in force has '
+        "organisations or a route of kind download.",
+        OverloadPolicy.NONE.value,
+        choices=tuple(policy.value for policy in OverloadPolicy),
+    )
 
     @property
     def target_voters(self) -> int:
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -20,6 +20,7 @@
     StartDeadlineTimer,
 )
 from gentianwall.gateway.events import Relay, RequestArrived
+from gentianwall.gateway.overload import Shed
 from gentianwall.gateway.placement import Candidate
 from gentianwall.gateway.servers import RoutedServer, SentRequest
 from gentianwall.gateway.state import (
@@ -112,10 +113,17 @@
         deadline_ms=event.at_ms + wait_ms,
         target_at_ms=event.at_ms + route.target_ms - waited_ms,
         priority=route.priority,
+        organisation=event.organisation,
     )
     state.calls[call.call_id] = call
     state.service(name).retry_window.record_call(now_ms)
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
+    if state.overload is not None:
+        service_ms = state.service(name).service_ms_for(route)
+        shed = state.overload.judge(call, service_ms, now_ms)
+        if shed is not None:
+            refuse_shed(state, call, shed, now_ms, effects)
+            return
     dispatch(state, call, now_ms, effects)
 
 
@@ -311,7 +319,15 @@
         return
     reported = [c for c in ranked if c.server.name not in call.unreported]
     best = fresh or reported or ranked
-    match admit(call, best[0], service_ms, service.full_share, now_ms):
+    verdict = admit(
+        call,
+        best[0],
+        service_ms,
+        service.full_share,
+        now_ms,
+        is_saturating=state.overload is not None,
+    )
+    match verdict:
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
         case Verdict.WAIT:
@@ -473,17 +489,34 @@
     now_ms: float,
     effects: list[GatewayEffect],
     min_retry_after_ms: float = 0.0,
+    shed: Shed | None = None,
 ) -> None:
-    """Refuses a request and states whether a server may have executed it."""
+    """Refuses a request and states whether a server may have executed it.
+
+    Args:
+        state: State of the entry.
+        call: The request.
+        reason: Reason of the refusal.
+        now_ms: The local clock.
+        effects: List to which effects are appended.
+        min_retry_after_ms: Least retry-after time.
+        shed: Why it is refused before other requests; None if it is not.
+    """
     state.calls.pop(call.call_id, None)
     state.querying.pop(call.call_id, None)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     after_ms = 0.0
     if executed is Executed.NO:
         service_ms = state.service(call.service).service_ms_for(call.route)
-        after_ms = min_retry_after_ms + (
-            service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
-        )
+        if state.overload is not None and reason is RefusalReason.OVERLOADED:
+            after_ms = max(
+                min_retry_after_ms,
+                state.overload.retry_after_ms(call, service_ms, now_ms),
+            )
+        else:
+            after_ms = min_retry_after_ms + (
+                service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
+            )
     fields = {
         "id": call.request_id,
         "reason": reason.name.lower(),
@@ -498,11 +531,35 @@
         "left_ms": round(call.deadline_ms - now_ms),
         "retry_after_ms": round(after_ms),
     }
+    if state.overload is not None:
+        level = state.overload.pressure(call.service).level(now_ms)
+        fields["shed"] = shed.value if shed is not None else ""
+        fields["level"] = round(level, 2)
+        fields["priority"] = call.priority
     effects.append(Log("refused", fields))
     refusal = Refusal(reason, executed, after_ms)
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def refuse_shed(
+    state: GatewayState,
+    call: RoutedCall,
+    shed: Shed,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Refuses a request so that there is room for others."""
+    state.overload.refused[shed] += 1
+    refuse(
+        state,
+        call,
+        RefusalReason.OVERLOADED,
+        now_ms,
+        effects,
+        shed=shed,
+    )
+
+
 def forward_answer(
     state: GatewayState,
     call: RoutedCall,
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -50,6 +50,7 @@
             force.
         relay: Decisions of the peer that relays the request; None if a caller
             sent it.
+        organisation: Name of the organisation that sent it; empty for none.
     """
 
     at_ms: float
@@ -60,6 +61,7 @@
     wait_ms: float | None
     fingerprint: str
     relay: Relay | None = None
+    organisation: str = ""
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -180,7 +180,10 @@
         service = state.service(declared.name)
         service.health_path = declared.health_path
         service.most_connections = declared.most_connections
+    state.apply_overload_policy()
     fields = {"number": notice.number, "routes": len(configuration.routes)}
+    if state.overload is not None:
+        fields["overload_policy"] = state.overload_policy.value
     effects.append(Log("configuration_in_force", fields))
 
 
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -315,6 +315,10 @@
                 service.has_load_reports = True
                 server.record_report(event.report, event.at_ms)
                 service.record_query(event.report)
+                if state.overload is not None:
+                    state.overload.pressure(service.name).record_report(
+                        event.report, event.at_ms
+                    )
                 overdue.mark_dropped(server, event.at_ms)
             elif service.has_load_reports is None:
                 service.has_load_reports = False
--- /dev/null
+++ b/gentianwall/gateway/overload.py
@@ -0,0 +1,198 @@
+"""Decides which requests are refused first when there is too little room.
+
+Load pattern: a burst, an organisation at several times its usual load, or the
+loss of servers brings more work than the servers can do in time. If every
+request is admitted, all are late together, and those with the shortest target
+time are late first. Therefore each entry refuses a share of the work, and that
+share consists of the requests that cost callers least.
+
+Entries do not coordinate: servers report to all of them how busy they are, so
+that all arrive at about the same share (compare the admission levels of DAGOR,
+Zhou et al. 2018).
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from gentianwall.config.fleet import OverloadPolicy
+from gentianwall.config.routes import RouteConfiguration, RouteKind
+from gentianwall.gateway.demand import Demand, OrganisationDemand
+from gentianwall.routing.reports import SpeedReport
+
+if TYPE_CHECKING:
+    from gentianwall.gateway.state import RoutedCall
+
+# Requests slow each other down by SHARED_SLOWDOWN above this share of the
+# slots, so that a server with several slots does less work with all of them in
+# use than with this share of them.
+EFFICIENT_SHARE = 0.8
+SHARED_SLOWDOWN = 1.7
+# The share of busy slots is averaged over this many load reports, or over the
+# time in which the load changes.
+REPORT_WEIGHT = 0.05
+# Share of busy slots from which on work is refused, and at which all is. A
+# share above 1 means that requests queue at servers or slow each other down.
+LOW_BUSY_SHARE = 0.85
+HIGH_BUSY_SHARE = 1.3
+MAX_BUSY_SHARE = 1.5
+# Without any report the pressure halves in this time.
+HALF_LIFE_MS = 700.0
+# Time without a report from which on that applies.
+REPORT_GAP_MS = 100.0
+# At most this share of a kind is refused, so that no kind is starved.
+MAX_REFUSED_SHARE = 0.7
+# Pressure below this share does not refuse anything: it is within the noise of
+# the reports.
+MIN_LEVEL = 0.03
+# A caller waits for a retry-after time of at most a third of the time it has
+# left; the margin covers the way back.
+HONOURED_SHARE = 0.3
+
+
+class Shed(enum.Enum):
+    """Why a request is refused before others."""
+
+    LATE = "late"
+    EXCESS = "excess"
+    RETRY = "retry"
+    ORDER = "order"
+
+
+def is_enabled(
+    policy: OverloadPolicy, configuration: RouteConfiguration
+) -> bool:
+    """Returns whether the setting enables the policy for a configuration."""
+    match policy:
+        case OverloadPolicy.NONE:
+            return False
+        case OverloadPolicy.COST:
+            return True
+        case OverloadPolicy.AUTO:
+            return bool(configuration.organisations) or any(
+                route.kind is RouteKind.DOWNLOAD
+                for route in configuration.routes
+            )
+
+
+def efficient_slots(slots: int) -> int:
+    """Returns with how many requests a server does most work in a given time.
+
+    With 2 slots it is 2, although they slow each other down; with 6 it is 4.
+    """
+    unslowed = max(1, math.floor(EFFICIENT_SHARE * slots))
+    return slots if slots / SHARED_SLOWDOWN > unslowed else unslowed
+
+
+@attrs.define
+class ServicePressure:
+    """How busy the servers of one service are, and with which requests.
+
+    Attributes:
+        busy_share: Moving average of the share of the efficient slots that are
+            in use, by load reports.
+        updated_ms: When it was last updated.
+        demand: Recent work by kind of request.
+    """
+
+    busy_share: float = 0.0
+    updated_ms: float = float("-inf")
+    demand: Demand = attrs.field(factory=Demand)
+
+    def record_report(self, report: SpeedReport, now_ms: float) -> None:
+        """Updates the share of busy slots by a queried load report."""
+        in_progress = report.running + report.waiting
+        share = in_progress / efficient_slots(report.slots)
+        share = min(MAX_BUSY_SHARE, share)
+        self.busy_share += REPORT_WEIGHT * (share - self.busy_share)
+        self.updated_ms = now_ms
+
+    def level(self, now_ms: float) -> float:
+        """Returns the share of the work that is refused now."""
+        excess = self.busy_share - LOW_BUSY_SHARE
+        if excess <= 0.0:
+            return 0.0
+        level = min(1.0, excess / (HIGH_BUSY_SHARE - LOW_BUSY_SHARE))
+        gap_ms = max(0.0, now_ms - self.updated_ms - REPORT_GAP_MS)
+        return level * 0.5 ** (gap_ms / HALF_LIFE_MS)
+
+
+@attrs.define
+class Overload:
+    """The policy at one entry.
+
+    Attributes:
+        rng: Chooses among requests of equal value.
+        pressures: Pressure by service.
+        organisations: Recent and usual demand of the organisations.
+        refused: Number of refused requests by reason.
+    """
+
+    rng: random.Random
+    pressures: dict[str, ServicePressure] = attrs.field(factory=dict)
+    organisations: OrganisationDemand = attrs.field(factory=OrganisationDemand)
+    refused: dict[Shed, int] = attrs.field(
+        factory=lambda: dict.fromkeys(Shed, 0)
+    )
+
+    def pressure(self, service: str) -> ServicePressure:
+        """Returns the pressure of a service."""
+        pressure = self.pressures.get(service)
+        if pressure is None:
+            pressure = self.pressures[service] = ServicePressure()
+        return pressure
+
+    def judge(
+        self, call: RoutedCall, service_ms: float, now_ms: float
+    ) -> Shed | None:
+        """Records a request that arrived; returns why it is refused, if it is.
+
+        Args:
+            call: The request.
+            service_ms: Its service time at an idle, average server.
+            now_ms: The local clock.
+        """
+        pressure = self.pressure(call.service)
+        key = (call.priority, service_ms, call.route.name)
+        pressure.demand.record(key, service_ms, now_ms)
+        excess_share = self.organisations.record(
+            call.organisation, service_ms, now_ms
+        )
+        level = pressure.level(now_ms)
+        if level < MIN_LEVEL:
+            return None
+        if now_ms + service_ms > call.target_at_ms:
+            return Shed.LATE
+        if self.rng.random() < excess_share:
+            return Shed.EXCESS
+        low, high = pressure.demand.position(key)
+        chance = (level - low) / max(1e-9, high - low)
+        chance = min(MAX_REFUSED_SHARE, max(0.0, chance))
+        if chance > 0.0 and is_retry(call):
+            return Shed.RETRY
+        return Shed.ORDER if self.rng.random() < chance else None
+
+    def retry_after_ms(
+        self, call: RoutedCall, service_ms: float, now_ms: float
+    ) -> float:
+        """Returns when a refused caller should return.
+
+        Within its target if an answer can still come in time; otherwise late
+        in the time for which it waits, when the pressure may be over.
+        """
+        level = self.pressure(call.service).level(now_ms)
+        honoured_ms = HONOURED_SHARE * (call.deadline_ms - now_ms)
+        spare_ms = call.target_at_ms - now_ms - SHARED_SLOWDOWN * service_ms
+        if spare_ms > 0.0 and level < MAX_REFUSED_SHARE:
+            return min(honoured_ms, spare_ms) * self.rng.uniform(0.3, 1.0)
+        return honoured_ms * self.rng.uniform(0.6, 1.0)
+
+
+def is_retry(call: RoutedCall) -> bool:
+    """Returns whether the caller has probably sent the request before."""
+    return call.target_at_ms < call.arrived_ms + call.route.target_ms
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -8,11 +8,13 @@
 
 import attrs
 
+from gentianwall.config.fleet import OverloadPolicy
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
 from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
+from gentianwall.gateway.overload import Overload, is_enabled
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.reachability import Reachability
@@ -119,6 +121,8 @@
         has_load_reports: Whether its servers report their load; None until
             the first server has answered.
         service_ms: Service time at an idle, average server; 0 while unknown.
+        route_service_ms: The same by name of the route; None where it is not
+            distinguished by route.
         full_share: Moving average of the share of load queries that found all
             slots busy. Reports in answers do not count: the server has just
             freed a slot.
@@ -133,6 +137,7 @@
     homes: tuple[str, ...] = ()
     has_load_reports: bool | None = None
     service_ms: float = 0.0
+    route_service_ms: dict[str, float] | None = None
     full_share: float = 0.0
     most_connections: int = 0
 
@@ -147,6 +152,9 @@
 
     def service_ms_for(self, route: Route) -> float:
         """Returns the expected service time of a request of a route."""
+        if self.route_service_ms is not None:
+            known_ms = self.route_service_ms.get(route.name)
+            return known_ms or INITIAL_SERVICE_SHARE * route.target_ms
         return self.service_ms or INITIAL_SERVICE_SHARE * route.target_ms
 
     def record_query(self, report: SpeedReport) -> None:
@@ -157,9 +165,11 @@
     def record_service_time(self, service_time_ms: float, route: Route) -> None:
         """Updates the average service time from a successful answer."""
         known_ms = self.service_ms_for(route)
-        self.service_ms = known_ms + SERVICE_TIME_WEIGHT * (
-            service_time_ms - known_ms
-        )
+        known_ms += SERVICE_TIME_WEIGHT * (service_time_ms - known_ms)
+        if self.route_service_ms is not None and route.name:
+            self.route_service_ms[route.name] = known_ms
+        else:
+            self.service_ms = known_ms
 
 
 @attrs.define
@@ -203,6 +213,8 @@
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
+        overload_policy: Which requests are refused first under overload.
+        overload: State of that policy; None where it is not enabled.
     """
 
     name: str
@@ -239,6 +251,17 @@
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
+    overload_policy: OverloadPolicy = OverloadPolicy.NONE
+    overload: Overload | None = None
+
+    def apply_overload_policy(self) -> None:
+        """Enables or disables the overload policy for the configuration."""
+        enabled = is_enabled(self.overload_policy, self.table.configuration)
+        if enabled == (self.overload is not None):
+            return
+        self.overload = Overload(self.rng) if enabled else None
+        for service in self.services.values():
+            service.route_service_ms = {} if enabled else None
 
     @property
     def is_ready(self) -> bool:
@@ -285,6 +308,8 @@
         if service is None:
             retry_window = RetryWindow(self.retry_limits)
             service = self.services[name] = ServiceState(name, retry_window)
+            if self.overload is not None:
+                service.route_service_ms = {}
         return service
 
     def remove_server(self, name: str) -> None:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from gentianwall.config.fleet import FleetSettings
+from gentianwall.config.fleet import FleetSettings, OverloadPolicy
 from gentianwall.config.routes import CallerLimits
 from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
@@ -102,6 +102,7 @@
             started_ms=monotonic_ms(),
             link_name=settings.link_address,
             has_peers=settings.peer_port > 0,
+            overload_policy=OverloadPolicy(settings.overload_policy),
         )
         self.pools = ServerPools(reactor)
         self.checks = ServerChecks(
