--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -184,11 +184,14 @@
         service = state.service(declared.name)
         service.health_path = declared.health_path
         service.most_connections = declared.most_connections
+    state.apply_overload_policy()
     fields = {
         "number": notice.number,
         "routes": len(configuration.routes),
         "organisations": len(configuration.organisations),
     }
+    if state.overload is not None:
+        fields["overload_policy"] = state.overload_policy.value
     effects.append(Log("configuration_in_force", fields))
     if not was_ready:
         # The leader names ready entries as peers to those that may need them.
