Evacuate failure domains by a command in the replicated log

Cause: operators take a whole failure domain out of use before it loses its power or its links; entries went on sending to its servers until each of them failed (docs/design/shared-limits-and-overload.md, section 4). Change: SetEvacuation in the replicated log, based on the version that the leader reported after the operator's request arrived, so that a delayed start cannot take effect after a later finish. It is accepted only once a Noop with the feature is committed, which the leader proposes when every member and learner has declared the feature in its AppendReply; the register keeps that, so that evacuations remain possible while members are down. The calls evacuations.start and evacuations.finish, /gentianwall/v1/evacuations and gentianwallctl evacuations. The feed reports the evacuated domains under a version; an entry sends no request, retry, relayed request, load query or health check there, closes its idle connections, and reports no crash of a server there.

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -12,6 +12,10 @@
 # Parsed routes take about twice the memory of the document that they are
 # parsed from.
 CONFIGURATION_MEMORY_FACTOR = 3
+# Commands that replicas declare to understand, as a bit set. A replica that
+# does not know a command cannot read a log that contains it.
+FEATURE_EVACUATION = 1
+SUPPORTED_FEATURES = FEATURE_EVACUATION
 
 
 @attrs.frozen
@@ -44,7 +48,14 @@
 
 @attrs.frozen
 class Noop:
-    """Changes nothing; lets a new leader commit an entry of its own term."""
+    """Lets a new leader commit an entry of its own term.
+
+    Attributes:
+        features: Sum of the `FEATURE_` constants that every member and learner
+            has declared; from this entry on the log may contain their commands.
+    """
+
+    features: int = 0
 
 
 @attrs.frozen
@@ -175,6 +186,26 @@
     at_ms: int
 
 
+@attrs.frozen
+class SetEvacuation:
+    """Starts or finishes the evacuation of a failure domain.
+
+    Attributes:
+        failure_domain: Name of the failure domain, which may be unknown.
+        is_evacuated: Whether its servers get no further requests.
+        base_version: Version of the evacuations when the request for this
+            command was received. The command changes nothing if another one
+            came in between, so that a delayed start cannot take effect after
+            the finish that followed it.
+        at_ms: Wall-clock time of the leader.
+    """
+
+    failure_domain: str
+    is_evacuated: bool
+    base_version: int
+    at_ms: int
+
+
 Command = (
     Noop
     | ChangeMembers
@@ -188,6 +219,7 @@
     | AnnounceServer
     | DeregisterServer
     | MarkSilent
+    | SetEvacuation
 )
 
 
@@ -295,6 +327,21 @@
     is_same: bool
 
 
+@attrs.frozen
+class EvacuationsHeld:
+    """The evacuations in force after a `SetEvacuation`, applied or not.
+
+    Attributes:
+        version: Their version, which every `SetEvacuation` increases.
+        failure_domains: Names of the evacuated failure domains.
+        is_full: Whether a start was refused because too many are evacuated.
+    """
+
+    version: int
+    failure_domains: tuple[str, ...]
+    is_full: bool = False
+
+
 CommandResult = (
     DeclarationAccepted
     | DeclarationConflict
@@ -306,4 +353,5 @@
     | ClaimsFull
     | Done
     | ConfigurationHeld
+    | EvacuationsHeld
 )
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -28,6 +28,7 @@
     DeclarationInvalid,
     DeregisterServer,
     Done,
+    EvacuationsHeld,
     MarkSilent,
     Noop,
     Outcome,
@@ -37,6 +38,7 @@
     ReleaseClaim,
     ReleaseQuarantine,
     ReportCrash,
+    SetEvacuation,
 )
 from gentianwall.config.declaration import parse_declaration
 from gentianwall.config.schema import ConfigErrors
@@ -51,6 +53,9 @@
 MAX_CLAIMS = 400_000
 MAX_STORED_CHANGES = 20_000
 MAX_STORED_DECLARATIONS = 50
+# Far above the number of failure domains of any deployment; bounds what
+# mistyped names can add to each notice of the feed.
+MAX_EVACUATED_DOMAINS = 256
 CRASHES_TO_QUARANTINE = 2
 CRASH_WINDOW_MS = 600_000
 CLAIMS_FULL_RETRY_AFTER_MS = 1000
@@ -131,6 +136,11 @@
             is raised: a deleted claim must not be granted a second time.
         numbered: The numbered configuration in force, if any.
         registry: Servers that registered with the control instances.
+        evacuations: Log time at which the evacuation of a failure domain
+            began, by its name.
+        evacuation_version: Number of `SetEvacuation` commands so far.
+        features: Sum of the `FEATURE_` constants whose commands the log may
+            contain.
     """
 
     now_ms: int = 0
@@ -145,6 +155,9 @@
     forgotten_before_ms: int = 0
     numbered: PutConfiguration | None = None
     registry: ServerRegistry = attrs.field(factory=ServerRegistry)
+    evacuations: dict[str, int] = attrs.field(factory=dict)
+    evacuation_version: int = 0
+    features: int = 0
 
     def copy(self) -> RegisterState:
         """Returns a copy that is not affected by later commands."""
@@ -156,6 +169,7 @@
             suspects=dict(self.suspects),
             quarantines=dict(self.quarantines),
             registry=self.registry.copy(),
+            evacuations=dict(self.evacuations),
         )
 
     @property
@@ -209,6 +223,11 @@
         case MarkSilent():
             mark_silent(state.registry, command.server, command.incarnation)
             return Done()
+        case SetEvacuation():
+            return _set_evacuation(state, command)
+        case Noop():
+            state.features |= command.features
+            return Done()
         case _:
             return Done()
 
@@ -289,6 +308,31 @@
     return ConfigurationHeld(current_number, is_same)
 
 
+def _set_evacuation(
+    state: RegisterState, command: SetEvacuation
+) -> CommandResult:
+    """Starts or finishes an evacuation unless another change came before it.
+
+    The version increases in any case, so that no command that was made before
+    this one can change anything after it.
+    """
+    is_current = command.base_version == state.evacuation_version
+    state.evacuation_version += 1
+    is_full = False
+    if is_current and command.is_evacuated:
+        is_full = (
+            command.failure_domain not in state.evacuations
+            and len(state.evacuations) >= MAX_EVACUATED_DOMAINS
+        )
+        if not is_full:
+            state.evacuations.setdefault(command.failure_domain, state.now_ms)
+    elif is_current:
+        state.evacuations.pop(command.failure_domain, None)
+    return EvacuationsHeld(
+        state.evacuation_version, tuple(state.evacuations), is_full
+    )
+
+
 def _record_claim(state: RegisterState, command: RecordClaim) -> CommandResult:
     record = state.claims.get(command.claim)
     if record is None:
--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -116,6 +116,8 @@
             ),
             "servers_revision": registry.revision,
             "servers": sum(s.is_present for s in registry.servers.values()),
+            "evacuated_domains": len(replica.register.evacuations),
+            "evacuations_total": replica.register.evacuation_version,
             "entries_heard": len(runtime.state.feed.subscribers),
         }
     )
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -204,6 +204,7 @@
         wants_peers: Whether the entry asks for a list of peers.
         features: Sum of the `FEATURE_` constants of what the entry
             understands; 0 for builds from before there were any.
+        evacuation_version: Version of the entry's evacuations.
     """
 
     number: int
@@ -215,6 +216,7 @@
     is_partitioned: bool = False
     wants_peers: bool = False
     features: int = 0
+    evacuation_version: int = 0
 
 
 @attrs.frozen
@@ -248,6 +250,9 @@
         rate_limits: All rate limits in force; None if unchanged.
         base_revision: Revision after which `servers` lists all changes. An
             entry with an older one lacks others and must not apply them.
+        evacuation_version: Version of `evacuated_domains`.
+        evacuated_domains: Names of the evacuated failure domains; None if
+            unchanged.
     """
 
     term: int
@@ -262,6 +267,8 @@
     rate_limits_version: int = 0
     rate_limits: tuple[SharedRateLimit, ...] | None = None
     base_revision: int = 0
+    evacuation_version: int = 0
+    evacuated_domains: tuple[str, ...] | None = None
 
 
 @attrs.frozen
@@ -289,9 +296,30 @@
 
 @attrs.frozen
 class ConfigurationRequest:
-    """Asks the leader for the route configuration in force."""
+    """Asks the leader for the route configuration in force.
+
+    Attributes:
+        request_id: Id of the request.
+        wants_document: Whether the reply contains the document. Builds from
+            before this field always send it.
+    """
 
     request_id: str
+    wants_document: bool = True
+
+
+@attrs.frozen
+class EvacuationStatus:
+    """Reports the evacuations in force.
+
+    Attributes:
+        version: Their version.
+        started_ms: Pairs of an evacuated failure domain and the wall-clock
+            time at which its evacuation began.
+    """
+
+    version: int
+    started_ms: tuple[tuple[str, int], ...]
 
 
 @attrs.frozen
@@ -301,12 +329,16 @@
     Attributes:
         request_id: Id of the request.
         number: Number of the configuration; -1 if there is none yet.
-        document: The configuration document as the operator submitted it.
+        document: The configuration document as the operator submitted it;
+            empty if the request does not want it.
+        evacuations: The evacuations in force; None if not all control
+            instances understand them.
     """
 
     request_id: str
     number: int
     document: bytes
+    evacuations: EvacuationStatus | None = None
 
 
 ControlMessage = (
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from gentianwall.claims.commands import Command
+from gentianwall.claims.commands import (
+    FEATURE_EVACUATION,
+    Command,
+    EvacuationsHeld,
+    SetEvacuation,
+)
 from gentianwall.control.messages import (
     CommandRefused,
     CommandReply,
@@ -171,7 +176,10 @@
         refused = CommandRefused(request.request_id, leader, is_full)
         effects.append(SendMessage(event.sender, refused))
         return
-    if replica.uncommitted_bytes > MAX_UNCOMMITTED_BYTES:
+    is_readable = not isinstance(
+        request.command, SetEvacuation
+    ) or replica.can_propose(FEATURE_EVACUATION)
+    if not is_readable or replica.uncommitted_bytes > MAX_UNCOMMITTED_BYTES:
         refused = CommandRefused(request.request_id, "", False)
         effects.append(SendMessage(event.sender, refused))
         return
@@ -229,7 +237,7 @@
     replica = state.replica
     if _refuse_stale_read(state, event, request.request_id, effects):
         return
-    reply = feed.make_configuration_reply(replica, request.request_id)
+    reply = feed.make_configuration_reply(replica, request)
     effects.append(SendMessage(event.sender, reply))
 
 
@@ -277,6 +285,11 @@
     event: ControlEvent,
     effects: list[ControlEffect],
 ) -> None:
+    if isinstance(applied.result, EvacuationsHeld):
+        result = applied.result
+        names = " ".join(result.failure_domains) or "none"
+        detail = f"version {result.version}"
+        effects.append(RecordEvent(EventKind.EVACUATED, names, detail))
     pending_reply = state.pending_replies.pop(applied.index, None)
     if pending_reply is not None:
         reply = CommandReply(pending_reply.request_id, applied.result)
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -10,9 +10,11 @@
 
 import attrs
 
-from gentianwall.claims.commands import MarkSilent
+from gentianwall.claims.commands import FEATURE_EVACUATION, MarkSilent
 from gentianwall.control.messages import (
     ConfigurationReply,
+    ConfigurationRequest,
+    EvacuationStatus,
     FeedNotice,
     FeedPoll,
     FeedRedirect,
@@ -50,12 +52,13 @@
 
 @attrs.frozen
 class FeedVersions:
-    """Versions of configuration, registry, quarantines and rate limits."""
+    """Versions of everything that notices report."""
 
     number: int
     revision: int
     quarantine_version: int
     rate_limits_version: int
+    evacuation_version: int
 
 
 @attrs.define
@@ -138,6 +141,7 @@
         poll.revision,
         poll.quarantine_version,
         poll.rate_limits_version,
+        poll.evacuation_version,
     )
     subscriber = feed.subscribers.get(sender)
     if subscriber is None:
@@ -237,6 +241,7 @@
         register.registry.revision,
         register.quarantine_version,
         feed.rate_shares.version(replica.term),
+        register.evacuation_version,
     )
 
 
@@ -276,6 +281,7 @@
     current = content.versions
     has_configuration = versions.number >= current.number
     has_quarantines = versions.quarantine_version == current.quarantine_version
+    has_evacuations = versions.evacuation_version == current.evacuation_version
     has_shares = (
         versions.rate_limits_version == current.rate_limits_version
         or not feed.rate_shares.is_complete
@@ -295,6 +301,10 @@
         rate_limits_version=current.rate_limits_version,
         rate_limits=None if has_shares else feed.rate_shares.shares,
         base_revision=versions.revision,
+        evacuation_version=current.evacuation_version,
+        evacuated_domains=(
+            None if has_evacuations else tuple(register.evacuations)
+        ),
     )
 
 
@@ -309,13 +319,23 @@
 
 
 def make_configuration_reply(
-    replica: ReplicaState, request_id: str
+    replica: ReplicaState, request: ConfigurationRequest
 ) -> ConfigurationReply:
-    """Returns a reply with the original document of the configuration."""
-    numbered = replica.register.numbered
-    document = b"" if numbered is None else numbered.document
+    """Returns a reply with the original document and the evacuations."""
+    register = replica.register
+    document = b""
+    if register.numbered is not None and request.wants_document:
+        document = register.numbered.document
+    evacuations = None
+    if replica.can_propose(FEATURE_EVACUATION):
+        evacuations = EvacuationStatus(
+            register.evacuation_version, tuple(register.evacuations.items())
+        )
     return ConfigurationReply(
-        request_id, _configuration_number(replica), document
+        request.request_id,
+        _configuration_number(replica),
+        document,
+        evacuations,
     )
 
 
--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -17,6 +17,7 @@
 
 from gentianwall import __version__
 from gentianwall.commands import apply as apply_command
+from gentianwall.commands import evacuations as evacuations_command
 from gentianwall.commands import explain as explain_command
 from gentianwall.commands import routes as routes_command
 from gentianwall.commands import timeline as timeline_command
@@ -37,6 +38,11 @@
     help="Manages the numbered route configuration of a fleet.",
 )
 app.command(routes_app)
+evacuations_app = cyclopts.App(
+    name="evacuations",
+    help="Takes failure domains of a fleet out of use.",
+)
+app.command(evacuations_app)
 
 
 @cyclopts.Parameter(name="*")
@@ -268,6 +274,46 @@
     return result.code
 
 
+def _print_evacuations(
+    result: evacuations_command.EvacuationsResult, common: Common
+) -> int:
+    if result.code is not ExitCode.OK:
+        return _fail(result.message, result.code)
+    print_output(result.content, result.message, common.format)
+    return result.code
+
+
+@evacuations_app.command(name="start")
+def start_evacuation(failure_domain: str, *, common: Common = COMMON) -> int:
+    """Sends nothing more to the servers of a failure domain.
+
+    Exit codes: 0 in force, 2 invalid name, 5 outcome unknown: repeat it.
+    """
+    result = evacuations_command.set_evacuation(
+        common.client(), failure_domain, True
+    )
+    return _print_evacuations(result, common)
+
+
+@evacuations_app.command(name="finish")
+def finish_evacuation(failure_domain: str, *, common: Common = COMMON) -> int:
+    """Uses the servers of a failure domain again.
+
+    Exit codes: 0 in force, 2 invalid name, 5 outcome unknown: repeat it.
+    """
+    result = evacuations_command.set_evacuation(
+        common.client(), failure_domain, False
+    )
+    return _print_evacuations(result, common)
+
+
+@evacuations_app.command(name="list")
+def list_evacuations(*, common: Common = COMMON) -> int:
+    """Lists the evacuated failure domains."""
+    result = evacuations_command.list_evacuations(common.client())
+    return _print_evacuations(result, common)
+
+
 @app.command
 def explain(
     request_id: Annotated[
--- a/gentianwall/ctl/client.py
+++ b/gentianwall/ctl/client.py
@@ -55,6 +55,10 @@
         """Sends a PUT to the instances in turn until one handles it."""
         return self._request_any("PUT", path, body, {})
 
+    def delete(self, path: str) -> Reply | Unreachable:
+        """Sends a DELETE to the instances in turn until one handles it."""
+        return self._request_any("DELETE", path, None, {})
+
     def get_each(self, path: str) -> dict[str, Reply | Unreachable]:
         """Sends a GET to every instance; returns the results by address."""
         return {
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -330,8 +330,15 @@
     state: GatewayState, service: ServiceState, call: RoutedCall
 ) -> None:
     """Widens the search for a server beyond the home servers."""
+    servers = service.servers
+    if state.evacuations.domains:
+        servers = {
+            name: server
+            for name, server in servers.items()
+            if not state.evacuations.contains(server.record.notice)
+        }
     call.others = homes.draw_others(
-        service.servers, service.homes, call.tried_servers, state.rng
+        servers, service.homes, call.tried_servers, state.rng
     )
 
 
@@ -387,7 +394,7 @@
     waits_ms = [
         state.wait_ms(name, now_ms)
         for name in service.servers
-        if name not in call.tried_servers
+        if name not in call.tried_servers and not state.is_evacuated(name)
     ]
     wait_ms = min((ms for ms in waits_ms if ms > 0.0), default=0.0)
     is_limited = wait_ms > 0.0
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -72,6 +72,7 @@
         state.reachability.is_partitioned,
         state.has_peers
         and state.peers.is_list_due(state.reachability.is_partitioned, now_ms),
+        evacuation_version=state.evacuations.version,
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -113,6 +114,7 @@
     state.leader = event.sender
     state.controls = notice.controls
     _update_entries(state, notice.entries, event.at_ms)
+    _update_evacuations(state, notice, event.at_ms, effects)
     if notice.configuration is not None and notice.number > state.number:
         _apply_configuration(state, notice, effects)
     if notice.base_revision > state.revision:
@@ -153,6 +155,39 @@
         state.quarantines = frozenset(notice.quarantines)
 
 
+def _update_evacuations(
+    state: GatewayState,
+    notice: FeedNotice,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Applies the evacuated failure domains of a notice.
+
+    Requests that run at their servers complete; idle connections are closed.
+    """
+    before = state.evacuations.domains
+    if not state.evacuations.apply(
+        notice.evacuation_version, notice.evacuated_domains, now_ms
+    ):
+        return
+    domains = state.evacuations.domains
+    servers = 0
+    for service in state.services.values():
+        state.choose_homes(service)
+        for server in service.servers.values():
+            domain = server.record.notice.failure_domain
+            if domain in domains:
+                servers += 1
+            if domain in domains - before:
+                effects.append(CloseIdleConnections(server.name))
+    fields = {
+        "version": notice.evacuation_version,
+        "domains": ",".join(sorted(domains)) or "none",
+        "servers": servers,
+    }
+    effects.append(Log("evacuations_in_force", fields))
+
+
 def _update_entries(state: GatewayState, entries: int, now_ms: float) -> None:
     """Updates the number of entries; a lower one is accepted after a delay.
 
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -164,7 +164,12 @@
         return
     call.is_maybe_executed = True
     _record_failure(server, event.at_ms)
-    if server is not None and event.kind.is_crash_evidence:
+    # Servers of an evacuated failure domain end because of its loss and not
+    # because of a request.
+    is_crash_suspected = event.kind.is_crash_evidence and not (
+        state.is_evacuated(call.server)
+    )
+    if server is not None and is_crash_suspected:
         effects.append(CheckServer(call.call_id, server.record.notice))
     retry_or_refuse(
         state, call, REFUSAL_REASONS[event.kind], event.at_ms, effects
@@ -345,6 +350,7 @@
             and service.health_path
             and overdue.is_check_due(server, now_ms)
             and state.rests.wait_ms(name, now_ms) <= 0.0
+            and not state.is_evacuated(name)
         ):
             server.checked_ms = now_ms
             effects.append(
--- a/gentianwall/gateway/partitions.py
+++ b/gentianwall/gateway/partitions.py
@@ -28,12 +28,16 @@
 ) -> None:
     """Checks a few servers on new connections if a round is due or urgent.
 
-    Servers that asked for rest are left alone.
+    Servers that asked for rest, and evacuated ones, are left alone.
     """
     rests = state.rests
     servers = state.service_by_server
-    if rests.until_ms:
-        servers = [n for n in servers if rests.wait_ms(n, now_ms) <= 0.0]
+    if rests.until_ms or state.evacuations.domains:
+        servers = [
+            n
+            for n in servers
+            if rests.wait_ms(n, now_ms) <= 0.0 and not state.is_evacuated(n)
+        ]
     checked = state.reachability.start_round(
         servers, state.rng, now_ms, is_urgent
     )
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -11,6 +11,7 @@
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
+from gentianwall.gateway.evacuations import Evacuations
 from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
 from gentianwall.gateway.peers import Peers
@@ -200,6 +201,7 @@
         leaving: Incarnations of the servers that stated to this entry that
             they leave, by their names.
         rests: Servers that asked this entry for rest.
+        evacuations: Failure domains whose servers get no requests.
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
@@ -236,6 +238,7 @@
     rate_limits: RateLimits = attrs.field(factory=RateLimits)
     leaving: dict[str, int] = attrs.field(factory=dict)
     rests: Rests = attrs.field(factory=Rests)
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
@@ -257,8 +260,19 @@
 
     def may_send(self, server: str, now_ms: float) -> bool:
         """Returns whether a server may be sent a request now."""
-        return not self.is_leaving(server) and (
-            self.wait_ms(server, now_ms) <= 0.0
+        return (
+            not self.is_evacuated(server)
+            and not self.is_leaving(server)
+            and self.wait_ms(server, now_ms) <= 0.0
+        )
+
+    def is_evacuated(self, server: str) -> bool:
+        """Returns whether the failure domain of a server is evacuated."""
+        if not self.evacuations.domains:
+            return False
+        known = self.server(server)
+        return known is not None and self.evacuations.contains(
+            known.record.notice
         )
 
     def is_leaving(self, server: str) -> bool:
@@ -296,9 +310,14 @@
 
     def choose_homes(self, service: ServiceState) -> None:
         """Chooses the home servers of a service whose servers have changed."""
-        service.homes = choose_homes(
-            self.name, self.failure_domain, service.servers.values()
-        )
+        servers = service.servers.values()
+        if self.evacuations.domains:
+            servers = [
+                server
+                for server in servers
+                if not self.evacuations.contains(server.record.notice)
+            ]
+        service.homes = choose_homes(self.name, self.failure_domain, servers)
 
     def server(self, name: str) -> RoutedServer | None:
         """Returns a server by its name, or None if it is unknown."""
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -106,6 +106,11 @@
         """Queues the request behind the earlier ones of the connection."""
         self.channel.on_received(self)
 
+    @property
+    def is_caller_connected(self) -> bool:
+        """Whether the caller has not closed the connection."""
+        return not self._disconnected
+
     def header(self, name: bytes) -> str:
         """Returns the first value of a header, or an empty string."""
         values = self.requestHeaders.getRawHeaders(name)
--- a/gentianwall/http/control_pages.py
+++ b/gentianwall/http/control_pages.py
@@ -1,15 +1,22 @@
 """HTTP interface of a fleet's control instances.
 
-Operators use `PUT` and `GET` of `/gentianwall/v1/routes`. Servers use `PUT`
-and `DELETE` of `/gentianwall/v1/services/SERVICE/servers/ID`, as at an entry.
+Operators use `PUT` and `GET` of `/gentianwall/v1/routes`, `GET` of
+`/gentianwall/v1/evacuations`, and `PUT` and `DELETE` of
+`/gentianwall/v1/evacuations/FAILURE-DOMAIN`. Servers use `PUT` and `DELETE` of
+`/gentianwall/v1/services/SERVICE/servers/ID`, as at an entry.
 """
 
 from __future__ import annotations
 
 import json
 from collections.abc import Callable
+from urllib.parse import unquote_to_bytes
 
-from gentianwall.claims.commands import ConfigurationHeld, Done
+from gentianwall.claims.commands import (
+    ConfigurationHeld,
+    Done,
+    EvacuationsHeld,
+)
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.route_file import parse_route_file
 from gentianwall.config.schema import ConfigErrors
@@ -28,8 +35,9 @@
     load_token,
 )
 from gentianwall.logs import get_logger
-from gentianwall.membership.messages import ServerKey
+from gentianwall.membership.messages import ServerKey, is_name
 from gentianwall.runtime.leader_client import (
+    EvacuationUnsupported,
     LeaderClient,
     LeaderResult,
     LeaderTimeout,
@@ -39,6 +47,7 @@
 log = get_logger("control-pages")
 
 ROUTES_PATH = b"/gentianwall/v1/routes"
+EVACUATIONS_PATH = b"/gentianwall/v1/evacuations"
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -71,7 +80,11 @@
         if key is not None:
             self._handle_server(request, key)
         elif request.path == ROUTES_PATH:
-            self._handle_operator(request)
+            self._handle_operator(request, self._handle_routes)
+        elif request.path == EVACUATIONS_PATH:
+            self._handle_operator(request, self._list_evacuations)
+        elif request.path.startswith(EVACUATIONS_PATH + b"/"):
+            self._handle_operator(request, self._set_evacuation)
         else:
             _refuse(request, 404, "no such page")
 
@@ -113,11 +126,67 @@
             return
         self._leader_client.announce(notice, sequence, 0.0, on_result)
 
-    def _handle_operator(self, request: CallerRequest) -> None:
+    def _handle_operator(
+        self, request: CallerRequest, page: Callable[[CallerRequest], None]
+    ) -> None:
         authorization = request.header(b"Authorization")
-        if not has_bearer_token(self._operator_token, authorization):
+        if has_bearer_token(self._operator_token, authorization):
+            page(request)
+        else:
             _refuse(request, 401, "wrong token")
-        elif request.method == b"PUT":
+
+    def _list_evacuations(self, request: CallerRequest) -> None:
+        if request.method != b"GET":
+            _refuse(request, 405, "use GET")
+            return
+
+        def on_result(result: LeaderResult) -> None:
+            if not isinstance(result, ConfigurationReply):
+                _refuse_result(request, result)
+                return
+            content = {
+                "version": result.evacuations.version,
+                "failure_domains": [
+                    {"name": name, "started_ms": started_ms}
+                    for name, started_ms in result.evacuations.started_ms
+                ],
+            }
+            _answer(request, content)
+
+        self._leader_client.read_evacuations(on_result)
+
+    def _set_evacuation(self, request: CallerRequest) -> None:
+        if request.method not in (b"PUT", b"DELETE"):
+            _refuse(request, 405, "use PUT or DELETE")
+            return
+        quoted_name = request.path[len(EVACUATIONS_PATH) + 1 :]
+        name = unquote_to_bytes(quoted_name).decode("utf-8", "replace")
+        if not is_name(name):
+            _refuse(request, 400, "the path must name a failure domain")
+            return
+        is_evacuated = request.method == b"PUT"
+        log.info(
+            "%s of the evacuation of failure domain %r received.",
+            "Start" if is_evacuated else "Finish",
+            name,
+        )
+
+        def on_result(result: LeaderResult) -> None:
+            if isinstance(result, EvacuationsHeld) and not result.is_full:
+                content = {
+                    "version": result.version,
+                    "failure_domains": list(result.failure_domains),
+                }
+                _answer(request, content)
+            else:
+                _refuse_result(request, result)
+
+        self._leader_client.set_evacuation(
+            name, is_evacuated, lambda: request.is_caller_connected, on_result
+        )
+
+    def _handle_routes(self, request: CallerRequest) -> None:
+        if request.method == b"PUT":
             self._put_configuration(request)
         elif request.method == b"GET":
             self._get_configuration(request)
@@ -192,6 +261,13 @@
     if isinstance(result, LeaderTimeout):
         _refuse(request, 503, "no majority answered in time; ask again")
         return
+    if isinstance(result, EvacuationUnsupported):
+        title = "a control instance does not support evacuations"
+        _refuse(request, 503, title)
+        return
+    if isinstance(result, EvacuationsHeld):
+        _refuse(request, 503, "too many failure domains are evacuated")
+        return
     if isinstance(result, UnknownService):
         _refuse(request, 400, f"unknown service {result.service!r}")
         return
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -59,6 +59,8 @@
     "log_lines_dropped_total": "Log lines dropped as the reader was slow.",
     "log_lines_suppressed_total": "Log lines over the rate of their event.",
     "rate_limited_servers": "Servers that name a rate limit.",
+    "evacuated_domains": "Evacuated failure domains.",
+    "evacuations_total": "Changes of evacuations known to this process.",
     "is_partitioned": "Whether this entry reaches no server.",
     "peers_known": "Entries that relay requests if this one is partitioned.",
     "is_leader": "Whether this control instance is the leader.",
--- a/gentianwall/platform/control_api.py
+++ b/gentianwall/platform/control_api.py
@@ -5,11 +5,16 @@
 import json
 from urllib.parse import parse_qs
 
-from gentianwall.claims.commands import ConfigurationHeld, Done
+from gentianwall.claims.commands import (
+    ConfigurationHeld,
+    Done,
+    EvacuationsHeld,
+)
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.control.messages import ConfigurationReply
 from gentianwall.http.channel import CallerRequest
 from gentianwall.logs import get_logger
+from gentianwall.membership.messages import is_name
 from gentianwall.platform.announcements import (
     InvalidAnnouncement,
     decode_deregistration,
@@ -17,6 +22,7 @@
 )
 from gentianwall.platform.configurations import decode_configuration
 from gentianwall.runtime.leader_client import (
+    EvacuationUnsupported,
     LeaderClient,
     LeaderResult,
     LeaderTimeout,
@@ -29,9 +35,10 @@
 
 
 class ControlApi:
-    """Handles `POST /rpc?call=NAME&of=SERVER`.
+    """Handles `POST /rpc?call=NAME&of=SUBJECT`.
 
-    In the call names, an instance is a server, not a gentianwall process.
+    In the call names, an instance is a server, not a gentianwall process. The
+    subject of an evacuation is a failure domain, that of other calls a server.
     """
 
     def __init__(self, leader_client: LeaderClient):
@@ -41,19 +48,23 @@
         """Handles a complete request."""
         query = parse_qs(request.uri.partition(b"?")[2].decode("latin-1"))
         call_name = query.get("call", [""])[0]
-        server = query.get("of", [""])[0]
+        subject = query.get("of", [""])[0]
         if request.method != b"POST" or request.path != b"/rpc":
             _answer_error(request, 404, "only POST /rpc is supported")
             return
         match call_name:
             case "instances.heartbeat":
-                self._handle_heartbeat(request, server)
+                self._handle_heartbeat(request, subject)
             case "instances.deregister":
-                self._handle_deregistration(request, server)
+                self._handle_deregistration(request, subject)
             case "config.replace":
                 self._put_configuration(request)
             case "config.get":
                 self._read_configuration(request)
+            case "evacuations.start":
+                self._set_evacuation(request, subject, True)
+            case "evacuations.finish":
+                self._set_evacuation(request, subject, False)
             case _:
                 _answer_error(request, 404, f"unknown call: {call_name!r}")
 
@@ -90,6 +101,25 @@
             lambda result: _answer_result(request, result),
         )
 
+    def _set_evacuation(
+        self, request: CallerRequest, failure_domain: str, is_evacuated: bool
+    ) -> None:
+        if not is_name(failure_domain):
+            reason = "query parameter `of` must name a failure domain"
+            _answer_error(request, 400, reason)
+            return
+        log.info(
+            "%s of the evacuation of failure domain %r received.",
+            "Start" if is_evacuated else "Finish",
+            failure_domain,
+        )
+        self._leader_client.set_evacuation(
+            failure_domain,
+            is_evacuated,
+            lambda: request.is_caller_connected,
+            lambda result: _answer_result(request, result),
+        )
+
     def _put_configuration(self, request: CallerRequest) -> None:
         configuration = decode_configuration(request.body)
         if isinstance(configuration, ConfigErrors):
@@ -125,6 +155,15 @@
     match result:
         case Done() | ConfigurationHeld():
             request.answer(200, [JSON_TYPE], b"{}")
+        case EvacuationsHeld(is_full=True):
+            reason = "too many failure domains are evacuated, finish others"
+            _answer_error(request, 503, reason)
+        case EvacuationsHeld():
+            request.answer(200, [JSON_TYPE], b"{}")
+        case EvacuationUnsupported():
+            _answer_error(
+                request, 503, "a control instance does not support evacuations"
+            )
         case UnknownService():
             _answer_error(request, 400, f"unknown service {result.service!r}")
         case LeaderTimeout():
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from gentianwall.claims.commands import ChangeMembers, approximate_bytes
+from gentianwall.claims.commands import (
+    SUPPORTED_FEATURES,
+    ChangeMembers,
+    approximate_bytes,
+)
 from gentianwall.claims.register import apply_command
 from gentianwall.claims.snapshot_codec import decode_register
 from gentianwall.replication import election
@@ -211,7 +215,12 @@
     effects: list[ReplicationEffect],
 ) -> None:
     reply = AppendReply(
-        state.term, is_success, match_index, state.disk_id, sent_ms
+        state.term,
+        is_success,
+        match_index,
+        state.disk_id,
+        sent_ms,
+        SUPPORTED_FEATURES,
     )
     effects.append(SendToReplica(leader, reply))
 
@@ -240,6 +249,7 @@
     ):
         return
     progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+    progress.features = reply.features
     if reply.is_success:
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/gentianwall/replication/election.py
+++ b/gentianwall/replication/election.py
@@ -225,6 +225,7 @@
     state.stored_entries = 0
     state.stored_ms = now_ms
     state.lease_start_ms = float("-inf")
+    state.proposed_features = 0
     state.progress = {
         member.replica: Progress(member.disk_id, state.log.last_index + 1)
         for member in state.members
--- a/gentianwall/replication/joining.py
+++ b/gentianwall/replication/joining.py
@@ -14,7 +14,11 @@
 
 from __future__ import annotations
 
-from gentianwall.claims.commands import ChangeMembers
+from gentianwall.claims.commands import (
+    SUPPORTED_FEATURES,
+    ChangeMembers,
+    Noop,
+)
 from gentianwall.replication.effects import ReplicationEffect, SendToReplica
 from gentianwall.replication.messages import JoinRequest, Member
 from gentianwall.replication.state import Progress, ReplicaState, Role
@@ -59,7 +63,7 @@
         LEARNER_JOIN_INTERVAL_MS if has_active_leader else JOIN_INTERVAL_MS
     )
     state.join_due_ms = now_ms + wait_ms
-    request = JoinRequest(state.disk_id)
+    request = JoinRequest(state.disk_id, features=SUPPORTED_FEATURES)
     for peer in (state.leader,) if has_active_leader else state.peers:
         effects.append(SendToReplica(peer, request))
 
@@ -74,17 +78,23 @@
     """Starts replication to a learner; a follower forwards the request."""
     if state.role is not Role.LEADER:
         if not request.replica and state.leader not in ("", sender):
-            forwarded = JoinRequest(request.disk_id, sender)
+            forwarded = JoinRequest(request.disk_id, sender, request.features)
             effects.append(SendToReplica(state.leader, forwarded))
         return
     name = request.replica or sender
     is_admissible = name in state.peers or state.target_voters > 0
     if not is_admissible or Member(name, request.disk_id) in state.members:
         return
+    if (state.register.features | state.proposed_features) & ~request.features:
+        # It could not read the log.
+        return
     current = state.progress.get(name)
     if current is None or current.disk_id != request.disk_id:
         state.progress[name] = Progress(
-            request.disk_id, state.log.last_index + 1, acked_ms=now_ms
+            request.disk_id,
+            state.log.last_index + 1,
+            acked_ms=now_ms,
+            features=request.features,
         )
 
 
@@ -141,6 +151,31 @@
     return None
 
 
+def next_feature_change(state: ReplicaState) -> Noop | None:
+    """Returns the entry that allows commands of further features, or None.
+
+    Every other member and every learner must have declared them to this
+    leader. Once committed, they remain allowed while members are down.
+    """
+    if state.role is not Role.LEADER:
+        return None
+    known = state.register.features | state.proposed_features
+    if not SUPPORTED_FEATURES & ~known:
+        return None
+    if state.log.term_at(state.commit_index) != state.term:
+        return None
+    common = SUPPORTED_FEATURES
+    for member in state.members:
+        if member.replica != state.name and state.progress_of(member) is None:
+            return None
+    for progress in state.progress.values():
+        common &= progress.features or 0
+    if not common & ~known:
+        return None
+    state.proposed_features |= common
+    return Noop(common)
+
+
 def _caught_up_learners(state: ReplicaState, now_ms: float) -> list[Member]:
     """Returns the responsive learners that hold all committed entries."""
     return [
--- a/gentianwall/replication/messages.py
+++ b/gentianwall/replication/messages.py
@@ -82,6 +82,8 @@
             index after which the leader continues to send.
         disk_id: Identity of the follower's disk.
         sent_ms: The request's `sent_ms`.
+        features: Sum of the `FEATURE_` constants that the follower
+            understands; 0 for builds from before there were any.
     """
 
     term: int
@@ -89,6 +91,7 @@
     match_index: int
     disk_id: str
     sent_ms: float
+    features: int = 0
 
 
 @attrs.frozen
@@ -108,10 +111,13 @@
         disk_id: Identity of its disk.
         replica: Name of the joining replica if the request is forwarded;
             empty if the sender itself joins.
+        features: Sum of the `FEATURE_` constants that the joining replica
+            understands.
     """
 
     disk_id: str
     replica: str = ""
+    features: int = 0
 
 
 ReplicationMessage = (
--- a/gentianwall/replication/replica.py
+++ b/gentianwall/replication/replica.py
@@ -164,6 +164,7 @@
                 state, sender, message, event.at_ms, effects
             )
             _propose_member_change(state, event.at_ms, effects)
+            _propose_features(state, event.at_ms, effects)
         case SnapshotRequest():
             appending.on_snapshot_request(
                 state, sender, message, event.at_ms, effects
@@ -181,6 +182,8 @@
         if election.check_quorum(state, now_ms, effects):
             appending.send_due(state, now_ms, effects)
             _propose_member_change(state, now_ms, effects)
+            # A leader without peers gets no replies.
+            _propose_features(state, now_ms, effects)
         return
     if not state.is_member or joining.is_isolated(state, now_ms):
         joining.request_join(state, now_ms, effects)
@@ -199,3 +202,11 @@
     change = joining.next_member_change(state, now_ms)
     if change is not None:
         propose(state, change, now_ms, effects)
+
+
+def _propose_features(
+    state: ReplicaState, now_ms: float, effects: list[ReplicationEffect]
+) -> None:
+    change = joining.next_feature_change(state)
+    if change is not None:
+        propose(state, change, now_ms, effects)
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -139,6 +139,7 @@
         sent_ms: When the latest request was sent.
         unacked_bytes: Memory of what was sent since the replica last
             acknowledged or refused all that it had been sent.
+        features: What it declared to understand; None until it has replied.
     """
 
     disk_id: str
@@ -147,6 +148,7 @@
     acked_ms: float = float("-inf")
     sent_ms: float = float("-inf")
     unacked_bytes: int = 0
+    features: int | None = None
 
 
 @attrs.define
@@ -178,6 +180,7 @@
         stored_ms: When it last changed, or when all entries were committed.
         fast_elections_until_ms: Until when a restarted former leader starts
             a pre-vote every `FAST_ELECTION_INTERVAL_MS`.
+        proposed_features: Features that this leader has proposed to use.
         lease_start_ms: Start of the lease: the latest time such that a quorum
             has acknowledged requests sent then or later.
     """
@@ -214,6 +217,7 @@
     stored_ms: float = 0.0
     join_due_ms: float = 0.0
     fast_elections_until_ms: float = float("-inf")
+    proposed_features: int = 0
 
     @property
     def is_member(self) -> bool:
@@ -237,6 +241,19 @@
             return None
         return progress
 
+    def can_propose(self, features: int) -> bool:
+        """Returns whether the log may contain the commands of some features.
+
+        That takes a committed entry that says so. A replica that has since
+        been replaced by a build without them forbids it as well.
+        """
+        if self.register.features & features != features:
+            return False
+        return all(
+            progress.features is None or progress.features & features
+            for progress in self.progress.values()
+        )
+
     def has_lease(self, now_ms: float) -> bool:
         """Returns whether the lease rules out that another replica leads."""
         return (
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -273,6 +273,8 @@
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
                 "rate_limited_servers": len(state.rate_limits.by_server),
+                "evacuated_domains": len(state.evacuations.domains),
+                "evacuations_total": state.evacuations.version,
                 "is_ready": int(state.is_ready),
                 "is_partitioned": int(state.reachability.is_partitioned),
                 "peers_known": len(state.peers.by_host),
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -17,7 +17,9 @@
     CommandResult,
     DeregisterServer,
     Done,
+    EvacuationsHeld,
     PutConfiguration,
+    SetEvacuation,
 )
 from gentianwall.claims.register import RegisterState, held_configuration
 from gentianwall.config.routes import RouteConfiguration
@@ -79,8 +81,20 @@
     service: str
 
 
+@attrs.frozen
+class EvacuationUnsupported:
+    """Some control instance has not declared that it understands evacuations.
+
+    This ends once the last instance of an earlier build is replaced.
+    """
+
+
 LeaderResult = (
-    CommandResult | ConfigurationReply | LeaderTimeout | UnknownService
+    CommandResult
+    | ConfigurationReply
+    | LeaderTimeout
+    | UnknownService
+    | EvacuationUnsupported
 )
 
 
@@ -181,6 +195,66 @@
         request = ConfigurationRequest(self._register("read", on_result))
         self._start_request(request, REPLY_TIMEOUT_MS)
 
+    def read_evacuations(
+        self, on_result: Callable[[LeaderResult], None]
+    ) -> None:
+        """Reads the evacuations in force, never outdated ones."""
+
+        def on_reply(result: LeaderResult) -> None:
+            is_unsupported = (
+                isinstance(result, ConfigurationReply)
+                and result.evacuations is None
+            )
+            on_result(EvacuationUnsupported() if is_unsupported else result)
+
+        request = ConfigurationRequest(
+            self._register("read", on_reply), wants_document=False
+        )
+        self._start_request(request, REPLY_TIMEOUT_MS)
+
+    def set_evacuation(
+        self,
+        failure_domain: str,
+        is_evacuated: bool,
+        is_caller_waiting: Callable[[], bool],
+        on_result: Callable[[LeaderResult], None],
+    ) -> None:
+        """Starts or finishes the evacuation of a failure domain.
+
+        The command is based on a version that is read after the operator's
+        request arrived, and proposed only while the operator waits. So nothing
+        of a request that its operator has given up takes effect after a later
+        request was acknowledged.
+        """
+        deadline_ms = monotonic_ms() + REPLY_TIMEOUT_MS
+
+        def on_read(result: LeaderResult) -> None:
+            if isinstance(result, ConfigurationReply):
+                propose(result.evacuations.version)
+            else:
+                on_result(result)
+
+        def propose(version: int) -> None:
+            left_ms = deadline_ms - monotonic_ms()
+            if left_ms <= 0.0 or not is_caller_waiting():
+                on_result(LeaderTimeout())
+                return
+            command = SetEvacuation(
+                failure_domain, is_evacuated, version, wall_ms()
+            )
+            self._submit(command, left_ms, on_applied)
+
+        def on_applied(result: LeaderResult) -> None:
+            if isinstance(result, EvacuationsHeld) and not result.is_full:
+                is_held = failure_domain in result.failure_domains
+                if is_held != is_evacuated:
+                    # Another change came first.
+                    propose(result.version)
+                    return
+            on_result(result)
+
+        self.read_evacuations(on_read)
+
     def receive(self, message: Message) -> bool:
         """Handles a reply; returns False for any other message."""
         match message:
--- a/gentianwall/timeline.py
+++ b/gentianwall/timeline.py
@@ -33,6 +33,7 @@
     REQUEST_QUARANTINED = "request-quarantined"
     LEADER_CHANGED = "leader-changed"
     MEMBERS_CHANGED = "members-changed"
+    EVACUATED = "evacuated-domains"
     STARTED = "started"
     DRAINING = "draining"
 
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -92,6 +92,7 @@
     Attributes:
         service_s: Service time of a request.
         limit_per_s: Limit that it names in its answers; None for none.
+        zone: Its failure domain.
         is_leaving: Whether it says in all its answers that it leaves.
         rest_until_s: It turns requests away and asks for rest until then, by
             the monotonic clock.
@@ -108,6 +109,7 @@
     host: str
     service_s: float = 0.02
     limit_per_s: float | None = None
+    zone: str = "z"
     is_leaving: bool = False
     rest_until_s: float = float("-inf")
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
@@ -205,7 +207,7 @@
             {
                 "service": self.service,
                 "address": f"{self.host}:{SERVER_PORT}",
-                "zone": "z",
+                "zone": self.zone,
                 "version": "v1",
                 "maxConcurrency": 4,
                 "state": state,
@@ -400,6 +402,14 @@
         query = f"instances.deregister&of={server.name}"
         return self._rpc(node, query, server.deregistration()).status
 
+    def set_evacuation(
+        self, node: Node, zone: str, is_evacuated: bool, timeout_s=1.5
+    ) -> int:
+        """Starts or finishes an evacuation; returns the status."""
+        name = "start" if is_evacuated else "finish"
+        query = f"evacuations.{name}&of={zone}"
+        return self._rpc(node, query, b"", timeout_s).status
+
     def _rpc(self, node, query, body, timeout_s=3.0) -> Answer:
         path = f"/rpc?call={query}"
         return call(
@@ -441,6 +451,21 @@
     )
 
 
+def set_evacuation_until_acknowledged(
+    fleet: Fleet, zone: str, is_evacuated: bool, limit_s: float = 4.0
+) -> None:
+    """Starts or finishes an evacuation as an operator does, in 4 s at most."""
+    wait_until(
+        f"evacuation of {zone} is acknowledged",
+        lambda: any(
+            fleet.set_evacuation(node, zone, is_evacuated) == 200
+            for node in fleet.controls
+            if node.process.poll() is None
+        ),
+        limit_s,
+    )
+
+
 def send_heartbeat_until_acknowledged(
     fleet: Fleet, server: FakeServer, state: str = "ready"
 ) -> None:
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -14,6 +14,7 @@
 import pytest
 
 from gentianwall.commands.apply import ExitCode
+from gentianwall.commands.evacuations import list_evacuations, set_evacuation
 from gentianwall.commands.routes import get_routes, put_routes
 from gentianwall.ctl.client import OperatorClient
 from harness.fleet import (
@@ -199,3 +200,20 @@
     )
     assert answer.status == 400
     assert option in json.loads(answer.body)["problems"][0]
+
+
+def test_operators_start_list_and_finish_evacuations(client, put):
+    for _ in range(2):
+        result = set_evacuation(client, "zone/2", True)
+        assert (result.code, result.content["failure_domains"]) == (
+            ExitCode.OK,
+            ["zone/2"],
+        )
+    (listed,) = list_evacuations(client).content["failure_domains"]
+    assert listed["name"] == "zone/2"
+    assert "zone/2" in list_evacuations(client).message
+    assert set_evacuation(client, "zone/2", False).code is ExitCode.OK
+    assert list_evacuations(client).content["failure_domains"] == []
+    stranger = OperatorClient(client.addresses)
+    assert set_evacuation(stranger, "zone/2", True).code is ExitCode.FAILED
+    assert set_evacuation(client, "\n", True).code is ExitCode.BAD_INPUT
