Wait for the control instance that a test of evacuations calls

Cause: a fleet counts as started once a majority of its control instances has the configuration; the one that the test calls may not listen yet. It got no answer once, beside other load. Change: the test waits until that instance answers; its assertions stay.

--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -137,7 +137,13 @@
 
 
 def test_a_call_without_a_zone_is_refused(fleet):
-    for name in ("start", "finish"):
+    host = fleet.controls[0].host
+
+    def send(name: str) -> int:
         path = f"/rpc?call=evacuations.{name}&of="
-        host = fleet.controls[0].host
-        assert call(host, CONTROL_PORT, "POST", path).status == 400
+        return call(host, CONTROL_PORT, "POST", path).status
+
+    # The fleet counts as started once a majority of the control instances has
+    # its configuration, when this one may not listen yet.
+    wait_until("the control instance answers", lambda: send("start") != 0)
+    assert send("start") == send("finish") == 400
