Propose organisations only where all replicas keep them

Cause: a replica of a build that does not know organisations ignores the appended field when it decodes a configuration. It stores the configuration without organisations and, as a leader, would send it so to entries, which then serve without keys; an older leader would commit it so. Change: append requests and replies state what a build understands, in an appended field. A replica that is down does not stop changes. Not covered: an older replica that is silent at the proposal, or joins later.

--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -14,8 +14,9 @@
 RATE_LIMIT_MAX_AGE_MS = 60_000.0
 
 
-# Entries that understand organisations. Others would serve without keys, so
-# they receive no configuration that has organisations.
+# Processes that understand organisations. Other entries would serve without
+# keys and other control instances would store a configuration without its
+# organisations, so that they receive no configuration that has some.
 FEATURE_ORGANISATIONS = 1
 
 
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from gentianwall.claims.commands import Command
+from gentianwall.claims.commands import Command, PutConfiguration
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     CommandRefused,
     CommandReply,
     CommandRequest,
@@ -180,6 +181,10 @@
     )
     if pending_reply in state.pending_replies.values():
         return  # Sent again by its client before it was committed.
+    if _is_withheld(state, request.command, effects):
+        refused = CommandRefused(request.request_id, "", False)
+        effects.append(SendMessage(event.sender, refused))
+        return
     # The leader sets the time of commands, so that the clock of an entry
     # cannot advance the log time.
     command = attrs.evolve(request.command, at_ms=event.wall_ms)
@@ -188,6 +193,26 @@
     _propose(state, command, event, effects)
 
 
+def _is_withheld(
+    state: ControlState, command: Command, effects: list[ControlEffect]
+) -> bool:
+    """Returns whether a replica would store a command incompletely.
+
+    A replica of a build that does not know organisations would store the
+    configuration without them and, as a leader, send it to entries so.
+    """
+    if not isinstance(command, PutConfiguration):
+        return False
+    if not command.configuration.organisations:
+        return False
+    outdated = state.replica.replicas_without(FEATURE_ORGANISATIONS)
+    number = command.configuration.number
+    detail = f"number {number}: a build without organisations"
+    for name in outdated:
+        effects.append(RecordEvent(EventKind.CONFIG_WITHHELD, name, detail))
+    return bool(outdated)
+
+
 def _propose(
     state: ControlState,
     command: Command,
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -118,6 +118,7 @@
         entries=entries,
         commit_index=state.commit_index,
         sent_ms=now_ms,
+        features=state.features,
     )
     effects.append(SendToReplica(name, request))
 
@@ -135,6 +136,7 @@
     """
     if not _accept_leader(state, sender, request, now_ms, effects):
         return
+    state.leader_features = request.features
     if request.prev_index < state.log.base_index:
         # Entries that the snapshot covers are committed and cannot conflict.
         match_index = state.log.base_index
@@ -211,7 +213,12 @@
     effects: list[ReplicationEffect],
 ) -> None:
     reply = AppendReply(
-        state.term, is_success, match_index, state.disk_id, sent_ms
+        state.term,
+        is_success,
+        match_index,
+        state.disk_id,
+        sent_ms,
+        state.features,
     )
     effects.append(SendToReplica(leader, reply))
 
@@ -240,6 +247,7 @@
     ):
         return
     progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+    progress.features = reply.features
     if reply.is_success:
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/gentianwall/replication/election.py
+++ b/gentianwall/replication/election.py
@@ -66,6 +66,7 @@
     if was_leader:
         reset_election_timer(state, now_ms)
     if is_leader_changed:
+        state.leader_features = 0  # Until its first request.
         effects.append(LeadershipChanged(state.term, leader, False))
 
 
--- a/gentianwall/replication/messages.py
+++ b/gentianwall/replication/messages.py
@@ -61,7 +61,18 @@
 
 @attrs.frozen
 class AppendRequest:
-    """Carries the entries after `prev_index`; a heartbeat has none."""
+    """Carries the entries after `prev_index`; a heartbeat has none.
+
+    Attributes:
+        term: Term of the leader.
+        prev_index: Index of the entry before `entries`.
+        prev_term: Term of that entry.
+        entries: Entries to append.
+        commit_index: Index of the last entry that the leader has committed.
+        sent_ms: When it was sent, by the leader's clock.
+        features: Sum of the `FEATURE_` constants of what the leader's build
+            understands; 0 for builds from before there were any.
+    """
 
     term: int
     prev_index: int
@@ -69,6 +80,7 @@
     entries: tuple[LogEntry, ...]
     commit_index: int
     sent_ms: float
+    features: int = 0
 
 
 @attrs.frozen
@@ -82,6 +94,7 @@
             index after which the leader continues to send.
         disk_id: Identity of the follower's disk.
         sent_ms: The request's `sent_ms`.
+        features: What the follower's build understands, as in a request.
     """
 
     term: int
@@ -89,6 +102,7 @@
     match_index: int
     disk_id: str
     sent_ms: float
+    features: int = 0
 
 
 @attrs.frozen
--- a/gentianwall/replication/restore.py
+++ b/gentianwall/replication/restore.py
@@ -35,6 +35,7 @@
     seed: int,
     now_ms: float,
     target_voters: int = 0,
+    features: int = 0,
 ) -> ReplicaState:
     """Returns a follower with the term, vote and log read from its disk.
 
@@ -52,6 +53,7 @@
         now_ms: The monotonic clock.
         target_voters: Number of voters to reach; 0 makes each replica that
             joins a voter.
+        features: What this build understands.
     """
     state = ReplicaState(
         name=name,
@@ -62,6 +64,7 @@
         target_voters=target_voters,
         term=persistent_state.term,
         voted_for=persistent_state.voted_for,
+        features=features,
     )
     if persistent_state.snapshot is not None:
         appending.install_snapshot(state, persistent_state.snapshot)
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -139,6 +139,7 @@
         sent_ms: When the latest request was sent.
         unacked_bytes: Memory of what was sent since the replica last
             acknowledged or refused all that it had been sent.
+        features: What its build understands; None until its first reply.
     """
 
     disk_id: str
@@ -147,6 +148,7 @@
     acked_ms: float = float("-inf")
     sent_ms: float = float("-inf")
     unacked_bytes: int = 0
+    features: int | None = None
 
 
 @attrs.define
@@ -180,6 +182,8 @@
             a pre-vote every `FAST_ELECTION_INTERVAL_MS`.
         lease_start_ms: Start of the lease: the latest time such that a quorum
             has acknowledged requests sent then or later.
+        features: What this build understands, stated to other replicas.
+        leader_features: What the build of the followed leader understands.
     """
 
     name: str
@@ -214,6 +218,8 @@
     stored_ms: float = 0.0
     join_due_ms: float = 0.0
     fast_elections_until_ms: float = float("-inf")
+    features: int = 0
+    leader_features: int = 0
 
     @property
     def is_member(self) -> bool:
@@ -230,6 +236,18 @@
         """Memory of the entries that are not committed yet."""
         return self.log.bytes_between(self.commit_index, self.log.last_index)
 
+    def replicas_without(self, feature: int) -> list[str]:
+        """Returns the replicas that have stated that they lack a feature.
+
+        A replica that has not replied to this leader yet is not among them,
+        since one that is down must not stop changes.
+        """
+        return [
+            name
+            for name, progress in self.progress.items()
+            if progress.features is not None and not progress.features & feature
+        ]
+
     def progress_of(self, member: Member) -> Progress | None:
         """Returns the progress of a member, or None for another disk."""
         progress = self.progress.get(member.replica)
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -12,6 +12,7 @@
 from gentianwall.claims.snapshot_codec import encode_register
 from gentianwall.config.settings import Settings
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     CommandRefused,
     CommandReply,
     ConfigurationReply,
@@ -152,6 +153,7 @@
             seed=random.SystemRandom().getrandbits(64),
             now_ms=monotonic_ms(),
             target_voters=setup.target_voters,
+            features=FEATURE_ORGANISATIONS,
         )
         self.state = ControlState(replica, setup.entries)
         self.state.feed.server_silence_ms = setup.server_silence_ms
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -23,6 +23,7 @@
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.control.client import ControlClient, ControlSend
 from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
     CommandRefused,
     CommandReply,
     CommandRequest,
@@ -163,6 +164,14 @@
         if held is not None:
             on_result(held)
             return
+        if configuration.organisations and self._is_leader_outdated():
+            log.warning(
+                "Configuration %d not sent to the leader, whose build does "
+                "not know organisations.",
+                configuration.number,
+            )
+            on_result(LeaderTimeout())
+            return
         command = PutConfiguration(configuration, document, wall_ms())
         if len(document) > LARGE_DOCUMENT_BYTES:
             self._submit(
@@ -174,6 +183,13 @@
         else:
             self._submit(command, REPLY_TIMEOUT_MS, on_result)
 
+    def _is_leader_outdated(self) -> bool:
+        """Returns whether another replica leads and lacks organisations."""
+        replica = self._runtime.state.replica
+        return replica.leader not in ("", replica.name) and not (
+            replica.leader_features & FEATURE_ORGANISATIONS
+        )
+
     def read_configuration(
         self, on_result: Callable[[LeaderResult], None]
     ) -> None:
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -15,12 +15,25 @@
     PutConfiguration,
 )
 from gentianwall.claims.register import apply_command
-from gentianwall.config.routes import CallerLimits, RouteConfiguration
-from gentianwall.control.messages import CommandRequest
+from gentianwall.config.routes import (
+    CallerLimits,
+    Organisation,
+    RouteConfiguration,
+)
+from gentianwall.control.messages import (
+    FEATURE_ORGANISATIONS,
+    CommandRefused,
+    CommandRequest,
+)
 from gentianwall.core.control import ControlState, reduce_control
 from gentianwall.core.events import MessageArrived
+from gentianwall.replication.messages import AppendReply, AppendRequest
+from gentianwall.replication.replica import (
+    ReplicaMessageArrived,
+    reduce_replica,
+)
 from gentianwall.runtime import leader_client
-from gentianwall.runtime.leader_client import LeaderClient
+from gentianwall.runtime.leader_client import LeaderClient, LeaderTimeout
 from harness.leader import following_runtime, leading_replica
 
 NOW_MS = 10_000.0
@@ -80,3 +93,51 @@
     client.put_configuration(_configuration(7), LARGE_DOCUMENT, results.append)
     assert results == [ConfigurationHeld(7, False)]
     assert not follower.links.sent
+
+
+@pytest.mark.parametrize(
+    ("features", "is_proposed"),
+    [(None, True), (FEATURE_ORGANISATIONS, True), (0, False)],
+)
+def test_organisations_are_proposed_only_where_no_replica_drops_them(
+    features, is_proposed
+):
+    """Guards against an older replica that stores and sends them stripped.
+
+    One that is down must not stop changes.
+    """
+    control = ControlState(leading_replica(NOW_MS), ())
+    replica = control.replica
+    if features is not None:
+        reply = AppendReply(1, True, 1, "d-b", NOW_MS, features)
+        reduce_replica(replica, ReplicaMessageArrived(NOW_MS, "b", reply))
+    configuration = attrs.evolve(
+        _configuration(7), organisations=(Organisation("acme"),)
+    )
+    put = CommandRequest("q", PutConfiguration(configuration, b"", 0))
+    event = MessageArrived(NOW_MS, 0, "e", "boot", 0.0, put)
+    last_index = replica.log.last_index
+    effects = reduce_control(control, event)
+    assert (replica.log.last_index > last_index) == is_proposed
+    refused = [e for e in effects if hasattr(e, "message")]
+    assert [type(e.message) for e in refused] == (
+        [] if is_proposed else [CommandRefused]
+    )
+
+
+@pytest.mark.parametrize("features", [0, FEATURE_ORGANISATIONS])
+def test_organisations_are_sent_only_to_a_leader_that_knows_them(
+    follower, features
+):
+    """Guards against an older leader that commits them stripped."""
+    replica = follower.state.replica
+    heartbeat = AppendRequest(2, 0, 0, (), 0, NOW_MS, features)
+    reduce_replica(replica, ReplicaMessageArrived(NOW_MS, "b", heartbeat))
+    configuration = attrs.evolve(
+        _configuration(7), organisations=(Organisation("acme"),)
+    )
+    results = []
+    client = LeaderClient(follower)
+    client.put_configuration(configuration, b"seven", results.append)
+    assert bool(follower.links.sent) == bool(features)
+    assert results == ([] if features else [LeaderTimeout()])
