Refuse with 502 where 429 would promise too much

Cause: added the reason OVER_QUOTA with status 429, which promises that the request was not executed, also for a request that may have been. Change: such a refusal has status 502, as with 503. Measured: the two failing cases of tests/test_gateway_refusals.py pass, with the other tests of that file, of identity and of the gateway.

--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -68,6 +68,10 @@
 }
 
 
+# Statuses that promise callers that the request has not run and never will.
+PROMISING_STATUSES = frozenset((429, 503))
+
+
 @attrs.frozen
 class Refusal:
     """Refusal sent to the caller instead of an answer.
@@ -88,9 +92,11 @@
     def status(self) -> int:
         """The HTTP status of the reason.
 
-        Status 503 promises that the request was not executed, so a request
-        that may have been is refused with 502 instead.
+        A request that may have been executed is refused with 502 where the
+        status would promise that it was not.
         """
         status = STATUS[self.reason]
-        is_promise_kept = self.executed is Executed.NO or status != 503
-        return status if is_promise_kept else 502
+        is_false_promise = (
+            status in PROMISING_STATUSES and self.executed is not Executed.NO
+        )
+        return 502 if is_false_promise else status
