--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -16,6 +16,9 @@
 # does not know a command cannot read a log that contains it.
 FEATURE_EVACUATION = 1
 SUPPORTED_FEATURES = FEATURE_EVACUATION
+# A replica without this one would store configurations without organisations.
+FEATURE_STORED_ORGANISATIONS = 2
+STATED_FEATURES = SUPPORTED_FEATURES | FEATURE_STORED_ORGANISATIONS
 
 
 @attrs.frozen
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from gentianwall.claims.commands import (
-    SUPPORTED_FEATURES,
     ChangeMembers,
     approximate_bytes,
 )
@@ -122,6 +121,7 @@
         entries=entries,
         commit_index=state.commit_index,
         sent_ms=now_ms,
+        features=state.features,
     )
     effects.append(SendToReplica(name, request))
 
@@ -139,6 +139,7 @@
     """
     if not _accept_leader(state, sender, request, now_ms, effects):
         return
+    state.leader_features = request.features
     if request.prev_index < state.log.base_index:
         # Entries that the snapshot covers are committed and cannot conflict.
         match_index = state.log.base_index
@@ -220,7 +221,7 @@
         match_index,
         state.disk_id,
         sent_ms,
-        SUPPORTED_FEATURES,
+        state.features,
     )
     effects.append(SendToReplica(leader, reply))
 
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from gentianwall.claims.commands import approximate_bytes
+from gentianwall.claims.commands import STATED_FEATURES, approximate_bytes
 from gentianwall.claims.register import RegisterState
 from gentianwall.replication.messages import LogEntry, Member, Snapshot
 
@@ -139,7 +139,7 @@
         sent_ms: When the latest request was sent.
         unacked_bytes: Memory of what was sent since the replica last
             acknowledged or refused all that it had been sent.
-        features: What it declared to understand; None until it has replied.
+        features: What its build understands; None until its first reply.
     """
 
     disk_id: str
@@ -183,6 +183,8 @@
         proposed_features: Features that this leader has proposed to use.
         lease_start_ms: Start of the lease: the latest time such that a quorum
             has acknowledged requests sent then or later.
+        features: What this build understands, stated to other replicas.
+        leader_features: What the build of the followed leader understands.
     """
 
     name: str
@@ -218,6 +220,8 @@
     join_due_ms: float = 0.0
     fast_elections_until_ms: float = float("-inf")
     proposed_features: int = 0
+    features: int = STATED_FEATURES
+    leader_features: int = 0
 
     @property
     def is_member(self) -> bool:
@@ -234,6 +238,18 @@
         """Memory of the entries that are not committed yet."""
         return self.log.bytes_between(self.commit_index, self.log.last_index)
 
+    def replicas_without(self, feature: int) -> list[str]:
+        """Returns the replicas that have stated that they lack a feature.
+
+        A replica that has not replied to this leader yet is not among them,
+        since one that is down must not stop changes.
+        """
+        return [
+            name
+            for name, progress in self.progress.items()
+            if progress.features is not None and not progress.features & feature
+        ]
+
     def progress_of(self, member: Member) -> Progress | None:
         """Returns the progress of a member, or None for another disk."""
         progress = self.progress.get(member.replica)
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -12,6 +12,7 @@
 import attrs
 
 from gentianwall.claims.commands import (
+    FEATURE_STORED_ORGANISATIONS,
     AnnounceServer,
     Command,
     CommandResult,
@@ -177,6 +178,14 @@
         if held is not None:
             on_result(held)
             return
+        if configuration.organisations and self._is_leader_outdated():
+            log.warning(
+                "Configuration %d not sent to the leader, whose build does "
+                "not know organisations.",
+                configuration.number,
+            )
+            on_result(LeaderTimeout())
+            return
         command = PutConfiguration(configuration, document, wall_ms())
         if len(document) > LARGE_DOCUMENT_BYTES:
             self._submit(
@@ -188,6 +197,13 @@
         else:
             self._submit(command, REPLY_TIMEOUT_MS, on_result)
 
+    def _is_leader_outdated(self) -> bool:
+        """Returns whether another replica leads and lacks organisations."""
+        replica = self._runtime.state.replica
+        return replica.leader not in ("", replica.name) and not (
+            replica.leader_features & FEATURE_STORED_ORGANISATIONS
+        )
+
     def read_configuration(
         self, on_result: Callable[[LeaderResult], None]
     ) -> None:
