Keep organisations to their quotas over all entries

Cause: nothing held an organisation to ratePerS and burst. Change: the leader leases tokens with its notices, and the entry spends one for each client attempt when it would be dispatched. A request that finds no token waits for the answer to an early poll, at most a quarter of its time or 1.5 s, unless the quota is exhausted; then it is refused with 429 and the time until there is room. The token of a request that is refused without an attempt is taken back. Fallback shares go to a new leader as part of its budget.

--- a/gentianwall/control/limits.py
+++ b/gentianwall/control/limits.py
@@ -24,13 +24,17 @@
 # receipt. The difference covers clocks that deviate by 1 % each.
 LEASE_MS = 3000.0
 LEADER_LEASE_MS = 3100.0
+# Tokens of the slack that may be spent in a window in addition to the overage:
+# requests of small organisations arrive at random, and exceed their quota by a
+# few in many windows although they are below it on average.
+CHANCE_TOKENS = 6
 # Validity of the share of an entry without a lease. It covers a loss of all
 # control instances that lasts until operators repair it.
 FALLBACK_MS = 600_000.0
 LEADER_FALLBACK_MS = 620_000.0
 # Tokens set aside for entries without a lease: few of them, since they are
 # missing where the demand is.
-FALLBACK_TOKENS = 6
+FALLBACK_TOKENS = 8
 FALLBACK_RATIO = 0.02
 # Spent tokens are reported to a new leader by age, in steps of this length.
 AGE_STEP_MS = 400.0
@@ -63,7 +67,7 @@
     """Returns the size of a quota."""
     allowed = (rate_per_s * QUOTA_WINDOW_S + burst) * (1.0 + QUOTA_OVERAGE)
     return LimitSize(
-        per_window=max(1, math.floor(allowed)),
+        per_window=math.floor(allowed) + CHANCE_TOKENS,
         total=math.floor(allowed) + QUOTA_SLACK,
         fallback=FALLBACK_TOKENS + math.floor(FALLBACK_RATIO * allowed),
     )
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -214,9 +214,10 @@
 
     Attributes:
         name: Name of the limit.
-        tokens: Unused tokens of the former leader's lease, which it gives up.
+        tokens: Unused tokens, which it gives up.
         spent: Tokens that it spent within the window, by age in steps.
-        fallback: Tokens a window that it may spend without a lease.
+        fallback: Tokens a window that it might spend without a lease, and
+            gives up. They are part of `tokens` and `spent`.
     """
 
     name: str
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -11,15 +11,18 @@
 import attrs
 
 from gentianwall.claims.commands import MarkSilent
+from gentianwall.control.limits import quota_sizes
 from gentianwall.control.messages import (
     ConfigurationReply,
     FeedNotice,
     FeedPoll,
     FeedRedirect,
+    LimitNotice,
     PeerList,
     ServerHeartbeats,
 )
 from gentianwall.core.effects import SendMessage
+from gentianwall.core.limit_leases import LimitLeases
 from gentianwall.core.peers import choose_peers
 from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
@@ -107,6 +110,7 @@
         notices: Notices by the versions of their receivers, so that each is
             encoded once.
         rate_shares: Rate limits of servers and the entries that share them.
+        limit_leases: Tokens of limits over all entries that are leased to them.
     """
 
     subscribers: dict[str, Subscriber] = attrs.field(factory=dict)
@@ -118,6 +122,7 @@
     content: FeedContent | None = None
     notices: dict[FeedVersions, FeedNotice] = attrs.field(factory=dict)
     rate_shares: RateShares = attrs.field(factory=RateShares)
+    limit_leases: LimitLeases = attrs.field(factory=LimitLeases)
 
 
 def on_poll(
@@ -160,8 +165,32 @@
         replica.leader_since_ms,
         now_ms,
     )
-    if not _is_update_in_flight(feed, replica, subscriber, now_ms):
-        _send_notice(feed, replica, sender, now_ms, effects)
+    leased = None
+    if poll.limits is not None:
+        leases = _current_leases(feed, replica)
+        leased = leases.on_poll(sender, poll.limits, now_ms)
+        for name, recall in leases.recalls.items():
+            if name in feed.subscribers:
+                _send_notice(feed, replica, name, now_ms, effects, recall)
+    is_in_flight = _is_update_in_flight(feed, replica, subscriber, now_ms)
+    if leased is not None or not is_in_flight:
+        _send_notice(
+            feed, replica, sender, now_ms, effects, leased, is_in_flight
+        )
+
+
+def _current_leases(feed: FeedState, replica: ReplicaState) -> LimitLeases:
+    """Returns the leases of the current term, with the limits in force."""
+    leases = feed.limit_leases
+    if leases.term != replica.term:
+        leases = LimitLeases(replica.term, replica.leader_since_ms)
+        feed.limit_leases = leases
+    numbered = replica.register.numbered
+    number = _configuration_number(replica)
+    if leases.number != number:
+        sizes = {} if numbered is None else quota_sizes(numbered.configuration)
+        leases.apply_sizes(number, sizes)
+    return leases
 
 
 def _is_update_in_flight(
@@ -185,13 +214,23 @@
     name: str,
     now_ms: float,
     effects: list,
+    leased: LimitNotice | None = None,
+    is_in_flight: bool = False,
 ) -> None:
     """Sends an entry what it lacks and assumes that the notice arrives.
 
-    A lost notice does no harm: the next poll resets the assumed versions.
+    A lost notice does no harm: the next poll resets the assumed versions. An
+    entry whose update is in flight is sent its lease only.
     """
     subscriber = feed.subscribers[name]
     current = _current_versions(feed, replica)
+    if is_in_flight:
+        notice = _cached_notice(feed, replica, current, now_ms)
+        notice = attrs.evolve(
+            notice, revision=0, base_revision=0, limits=leased
+        )
+        effects.append(SendMessage(name, notice))
+        return
     if subscriber.versions != current:
         is_same_base = subscriber.update_base == subscriber.versions
         subscriber.update_count = (
@@ -200,6 +239,8 @@
         subscriber.update_base = subscriber.versions
         subscriber.update_sent_ms = now_ms
     notice = _cached_notice(feed, replica, subscriber.versions, now_ms)
+    if leased is not None:
+        notice = attrs.evolve(notice, limits=leased)
     subscriber.versions = current
     effects.append(SendMessage(name, notice))
 
@@ -211,8 +252,9 @@
 
     Entries that did not are removed from the subscribers.
     """
-    if not feed.subscribers or not replica.can_read(now_ms):
+    if not replica.can_read(now_ms):
         return
+    _current_leases(feed, replica)
     current = _current_versions(feed, replica)
     for name, subscriber in list(feed.subscribers.items()):
         if now_ms - subscriber.at_ms > SUBSCRIPTION_MS:
--- a/gentianwall/core/limit_leases.py
+++ b/gentianwall/core/limit_leases.py
@@ -129,6 +129,7 @@
         spent: Heap of (time at which they leave the window, spent tokens).
         spent_count: Sum of those tokens.
         fallbacks: Fallback shares by entry.
+        given_up: Fallback tokens that entries gave up to this leader.
         recall_due_ms: When tokens may be recalled again.
     """
 
@@ -140,6 +141,7 @@
     spent: list[tuple[float, int]] = attrs.field(factory=list)
     spent_count: int = 0
     fallbacks: dict[str, FallbackShare] = attrs.field(factory=dict)
+    given_up: int = 0
     recall_due_ms: float = float("-inf")
 
     def add_spent(self, count: int, until_ms: float) -> None:
@@ -269,15 +271,11 @@
         for handover in poll.handovers:
             ledger = self.ledgers.get(handover.name)
             if ledger is not None and ledger.has_past:
-                self._take_over(entry, ledger, handover, now_ms)
+                self._take_over(ledger, handover, now_ms)
         return session
 
     def _take_over(
-        self,
-        entry: str,
-        ledger: Ledger,
-        handover: LimitHandover,
-        now_ms: float,
+        self, ledger: Ledger, handover: LimitHandover, now_ms: float
     ) -> None:
         """Takes over what an entry had under an earlier leader.
 
@@ -287,10 +285,7 @@
         for step, count in enumerate(handover.spent):
             until_ms = now_ms - step * AGE_STEP_MS + WINDOW_MS
             ledger.add_spent(count, until_ms)
-        if handover.fallback and entry not in ledger.fallbacks:
-            ledger.fallbacks[entry] = FallbackShare(
-                handover.fallback, now_ms + LEADER_FALLBACK_MS
-            )
+        ledger.given_up += handover.fallback
 
     def _close(self, entry: str, now_ms: float) -> None:
         """Closes a session; its tokens may be spent until its leases expire."""
@@ -367,14 +362,17 @@
         """Returns how many tokens may be leased in addition."""
         ledger.drop_old(now_ms)
         most = ledger.size.leasable
-        past_ms = LEADER_LEASE_MS + WINDOW_MS
-        if ledger.has_past and now_ms - self.since_ms < past_ms:
+        if ledger.has_past and not self._is_past_over(now_ms):
             most = min(most, ledger.handed_over)
         return min(
             most - ledger.outstanding - ledger.spent_count,
             ledger.size.per_window - ledger.spent_count,
         )
 
+    def _is_past_over(self, now_ms: float) -> bool:
+        """Returns whether earlier leases are over and their use is too old."""
+        return now_ms - self.since_ms >= LEADER_LEASE_MS + WINDOW_MS
+
     def _exhausted_ms(self, ledger: Ledger, now_ms: float) -> float:
         """Returns the time until a limit has room; 0 if others may return some.
 
@@ -424,21 +422,28 @@
         """Gives the entry fallback shares, or prolongs those that it has.
 
         Entries that the leader has not heard of may hold shares of an earlier
-        leader, so it gives out others only when those have expired.
+        leader, so until those have expired it gives out only as many as were
+        given up to it.
         """
-        is_past_over = now_ms - self.since_ms >= LEADER_FALLBACK_MS
         for name, ledger in self.ledgers.items():
-            if not ledger.is_in_force:
-                continue
             share = ledger.fallbacks.get(entry)
             if share is not None:
                 share.expires_ms = now_ms + LEADER_FALLBACK_MS
                 continue
-            if ledger.has_past and not is_past_over:
+            if not ledger.is_in_force:
                 continue
+            most = ledger.size.fallback
+            if ledger.has_past:
+                if not self._is_past_over(now_ms):
+                    continue
+                if now_ms - self.since_ms < LEADER_FALLBACK_MS:
+                    most = min(most, ledger.given_up)
             tokens = max(1, ledger.size.fallback // len(self.sessions))
             given = sum(other.tokens for other in ledger.fallbacks.values())
-            if given + tokens > ledger.size.fallback:
+            given += tokens
+            ledger.drop_old(now_ms)
+            used = ledger.outstanding + ledger.spent_count
+            if given > most or used + given > ledger.size.total:
                 continue
             ledger.fallbacks[entry] = FallbackShare(
                 tokens, now_ms + LEADER_FALLBACK_MS
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import homes, placement, relaying
+from gentianwall.gateway import homes, placement, quotas, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -114,11 +114,37 @@
         priority=route.priority,
     )
     state.calls[call.call_id] = call
-    state.service(name).retry_window.record_call(now_ms)
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
+    room_ms = quotas.spend(state, call, now_ms)
+    if room_ms is not None:
+        _start(state, call, room_ms, now_ms, effects)
+
+
+def _start(
+    state: GatewayState,
+    call: RoutedCall,
+    room_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Dispatches a request, or refuses it if its quota has no room yet."""
+    if room_ms > 0.0:
+        quotas.record_refusal(state, call, room_ms, now_ms, effects)
+        refuse(state, call, RefusalReason.OVER_QUOTA, now_ms, effects, room_ms)
+        return
+    state.service(call.service).retry_window.record_call(now_ms)
     dispatch(state, call, now_ms, effects)
 
 
+def start_waiting(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Starts or refuses requests whose wait for a quota's token has ended."""
+    if state.waiting_for_quota:
+        for call, room_ms in quotas.decide_waiting(state, now_ms):
+            _start(state, call, room_ms, now_ms, effects)
+
+
 def _on_relayed_request(
     state: GatewayState,
     event: RequestArrived,
@@ -480,6 +506,7 @@
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     after_ms = 0.0
     if executed is Executed.NO:
+        quotas.refund(state, call)
         service_ms = state.service(call.service).service_ms_for(call.route)
         after_ms = min_retry_after_ms + (
             service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
@@ -498,6 +525,8 @@
         "left_ms": round(call.deadline_ms - now_ms),
         "retry_after_ms": round(after_ms),
     }
+    if call.organisation:
+        fields["organisation"] = call.organisation
     effects.append(Log("refused", fields))
     refusal = Refusal(reason, executed, after_ms)
     effects.append(RefuseRequest(call.call_id, refusal))
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -8,7 +8,7 @@
     FeedRedirect,
     PeerList,
 )
-from gentianwall.gateway import dispatching
+from gentianwall.gateway import dispatching, quotas
 from gentianwall.gateway.effects import (
     CloseIdleConnections,
     GatewayEffect,
@@ -49,6 +49,19 @@
         _send_poll(state, now_ms, effects)
 
 
+def send_early_poll(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Polls the leader before the next poll is due if tokens are lacking.
+
+    Without a leader the polls are not sent more often, since then all control
+    instances are polled.
+    """
+    is_feed_current = now_ms - state.feed_received_ms <= FEED_SILENCE_MS
+    if is_feed_current and state.limits.is_early_poll_due(now_ms):
+        _send_poll(state, now_ms, effects)
+
+
 def _send_poll(
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
@@ -72,6 +85,7 @@
         state.reachability.is_partitioned,
         state.has_peers
         and state.peers.is_list_due(state.reachability.is_partitioned, now_ms),
+        limits=state.limits.make_poll(now_ms),
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -115,6 +129,7 @@
     _update_entries(state, notice.entries, event.at_ms)
     if notice.configuration is not None and notice.number > state.number:
         _apply_configuration(state, notice, effects)
+        quotas.apply_configuration(state, event.at_ms)
     if notice.base_revision > state.revision:
         # An earlier notice was lost; the next poll asks for its content.
         state.poll_due_ms = event.at_ms
@@ -148,6 +163,11 @@
                 "holders": len(shared.holders),
             }
             effects.append(Log("rate_limit_shared", fields))
+    if notice.limits is not None:
+        state.limits.apply_notice(notice.limits, notice.term, event.at_ms)
+    else:
+        state.limits.record_notice_without_lease(state.entries, event.at_ms)
+    dispatching.start_waiting(state, event.at_ms, effects)
     if notice.quarantines is not None:
         state.quarantine_version = notice.quarantine_version
         state.quarantines = frozenset(notice.quarantines)
--- a/gentianwall/gateway/limit_leases.py
+++ b/gentianwall/gateway/limit_leases.py
@@ -106,6 +106,8 @@
         fallback_ms: When those were spent within the window.
         waiting: Requests that wait for a token.
         exhausted_until_ms: Until when the limit has no room.
+        refused: Refused requests since the last log line about them.
+        logged_ms: When that was written.
     """
 
     demand: Demand = attrs.field(factory=Demand)
@@ -121,6 +123,8 @@
     )
     waiting: int = 0
     exhausted_until_ms: float = float("-inf")
+    refused: int = 0
+    logged_ms: float = float("-inf")
 
     @property
     def tokens(self) -> int:
@@ -134,9 +138,11 @@
     def ages(self, now_ms: float) -> tuple[int, ...]:
         """Returns the tokens spent within the window by age in steps."""
         _drop_old(self.spent_ms, now_ms)
-        if not self.spent_ms:
+        _drop_old(self.fallback_ms, now_ms)
+        spent_ms = (*self.spent_ms, *self.fallback_ms)
+        if not spent_ms:
             return ()
-        steps = [int((now_ms - ms) / AGE_STEP_MS) for ms in self.spent_ms]
+        steps = [int((now_ms - ms) / AGE_STEP_MS) for ms in spent_ms]
         counts = collections.Counter(steps)
         return tuple(counts[step] for step in range(max(steps) + 1))
 
@@ -244,13 +250,21 @@
         _drop_old(held.fallback_ms, now_ms)
         if len(held.fallback_ms) < share:
             held.fallback_ms.append(now_ms)
-            if self.entries:
-                held.spent_ms.append(now_ms)
             return 0.0
         if share:
             return held.fallback_ms[0] + WINDOW_MS - now_ms
         return self._room_ms(held, now_ms)
 
+    def leased_spent(self, name: str) -> int:
+        """Returns how many leased tokens were spent in this session."""
+        held = self.held.get(name)
+        return 0 if held is None else held.spent
+
+    @property
+    def unspent(self) -> int:
+        """Unspent tokens of all limits."""
+        return sum(held.tokens for held in self.held.values())
+
     def refund(self, name: str) -> None:
         """Takes back a token of a request that was not sent, if possible.
 
@@ -343,7 +357,7 @@
         if (notice.boot, notice.generation) != (self.boot, self.generation):
             return
         if notice.is_unknown:
-            if self.number:
+            if self.number and term >= self.term:
                 self._start_session(term, now_ms)
             return
         if term != self.term:
@@ -379,20 +393,14 @@
         """
         self.handovers = ()
         if term != self.term:
-            has_lease = now_ms < self.lease_until_ms
             handovers = [
-                LimitHandover(
-                    name,
-                    held.tokens if has_lease else 0,
-                    held.ages(now_ms),
-                    held.fallback if now_ms < self.fallback_until_ms else 0,
-                )
+                self._hand_over(name, held, now_ms)
                 for name, held in self.held.items()
             ]
             self.handovers = tuple(
                 handover
                 for handover in handovers
-                if handover.tokens or handover.spent or handover.fallback
+                if handover.tokens or handover.spent
             )
         for held in self.held.values():
             held.start_session()
@@ -404,6 +412,17 @@
         self.is_poll_due = True
         self.polled_ms = float("-inf")
 
+    def _hand_over(
+        self, name: str, held: HeldLimit, now_ms: float
+    ) -> LimitHandover:
+        spent = held.ages(now_ms)
+        tokens = held.tokens if now_ms < self.lease_until_ms else 0
+        fallback = 0
+        if now_ms < self.fallback_until_ms:
+            fallback, held.fallback = held.fallback, 0
+            tokens += max(0, fallback - len(held.fallback_ms))
+        return LimitHandover(name, tokens, spent, fallback)
+
     def record_notice_without_lease(self, entries: int, now_ms: float) -> None:
         """Records a notice of a leader that granted no lease.
 
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -36,6 +36,7 @@
     match event:
         case RequestArrived():
             dispatching.on_request_arrived(state, event, effects)
+            feed.send_early_poll(state, event.at_ms, effects)
         case LoadQueryEnded():
             outcomes.on_load_query_ended(state, event, effects)
         case ServerAnswered():
@@ -62,8 +63,11 @@
             outcomes.on_server_crashed(state, event, effects)
         case FeedArrived():
             feed.on_feed(state, event, effects)
+            feed.send_early_poll(state, event.at_ms, effects)
         case Tick():
             feed.send_due_poll(state, event.at_ms, effects)
+            feed.send_early_poll(state, event.at_ms, effects)
+            dispatching.start_waiting(state, event.at_ms, effects)
             outcomes.on_tick(state, event.at_ms, effects)
             partitions.start_checks(state, event.at_ms, effects)
         case DrainStarted():
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -13,6 +13,7 @@
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
 from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
+from gentianwall.gateway.limit_leases import LeasedLimits
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
 from gentianwall.gateway.reachability import Reachability
@@ -77,6 +78,8 @@
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
             highest.
+        quota_generation: Lease session of the token that it spent of its
+            organisation's quota; -1 for none.
     """
 
     call_id: int
@@ -104,6 +107,7 @@
     relay: Relay | None = None
     organisation: str = ""
     priority: int = 0
+    quota_generation: int = -1
 
 
 @attrs.define
@@ -203,6 +207,11 @@
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
+        limits: Limits over all entries and this entry's tokens of them.
+        waiting_for_quota: Until when requests wait for a token, by call id, by
+            organisation.
+        quota_waits: Number of requests that waited for a token.
+        quota_refusals: Number of requests refused because of a quota.
     """
 
     name: str
@@ -239,6 +248,10 @@
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
+    limits: LeasedLimits = attrs.field(factory=LeasedLimits)
+    waiting_for_quota: dict[str, dict[int, float]] = attrs.field(factory=dict)
+    quota_waits: int = 0
+    quota_refusals: int = 0
 
     @property
     def is_ready(self) -> bool:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -273,6 +273,12 @@
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
                 "rate_limited_servers": len(state.rate_limits.by_server),
+                "quota_waits_total": state.quota_waits,
+                "quota_refusals_total": state.quota_refusals,
+                "quota_tokens": state.limits.unspent,
+                "has_limit_lease": int(
+                    monotonic_ms() < state.limits.lease_until_ms
+                ),
                 "is_ready": int(state.is_ready),
                 "is_partitioned": int(state.reachability.is_partitioned),
                 "peers_known": len(state.peers.by_host),
