--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -6,7 +6,7 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.gateway import homes, identity, placement, relaying
+from gentianwall.gateway import homes, identity, placement, quotas, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -120,10 +120,27 @@
         priority=identity.priority_of(organisation, route),
     )
     state.calls[call.call_id] = call
-    state.service(name).retry_window.record_call(now_ms)
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
+    room_ms = quotas.spend(state, call, now_ms)
+    if room_ms is not None:
+        _start(state, call, room_ms, now_ms, effects)
+
+
+def _start(
+    state: GatewayState,
+    call: RoutedCall,
+    room_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Dispatches a request, or refuses it if its quota has no room yet."""
+    if room_ms > 0.0:
+        quotas.record_refusal(state, call, room_ms, now_ms, effects)
+        refuse(state, call, RefusalReason.OVER_QUOTA, now_ms, effects, room_ms)
+        return
+    state.service(call.service).retry_window.record_call(now_ms)
     if state.overload is not None:
-        service_ms = state.service(name).service_ms_for(route)
+        service_ms = state.service(call.service).service_ms_for(call.route)
         shed = state.overload.judge(call, service_ms, now_ms)
         if shed is not None:
             refuse_shed(state, call, shed, now_ms, effects)
@@ -131,6 +148,15 @@
     dispatch(state, call, now_ms, effects)
 
 
+def start_waiting(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Starts or refuses requests whose wait for a quota's token has ended."""
+    if state.waiting_for_quota:
+        for call, room_ms in quotas.decide_waiting(state, now_ms):
+            _start(state, call, room_ms, now_ms, effects)
+
+
 def _on_relayed_request(
     state: GatewayState,
     event: RequestArrived,
@@ -531,6 +557,7 @@
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     after_ms = 0.0
     if executed is Executed.NO:
+        quotas.refund(state, call)
         service_ms = state.service(call.service).service_ms_for(call.route)
         if state.overload is not None and reason is RefusalReason.OVERLOADED:
             after_ms = max(
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -15,6 +15,7 @@
 from gentianwall.gateway.evacuations import Evacuations
 from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
+from gentianwall.gateway.limit_leases import LeasedLimits
 from gentianwall.gateway.overload import Overload, is_enabled
 from gentianwall.gateway.peers import Peers
 from gentianwall.gateway.rate_limits import RateLimits
@@ -81,6 +82,8 @@
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
             highest.
+        quota_generation: Lease session of the token that it spent of its
+            organisation's quota; -1 for none.
     """
 
     call_id: int
@@ -108,6 +111,7 @@
     relay: Relay | None = None
     organisation: str = ""
     priority: int = 0
+    quota_generation: int = -1
 
 
 @attrs.define
@@ -219,6 +223,11 @@
         relay_keys: Keys by which entries recognize each other's requests.
         overload_policy: Which requests are refused first under overload.
         overload: State of that policy; None where it is not enabled.
+        limits: Limits over all entries and this entry's tokens of them.
+        waiting_for_quota: Until when requests wait for a token, by call id, by
+            organisation.
+        quota_waits: Number of requests that waited for a token.
+        quota_refusals: Number of requests refused because of a quota.
     """
 
     name: str
@@ -259,6 +268,10 @@
     relay_keys: RelayKeys = attrs.field(factory=RelayKeys, repr=False)
     overload_policy: OverloadPolicy = OverloadPolicy.NONE
     overload: Overload | None = None
+    limits: LeasedLimits = attrs.field(factory=LeasedLimits)
+    waiting_for_quota: dict[str, dict[int, float]] = attrs.field(factory=dict)
+    quota_waits: int = 0
+    quota_refusals: int = 0
 
     def apply_overload_policy(self) -> None:
         """Enables or disables the overload policy for the configuration."""
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -280,6 +280,12 @@
                 "rate_limited_servers": len(state.rate_limits.by_server),
                 "evacuated_domains": len(state.evacuations.domains),
                 "evacuations_total": state.evacuations.version,
+                "quota_waits_total": state.quota_waits,
+                "quota_refusals_total": state.quota_refusals,
+                "quota_tokens": state.limits.unspent,
+                "has_limit_lease": int(
+                    monotonic_ms() < state.limits.lease_until_ms
+                ),
                 "is_ready": int(state.is_ready),
                 "is_partitioned": int(state.reachability.is_partitioned),
                 "peers_known": len(state.peers.by_host),
