Refuse requests of a nearly exhausted quota at once

Cause: the tokens of a large organisation that may be leased are fewer than those that it may spend, so its quota never counted as exhausted, and requests beyond it waited up to 1.5 s for tokens that other entries would have to return. Change: a limit is exhausted when 95 % of what may be leased was spent.

--- a/gentianwall/core/limit_leases.py
+++ b/gentianwall/core/limit_leases.py
@@ -44,6 +44,9 @@
 # free, so that waiting requests get a token at once.
 FREE_RATIO = 0.05
 FREE_TOKENS = 4
+# A limit counts as exhausted when this share of it was spent in the window. The
+# few tokens that are left elsewhere are not worth the wait for them.
+EXHAUSTED_RATIO = 0.95
 # Unused tokens are recalled at most this often for a limit, and from at most so
 # many entries, which bounds the messages.
 RECALL_MS = 100.0
@@ -361,14 +364,18 @@
     def _free(self, ledger: Ledger, now_ms: float) -> int:
         """Returns how many tokens may be leased in addition."""
         ledger.drop_old(now_ms)
-        most = ledger.size.leasable
-        if ledger.has_past and not self._is_past_over(now_ms):
-            most = min(most, ledger.handed_over)
+        most = self._leasable(ledger, now_ms)
         return min(
             most - ledger.outstanding - ledger.spent_count,
             ledger.size.per_window - ledger.spent_count,
         )
 
+    def _leasable(self, ledger: Ledger, now_ms: float) -> int:
+        """Returns how many tokens may be leased or spent within the window."""
+        if ledger.has_past and not self._is_past_over(now_ms):
+            return min(ledger.size.leasable, ledger.handed_over)
+        return ledger.size.leasable
+
     def _is_past_over(self, now_ms: float) -> bool:
         """Returns whether earlier leases are over and their use is too old."""
         return now_ms - self.since_ms >= LEADER_LEASE_MS + WINDOW_MS
@@ -376,10 +383,11 @@
     def _exhausted_ms(self, ledger: Ledger, now_ms: float) -> float:
         """Returns the time until a limit has room; 0 if others may return some.
 
-        A limit is exhausted if as much as it allows was spent in the window, or
-        if no entry holds tokens.
+        A limit is exhausted if nearly as much as it allows was spent in the
+        window, or if no entry holds tokens.
         """
-        is_spent = ledger.spent_count >= ledger.size.per_window
+        most = min(ledger.size.per_window, self._leasable(ledger, now_ms))
+        is_spent = ledger.spent_count >= EXHAUSTED_RATIO * most
         if ledger.outstanding > 0 and not is_spent:
             return 0.0
         if ledger.spent:
