Limit what all entries together send to cold servers

Cause: a server that warms up withstands a few requests a second from all entries together; entries ranked it as half as fast and sent as many as it had slots for. Only the warm-up of the first announcement was recorded, and health answers that state one were not read. Change: gateway/cold_servers.py decides by the number of entries and a hash which entries send to a cold server and how far apart. A warm-up that ends otherwise than known is recorded and pushed, for services with a limit and once every replica understands it (FEATURE_REPEATED_WARMUP); notices carry the leader's time. X-Gentianwall-Warmup-Ms in health answers counts at once. Servers of a domain whose evacuation ended count as cold for the service's warm-up time until they say otherwise; entries ask their home servers. Settings warmup_overage and warmup_slack from the deployment's bounds.

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -15,7 +15,10 @@
 # Commands that replicas declare to understand, as a bit set. A replica that
 # does not know a command cannot read a log that contains it.
 FEATURE_EVACUATION = 1
-SUPPORTED_FEATURES = FEATURE_EVACUATION
+# The registry records that a registered server is cold again. An earlier build
+# ignores that, so that its registry would differ.
+FEATURE_REPEATED_WARMUP = 2
+SUPPORTED_FEATURES = FEATURE_EVACUATION | FEATURE_REPEATED_WARMUP
 
 
 @attrs.frozen
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gentianwall.claims.commands import (
+    FEATURE_REPEATED_WARMUP,
     AnnounceServer,
     ApplyDeclaration,
     ChangeMembers,
@@ -42,6 +43,7 @@
 )
 from gentianwall.config.declaration import parse_declaration
 from gentianwall.config.schema import ConfigErrors
+from gentianwall.membership.messages import ServerNotice
 from gentianwall.membership.registry import (
     ServerRegistry,
     deregister_server,
@@ -136,8 +138,10 @@
             is raised: a deleted claim must not be granted a second time.
         numbered: The numbered configuration in force, if any.
         registry: Servers that registered with the control instances.
-        evacuations: Log time at which the evacuation of a failure domain
-            began, by its name.
+        evacuations: Wall-clock time of the leader at which the evacuation of a
+            failure domain began, by its name.
+        finished_evacuations: The same of the end of former evacuations; the
+            oldest first.
         evacuation_version: Number of `SetEvacuation` commands so far.
         features: Sum of the `FEATURE_` constants whose commands the log may
             contain.
@@ -156,6 +160,7 @@
     numbered: PutConfiguration | None = None
     registry: ServerRegistry = attrs.field(factory=ServerRegistry)
     evacuations: dict[str, int] = attrs.field(factory=dict)
+    finished_evacuations: dict[str, int] = attrs.field(factory=dict)
     evacuation_version: int = 0
     features: int = 0
 
@@ -170,6 +175,7 @@
             quarantines=dict(self.quarantines),
             registry=self.registry.copy(),
             evacuations=dict(self.evacuations),
+            finished_evacuations=dict(self.finished_evacuations),
         )
 
     @property
@@ -213,6 +219,11 @@
                 command.notice,
                 command.sequence,
                 command.warmup_ms,
+                (
+                    command.at_ms
+                    if has_repeated_warmup(state, command.notice)
+                    else None
+                ),
             )
             return Done()
         case DeregisterServer():
@@ -308,6 +319,20 @@
     return ConfigurationHeld(current_number, is_same)
 
 
+def has_repeated_warmup(state: RegisterState, notice: ServerNotice) -> bool:
+    """Returns whether every statement of a server's warm-up is recorded.
+
+    That is so if its service limits what cold servers get, and all replicas
+    understand it.
+    """
+    if not state.features & FEATURE_REPEATED_WARMUP or state.numbered is None:
+        return False
+    return any(
+        service.name == notice.key.service and service.warmup_per_s > 0
+        for service in state.numbered.configuration.services
+    )
+
+
 def _set_evacuation(
     state: RegisterState, command: SetEvacuation
 ) -> CommandResult:
@@ -325,9 +350,15 @@
             and len(state.evacuations) >= MAX_EVACUATED_DOMAINS
         )
         if not is_full:
-            state.evacuations.setdefault(command.failure_domain, state.now_ms)
+            state.evacuations.setdefault(command.failure_domain, command.at_ms)
     elif is_current:
-        state.evacuations.pop(command.failure_domain, None)
+        is_ended = state.evacuations.pop(command.failure_domain, None)
+        if is_ended is not None:
+            finished = state.finished_evacuations
+            finished.pop(command.failure_domain, None)
+            finished[command.failure_domain] = command.at_ms
+            if len(finished) > MAX_EVACUATED_DOMAINS:
+                del finished[next(iter(finished))]
     return EvacuationsHeld(
         state.evacuation_version, tuple(state.evacuations), is_full
     )
--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -113,6 +113,19 @@
         10.0,
         minimum=0.1,
     )
+    warmup_overage: float = option(
+        "Factor on the requests a second that a service states for its cold "
+        "servers; with `warmup_slack` it gives what such a server withstands "
+        "in any second, from all entries together.",
+        1.5,
+        minimum=0.0,
+        maximum=100.0,
+    )
+    warmup_slack: float = option(
+        "Further requests that a cold server withstands in any second.",
+        8.0,
+        minimum=0.0,
+    )
 
     @property
     def target_voters(self) -> int:
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -253,6 +253,11 @@
         evacuation_version: Version of `evacuated_domains`.
         evacuated_domains: Names of the evacuated failure domains; None if
             unchanged.
+        finished_domains: Pairs of a failure domain and the time at which its
+            evacuation ended; None if unchanged.
+        wall_ms: Wall-clock time of the leader at most 1 s before it sent the
+            notice. Times in `servers` and `finished_domains` compare to it. 0
+            for builds from before this field.
     """
 
     term: int
@@ -269,6 +274,8 @@
     base_revision: int = 0
     evacuation_version: int = 0
     evacuated_domains: tuple[str, ...] | None = None
+    finished_domains: tuple[tuple[str, int], ...] | None = None
+    wall_ms: int = 0
 
 
 @attrs.frozen
--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -120,6 +120,8 @@
         any of its messages is sent.
     """
     effects: list[ControlEffect] = []
+    if isinstance(event, MessageArrived):
+        state.feed.wall_offset_ms = event.wall_ms - event.at_ms
     match event:
         case Tick():
             tick = ReplicaTick(event.at_ms)
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -48,6 +48,9 @@
 # Maximum age of the entry count in a notice; entries use the count only seconds
 # later.
 ENTRY_COUNT_MAX_AGE_MS = 100.0
+# Cached notices are made anew after this time, since entries compute from them
+# for how long servers are still cold.
+NOTICE_MAX_AGE_MS = 1000.0
 
 
 @attrs.frozen
@@ -91,6 +94,7 @@
     versions: FeedVersions
     controls: tuple[str, ...]
     entries: int
+    wall_ms: int
 
 
 @attrs.define
@@ -109,6 +113,7 @@
         content: State that `notices` were made from.
         notices: Notices by the versions of their receivers, so that each is
             encoded once.
+        wall_offset_ms: Wall clock minus monotonic clock.
         rate_shares: Rate limits of servers and the entries that share them.
     """
 
@@ -120,6 +125,7 @@
     entries_counted_ms: float = float("-inf")
     content: FeedContent | None = None
     notices: dict[FeedVersions, FeedNotice] = attrs.field(factory=dict)
+    wall_offset_ms: float = 0.0
     rate_shares: RateShares = attrs.field(factory=RateShares)
 
 
@@ -259,6 +265,7 @@
         _current_versions(feed, replica),
         tuple(names),
         _count_entries(feed, now_ms),
+        int(feed.wall_offset_ms + now_ms - now_ms % NOTICE_MAX_AGE_MS),
     )
     if content != feed.content:
         feed.content = content
@@ -305,6 +312,12 @@
         evacuated_domains=(
             None if has_evacuations else tuple(register.evacuations)
         ),
+        finished_domains=(
+            None
+            if has_evacuations
+            else tuple(register.finished_evacuations.items())
+        ),
+        wall_ms=content.wall_ms,
     )
 
 
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -427,7 +427,7 @@
     if is_too_slow or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
-    state.rate_limits.spend(best.server.name)
+    state.record_sent(best.server, now_ms)
     _send(call, best.server, best.expected_ms, now_ms, effects)
 
 
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -160,6 +160,7 @@
         rate_limit_per_s: Rate limit that the server names, if any.
         rest_ms: Time for which the server wants nothing from this entry.
         is_leaving: Whether the server states that it leaves.
+        warmup_ms: For how long it states to be cold; None if not stated.
     """
 
     at_ms: float
@@ -171,6 +172,7 @@
     rate_limit_per_s: float | None = None
     rest_ms: float = 0.0
     is_leaving: bool = False
+    warmup_ms: float | None = None
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -17,7 +17,11 @@
 )
 from gentianwall.gateway.events import FeedArrived
 from gentianwall.gateway.servers import RoutedServer
-from gentianwall.gateway.state import GatewayState
+from gentianwall.gateway.state import (
+    ENTRIES_DECREASE_MS,
+    ENTRY_COUNT_DELAY_MS,
+    GatewayState,
+)
 from gentianwall.membership.registry import RegisteredServer
 from gentianwall.routing.routes import RouteTable
 
@@ -27,12 +31,6 @@
 # An entry without a configuration cannot dispatch requests, so it polls more
 # often.
 FIRST_POLL_MS = 50.0
-# Time after which a lower number of entries is accepted: three retry windows,
-# so that the retries spent under the old number have left the window.
-ENTRIES_DECREASE_MS = 30_000.0
-# Time after the first notice before the number of entries is used. Within this
-# time, even a new leader has received a poll from every running entry.
-ENTRY_COUNT_DELAY_MS = 3000.0
 # While the feed is silent, all control instances are polled, less often than
 # before the first configuration.
 SILENT_POLL_MS = 200.0
@@ -128,10 +126,12 @@
     elif notice.revision > state.revision:
         state.revision = notice.revision
         for record in notice.servers:
-            _apply_server(state, record, event.at_ms, effects)
+            _apply_server(state, record, notice, event.at_ms, effects)
         for name in {record.notice.key.service for record in notice.servers}:
             if name in state.services:
                 state.choose_homes(state.services[name])
+    if notice.finished_domains:
+        _presume_cold(state, notice, event.at_ms, effects)
     if state.unrouted and state.table is not None:
         dispatching.dispatch_unrouted(state, event.at_ms, effects)
     if notice.rate_limits is not None:
@@ -215,6 +215,8 @@
         service = state.service(declared.name)
         service.health_path = declared.health_path
         service.most_connections = declared.most_connections
+        service.warmup_ms = declared.warmup_ms
+        service.warmup_per_s = declared.warmup_per_s
     fields = {"number": notice.number, "routes": len(configuration.routes)}
     effects.append(Log("configuration_in_force", fields))
 
@@ -222,11 +224,16 @@
 def _apply_server(
     state: GatewayState,
     record: RegisteredServer,
+    feed_notice: FeedNotice,
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
     name = record.name
     notice = record.notice
+    if record.cold_until_ms and feed_notice.wall_ms:
+        left_ms = max(0, record.cold_until_ms - feed_notice.wall_ms)
+    else:
+        left_ms = record.warmup_ms
     current = state.server(name)
     is_same_process = (
         current is not None
@@ -243,7 +250,10 @@
     }
     effects.append(Log("server_changed", fields))
     if is_same_process and record.is_present:
+        is_news = record.cold_until_ms != current.record.cold_until_ms
         current.record = record
+        if is_news:
+            _set_cold(state, current, left_ms, now_ms, effects)
         return
     if current is not None:
         if current.record.notice.incarnation != notice.incarnation:
@@ -252,5 +262,52 @@
         effects.append(CloseIdleConnections(name))
     if record.is_present:
         service = state.service(notice.key.service)
-        service.servers[name] = RoutedServer(record, now_ms + record.warmup_ms)
+        added = service.servers[name] = RoutedServer(record, now_ms)
         state.service_by_server[name] = service.name
+        _set_cold(state, added, left_ms, now_ms, effects)
+
+
+def _set_cold(
+    state: GatewayState,
+    server: RoutedServer,
+    left_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Applies what a server stated to the control instances about its warm-up.
+
+    What it stated to this entry is usually later, so a warm-up only becomes
+    longer.
+    """
+    until_ms = max(server.warmup_end_ms, now_ms + left_ms)
+    if state.set_cold(server, until_ms, now_ms):
+        fields = {"server": server.name, "left_ms": round(until_ms - now_ms)}
+        effects.append(Log("server_cold", fields))
+
+
+def _presume_cold(
+    state: GatewayState,
+    notice: FeedNotice,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Takes servers of domains whose evacuation ended for cold.
+
+    They may all have been switched off meanwhile. It lasts for the warm-up time
+    of their service, or until they state something else.
+    """
+    finished_ms = dict(notice.finished_domains)
+    for service in state.services.values():
+        if state.cold_plan(service) is None:
+            continue
+        for server in service.servers.values():
+            domain = server.record.notice.failure_domain
+            if domain not in finished_ms or domain in state.evacuations.domains:
+                continue
+            since_ms = max(0, notice.wall_ms - finished_ms[domain])
+            left_ms = service.warmup_ms - since_ms
+            if server.warmup_stated_ms >= now_ms - since_ms:
+                continue
+            if now_ms + left_ms > server.warmup_end_ms:
+                server.is_presumed_cold = True
+                _set_cold(state, server, left_ms, now_ms, effects)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -11,6 +11,7 @@
     partitions,
     relaying,
 )
+from gentianwall.gateway.cold_servers import ASK_INTERVAL_MS
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckOverdue,
@@ -142,6 +143,24 @@
     effects.append(Log("server_rests", fields))
 
 
+def _record_warmup(
+    state: GatewayState,
+    server: RoutedServer,
+    warmup_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Records for how long a server has just stated to be cold."""
+    service = state.services[state.service_by_server[server.name]]
+    if state.cold_plan(service) is None:
+        return
+    server.is_presumed_cold = False
+    server.warmup_stated_ms = now_ms
+    if state.set_cold(server, now_ms + warmup_ms, now_ms):
+        fields = {"server": server.name, "left_ms": round(warmup_ms)}
+        effects.append(Log("server_cold", fields))
+
+
 def on_failed(
     state: GatewayState, event: ServerFailed, effects: list[GatewayEffect]
 ) -> None:
@@ -312,6 +331,10 @@
                 )
             if event.is_leaving:
                 record_leaving(state, server.name, effects)
+            if event.warmup_ms is not None:
+                _record_warmup(
+                    state, server, event.warmup_ms, event.at_ms, effects
+                )
             if event.rest_ms > 0.0:
                 _record_rest(
                     state, server.name, event.rest_ms, event.at_ms, effects
@@ -335,6 +358,7 @@
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
     """Checks on overdue requests and reassigns those that their server lost."""
+    _ask_presumed_cold(state, now_ms, effects)
     occupied = {
         call.server for call in state.calls.values() if call.phase is Phase.SENT
     }
@@ -358,6 +382,26 @@
             )
 
 
+def _ask_presumed_cold(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Asks home servers that only count as cold whether they are."""
+    for service in state.services.values():
+        if state.cold_plan(service) is None or not service.health_path:
+            continue
+        for name in service.homes:
+            server = service.servers[name]
+            if (
+                server.is_presumed_cold
+                and now_ms < server.warmup_end_ms
+                and now_ms - server.asked_ms >= ASK_INTERVAL_MS
+                and state.rests.wait_ms(name, now_ms) <= 0.0
+            ):
+                server.asked_ms = now_ms
+                notice = server.record.notice
+                effects.append(CheckOverdue(notice, service.health_path))
+
+
 def _reassign(
     state: GatewayState,
     call: RoutedCall,
--- a/gentianwall/gateway/servers.py
+++ b/gentianwall/gateway/servers.py
@@ -13,6 +13,11 @@
 
 import attrs
 
+from gentianwall.gateway.cold_servers import (
+    FIRST_WAIT_MS,
+    ColdDraw,
+    ColdPlan,
+)
 from gentianwall.membership.registry import RegisteredServer
 from gentianwall.routing.reports import SpeedReport
 
@@ -73,7 +78,14 @@
 
     Attributes:
         record: Its registration, as sent by the control instances.
-        warmup_end_ms: When its warm-up after the start ends.
+        warmup_end_ms: When its warm-up ends, as far as is known.
+        cold_draw: What decides whether this entry sends to it while it is
+            cold; None before it first was.
+        cold_due_ms: When this entry may send it the next request while cold.
+        cold_share: Share of senders by which that was determined.
+        is_presumed_cold: Whether it counts as cold without having said so.
+        asked_ms: When it was last asked whether it is.
+        warmup_stated_ms: When it last stated to this entry whether it is.
         report: Its last load report; None if it has sent none.
         reported_ms: When that report was received.
         own_requests_at_report: Size of `own_requests` at that time.
@@ -103,12 +115,56 @@
     paused_until_ms: float = float("-inf")
     is_unhealthy: bool = False
     checked_ms: float = float("-inf")
+    cold_draw: ColdDraw | None = None
+    cold_due_ms: float = float("-inf")
+    cold_share: float = 0.0
+    is_presumed_cold: bool = False
+    asked_ms: float = float("-inf")
+    warmup_stated_ms: float = float("-inf")
 
     @property
     def name(self) -> str:
         """The name under which the server registered."""
         return self.record.name
 
+    def set_cold(
+        self, until_ms: float, draw: ColdDraw, plan: ColdPlan, now_ms: float
+    ) -> None:
+        """Sets the end of the warm-up.
+
+        Args:
+            until_ms: When it ends; the server is warm if that is over.
+            draw: What decides whether this entry sends to it.
+            plan: How entries share the server.
+            now_ms: The local clock.
+        """
+        if now_ms >= self.warmup_end_ms or self.cold_draw is None:
+            self.cold_draw = draw
+            self._wait_before_first(plan, now_ms)
+        self.warmup_end_ms = until_ms
+
+    def _wait_before_first(self, plan: ColdPlan, now_ms: float) -> None:
+        """Spreads the first requests of the entries over time."""
+        self.cold_share = plan.sender_share
+        self.cold_due_ms = max(
+            self.cold_due_ms,
+            now_ms + FIRST_WAIT_MS + self.cold_draw.phase * plan.spacing_ms,
+        )
+
+    def cold_wait_ms(self, plan: ColdPlan, now_ms: float) -> float:
+        """Returns for how long this entry must not send to the cold server.
+
+        When fewer entries share it than before, others become senders all at
+        once, and so begin like at first.
+        """
+        left_ms = self.warmup_end_ms - now_ms
+        if self.cold_draw.rank >= plan.sender_share:
+            return left_ms
+        if self.cold_draw.rank >= self.cold_share:
+            self._wait_before_first(plan, now_ms)
+        self.cold_share = plan.sender_share
+        return min(left_ms, max(0.0, self.cold_due_ms - now_ms))
+
     def load(self, now_ms: float) -> float:
         """Returns the estimated number of requests at the server."""
         if self.report is None:
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -11,6 +11,13 @@
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
 from gentianwall.gateway.budget import RetryLimits, RetryWindow
+from gentianwall.gateway.cold_servers import (
+    STOP_MARGIN_MS,
+    ColdLimits,
+    ColdPlan,
+    draw,
+    make_plan,
+)
 from gentianwall.gateway.evacuations import Evacuations
 from gentianwall.gateway.events import Relay, RequestArrived, ServerCrashed
 from gentianwall.gateway.homes import choose_homes
@@ -32,6 +39,12 @@
 # Servers that left are remembered, since a late heartbeat may list one again,
 # until this many others have left after it.
 MAX_LEAVING = 1024
+# Time after which a lower number of entries is accepted: three retry windows,
+# so that the retries spent under the old number have left the window.
+ENTRIES_DECREASE_MS = 30_000.0
+# Time after the first notice before the number of entries is used. Within this
+# time, even a new leader has received a poll from every running entry.
+ENTRY_COUNT_DELAY_MS = 3000.0
 
 
 class Phase(enum.Enum):
@@ -125,6 +138,9 @@
             freed a slot.
         most_connections: Connections that a server accepts from all entries
             together; 0 means no limit.
+        warmup_ms: Time for which a server is cold after its start.
+        warmup_per_s: Requests a second that a cold server takes from all
+            entries together; 0 means no limit.
     """
 
     name: str
@@ -136,6 +152,8 @@
     service_ms: float = 0.0
     full_share: float = 0.0
     most_connections: int = 0
+    warmup_ms: float = 0.0
+    warmup_per_s: float = 0.0
 
     def connections_per_entry(self, entries: int) -> int:
         """Returns how many connections an entry may open to one server.
@@ -202,6 +220,7 @@
             they leave, by their names.
         rests: Servers that asked this entry for rest.
         evacuations: Failure domains whose servers get no requests.
+        cold_limits: What cold servers withstand beyond their stated rate.
         reachability: Whether the entry has a path to any server.
         has_peers: Whether entries may relay requests to each other.
         peers: Other entries that relay requests while it has none.
@@ -239,6 +258,7 @@
     leaving: dict[str, int] = attrs.field(factory=dict)
     rests: Rests = attrs.field(factory=Rests)
     evacuations: Evacuations = attrs.field(factory=Evacuations)
+    cold_limits: ColdLimits = attrs.field(factory=ColdLimits)
     reachability: Reachability = attrs.field(factory=Reachability)
     has_peers: bool = False
     peers: Peers = attrs.field(factory=Peers)
@@ -256,8 +276,68 @@
         return max(
             self.rate_limits.wait_ms((server,), now_ms),
             self.rests.wait_ms(server, now_ms),
+            self.cold_wait_ms(server, now_ms),
         )
 
+    def cold_wait_ms(self, server: str, now_ms: float) -> float:
+        """Returns for how long a cold server must not be sent a request.
+
+        Without a recent number of entries that is until it is warm. Others
+        may count this entry no more once it has heard no leader for as long as
+        they keep a higher number.
+        """
+        known = self.server(server)
+        if known is None or now_ms >= known.warmup_end_ms:
+            return 0.0
+        plan = self.cold_plan(self.service(known.record.notice.key.service))
+        if plan is None:
+            return 0.0
+        if known.cold_draw is None:
+            # The limit is newer than the statement that the server is cold.
+            self.set_cold(known, known.warmup_end_ms, now_ms)
+        is_count_known = (
+            self.first_notice_ms is not None
+            and now_ms - self.first_notice_ms > ENTRY_COUNT_DELAY_MS
+            and now_ms - self.feed_received_ms
+            < ENTRIES_DECREASE_MS - STOP_MARGIN_MS
+        )
+        if not is_count_known:
+            return known.warmup_end_ms - now_ms
+        return known.cold_wait_ms(plan, now_ms)
+
+    def cold_plan(self, service: ServiceState) -> ColdPlan | None:
+        """Returns how entries share cold servers; None without a limit."""
+        if service.warmup_per_s <= 0.0:
+            return None
+        return make_plan(self.entries, service.warmup_per_s, self.cold_limits)
+
+    def set_cold(
+        self, server: RoutedServer, until_ms: float, now_ms: float
+    ) -> bool:
+        """Sets the end of a server's warm-up.
+
+        Returns:
+            Whether the server has become cold or warm with it.
+        """
+        notice = server.record.notice
+        plan = self.cold_plan(self.service(notice.key.service))
+        if plan is None:
+            server.warmup_end_ms = until_ms
+            return False
+        was_cold = now_ms < server.warmup_end_ms
+        own_draw = draw(self.name, server.name, notice.incarnation)
+        server.set_cold(until_ms, own_draw, plan, now_ms)
+        return was_cold != (now_ms < until_ms)
+
+    def record_sent(self, server: RoutedServer, now_ms: float) -> None:
+        """Counts a request that is sent to a server towards its limits."""
+        self.rate_limits.spend(server.name)
+        if now_ms < server.warmup_end_ms:
+            name = server.record.notice.key.service
+            plan = self.cold_plan(self.service(name))
+            if plan is not None:
+                server.cold_due_ms = now_ms + plan.spacing_ms
+
     def may_send(self, server: str, now_ms: float) -> bool:
         """Returns whether a server may be sent a request now."""
         return (
--- a/gentianwall/http/dialect.py
+++ b/gentianwall/http/dialect.py
@@ -25,6 +25,8 @@
         rate_limit: Requests a second that a server takes from all entries
             together.
         leaving: Set to 1 by a server that leaves, in all its answers.
+        warmup_ms: For how many ms a server is still cold, in its answers to
+            health checks.
         not_executed: Set by a server that did not execute a request.
         parse_load: Parses the value of `load`.
         statuses: Statuses of refusals that differ from the product's own.
@@ -38,6 +40,7 @@
     load: bytes = b"Gentianwall-Load"
     rate_limit: bytes = b"Gentianwall-Rate-Limit"
     leaving: bytes = b"Gentianwall-Leaving"
+    warmup_ms: bytes = b"Gentianwall-Warmup-Ms"
     not_executed: bytes = b"Gentianwall-Not-Executed"
     parse_load: Callable[[str], SpeedReport | None] = parse_speed_report
     statuses: dict[RefusalReason, int] = attrs.field(factory=dict)
--- a/gentianwall/membership/registry.py
+++ b/gentianwall/membership/registry.py
@@ -20,6 +20,9 @@
 # same incarnation.
 DEPARTURE_SEQUENCE = -1
 STATE_RANKS = {"up": 0, "silent": 0, "draining": 1, "left": 2}
+# Heartbeats arrive with different delays; a warm-up that ends this much earlier
+# or later than known is news.
+WARMUP_TOLERANCE_MS = 1000
 
 
 @attrs.frozen
@@ -34,12 +37,15 @@
         warmup_ms: Warm-up time that remained at the first announcement of
             this incarnation.
         revision: Revision of the registry that last changed the record.
+        cold_until_ms: End of the warm-up that it last stated, by the
+            wall-clock time of the leader; 0 if only the first one counts.
     """
 
     notice: ServerNotice
     sequence: int
     warmup_ms: float
     revision: int
+    cold_until_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -66,7 +72,7 @@
 
     def copy(self) -> ServerRegistry:
         """Returns a copy that is not affected by later changes."""
-        return ServerRegistry(self.revision, dict(self.servers))
+        return attrs.evolve(self, servers=dict(self.servers))
 
     def changed_since(self, revision: int) -> tuple[RegisteredServer, ...]:
         """Returns the servers changed after a revision, in order of change."""
@@ -79,11 +85,21 @@
 
 
 def changes_registry(
-    registry: ServerRegistry, notice: ServerNotice, sequence: int
+    registry: ServerRegistry,
+    notice: ServerNotice,
+    sequence: int,
+    cold_until_ms: int | None = None,
 ) -> bool:
     """Returns whether an announcement changes the registry.
 
     An announcement that changes nothing is a heartbeat or outdated.
+
+    Args:
+        registry: The registry.
+        notice: State that the server announced.
+        sequence: Sequence number of the announcement.
+        cold_until_ms: End of the warm-up that it states, or the current time
+            if it states none; None if only the first statement counts.
     """
     known = registry.servers.get(notice.key.server)
     if known is None:
@@ -97,7 +113,19 @@
     if sequence <= known.sequence:
         return False
     merged = _merge(known.notice, notice)
-    return merged != known.notice
+    return merged != known.notice or _is_warmup_news(known, cold_until_ms)
+
+
+def _is_warmup_news(known: RegisteredServer, cold_until_ms: int | None) -> bool:
+    """Returns whether a server states another end of its warm-up than known.
+
+    A statement that it is warm comes as the current time, and is news only
+    while it is known as cold.
+    """
+    if cold_until_ms is None:
+        return False
+    difference_ms = abs(cold_until_ms - known.cold_until_ms)
+    return difference_ms > WARMUP_TOLERANCE_MS
 
 
 def record_announcement(
@@ -105,22 +133,57 @@
     notice: ServerNotice,
     sequence: int,
     warmup_ms: float,
+    at_ms: int | None = None,
 ) -> None:
-    """Records an announcement unless it is outdated or changes nothing."""
-    if not changes_registry(registry, notice, sequence):
+    """Records an announcement unless it is outdated or changes nothing.
+
+    Args:
+        registry: The registry.
+        notice: State that the server announced.
+        sequence: Sequence number of the announcement.
+        warmup_ms: Remaining warm-up time that it states.
+        at_ms: Wall-clock time of the leader; None if only the first statement
+            of the warm-up time counts.
+    """
+    cold_until_ms = warmup_end_ms(registry, notice, warmup_ms, at_ms)
+    if not changes_registry(registry, notice, sequence, cold_until_ms):
         return
     known = registry.servers.get(notice.key.server)
     if known and known.notice.incarnation == notice.incarnation:
         notice = _merge(known.notice, notice)
         warmup_ms = known.warmup_ms
+        if not _is_warmup_news(known, cold_until_ms):
+            cold_until_ms = known.cold_until_ms
     previous = _address_owner(registry, notice)
     if previous is not None:
         _set_state(registry, previous, state="left")
-    record = RegisteredServer(notice, sequence, warmup_ms, 0)
+    record = RegisteredServer(
+        notice, sequence, warmup_ms, 0, cold_until_ms or 0
+    )
     _store(registry, record)
     _evict_oldest_deregistered(registry)
 
 
+def warmup_end_ms(
+    registry: ServerRegistry,
+    notice: ServerNotice,
+    warmup_ms: float,
+    at_ms: int | None,
+) -> int | None:
+    """Returns the `cold_until_ms` of an announcement.
+
+    A server that states no warm-up and is known as warm repeats what is known.
+    """
+    if at_ms is None:
+        return None
+    known = registry.servers.get(notice.key.server)
+    if warmup_ms <= 0.0:
+        is_same = known and known.notice.incarnation == notice.incarnation
+        known_ms = known.cold_until_ms if is_same else 0
+        return min(known_ms, at_ms)
+    return at_ms + int(warmup_ms)
+
+
 def deregister_server(
     registry: ServerRegistry, server: str, incarnation: int
 ) -> None:
--- a/gentianwall/platform/announcements.py
+++ b/gentianwall/platform/announcements.py
@@ -14,14 +14,13 @@
     ServerNotice,
     is_name,
 )
+from gentianwall.routing.reports import MAX_WARMUP_MS
 
 # Replicas store 64-bit integers, and JSON integers are unbounded.
 MAX_SEQUENCE = 2**62
 # The year 2100 in Unix ms. A later start than any real one would replace the
 # server of the same name for good.
 MAX_INCARNATION = 4_102_444_800_000
-# Servers are slow for some seconds after their start.
-MAX_WARMUP_MS = 3_600_000
 STATE_BY_WIRE_NAME = {"ready": "up", "draining": "draining"}
 
 
--- a/gentianwall/platform/process.py
+++ b/gentianwall/platform/process.py
@@ -21,6 +21,7 @@
     load=b"X-Gentianwall-Server-Load",
     rate_limit=b"Server-Limit",
     leaving=b"Server-Leaving",
+    warmup_ms=b"X-Gentianwall-Warmup-Ms",
     not_executed=b"X-Gentianwall-Not-Executed",
     # On this platform gentianwall itself may answer with a 4xx status only if
     # no configuration allows the request, so a quarantined request is refused
--- a/gentianwall/replication/state.py
+++ b/gentianwall/replication/state.py
@@ -250,7 +250,8 @@
         if self.register.features & features != features:
             return False
         return all(
-            progress.features is None or progress.features & features
+            progress.features is None
+            or progress.features & features == features
             for progress in self.progress.values()
         )
 
--- a/gentianwall/routing/reports.py
+++ b/gentianwall/routing/reports.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+# Far above any warm-up; a longer one is taken for a wrong unit.
+MAX_WARMUP_MS = 3_600_000
+
 
 @attrs.frozen
 class SpeedReport:
@@ -53,6 +56,15 @@
     return 1000.0 * max(0.0, seconds) if math.isfinite(seconds) else 0.0
 
 
+def parse_warmup_ms(text: str) -> float | None:
+    """Parses a remaining warm-up time; returns None if malformed."""
+    try:
+        warmup_ms = float(text)
+    except ValueError:
+        return None
+    return warmup_ms if 0.0 <= warmup_ms <= MAX_WARMUP_MS else None
+
+
 def parse_rate_limit(text: str) -> float | None:
     """Parses a number of requests a second; returns None if malformed."""
     try:
--- a/gentianwall/runtime/answers.py
+++ b/gentianwall/runtime/answers.py
@@ -8,6 +8,7 @@
     SpeedReport,
     parse_rate_limit,
     parse_rest_ms,
+    parse_warmup_ms,
 )
 
 SHED_STATUS = 503
@@ -48,6 +49,11 @@
         text = self._first(answer, self._dialect.rate_limit)
         return None if text is None else parse_rate_limit(text)
 
+    def warmup_ms(self, answer: ServerAnswer) -> float | None:
+        """Returns for how long the server is still cold, if it states that."""
+        text = self._first(answer, self._dialect.warmup_ms)
+        return None if text is None else parse_warmup_ms(text)
+
     def is_leaving(self, answer: ServerAnswer) -> bool:
         """Returns whether the server states that it leaves."""
         return self._first(answer, self._dialect.leaving) == "1"
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -14,6 +14,7 @@
 from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
 from gentianwall.gateway.budget import RetryLimits
+from gentianwall.gateway.cold_servers import ColdLimits
 from gentianwall.gateway.dispatching import is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -102,6 +103,9 @@
             started_ms=monotonic_ms(),
             link_name=settings.link_address,
             has_peers=settings.peer_port > 0,
+            cold_limits=ColdLimits(
+                settings.warmup_overage, settings.warmup_slack
+            ),
         )
         self.pools = ServerPools(reactor)
         self.checks = ServerChecks(
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -21,7 +21,11 @@
     PutConfiguration,
     SetEvacuation,
 )
-from gentianwall.claims.register import RegisterState, held_configuration
+from gentianwall.claims.register import (
+    RegisterState,
+    has_repeated_warmup,
+    held_configuration,
+)
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.control.client import ControlClient, ControlSend
 from gentianwall.control.messages import (
@@ -40,6 +44,7 @@
     DEPARTURE_SEQUENCE,
     changes_registry,
     unrecorded_departure,
+    warmup_end_ms,
 )
 from gentianwall.runtime.control import ControlRuntime
 from gentianwall.timers import monotonic_ms, wall_ms
@@ -128,7 +133,9 @@
             on_result(UnknownService(notice.key.service))
             return
         self._server_heartbeats.add(notice.key.server)
-        if not changes_registry(registry, notice, sequence):
+        at_ms = wall_ms() if has_repeated_warmup(register, notice) else None
+        cold_until_ms = warmup_end_ms(registry, notice, warmup_ms, at_ms)
+        if not changes_registry(registry, notice, sequence, cold_until_ms):
             on_result(Done())
             return
         command = AnnounceServer(notice, sequence, warmup_ms, wall_ms())
--- a/gentianwall/runtime/server_checks.py
+++ b/gentianwall/runtime/server_checks.py
@@ -108,7 +108,7 @@
     ) -> LoadQueryEnded:
         name = notice.key.server
         is_mismatched = False
-        report = rate_limit_per_s = None
+        report = rate_limit_per_s = warmup_ms = None
         rest_ms = 0.0
         is_leaving = False
         if answer is not None:
@@ -117,6 +117,7 @@
                 report = self._reader.report(answer)
                 rate_limit_per_s = self._reader.rate_limit_per_s(answer)
                 rest_ms = self._reader.rest_ms(answer)
+                warmup_ms = self._reader.warmup_ms(answer)
                 is_leaving = self._reader.is_leaving(answer)
         return LoadQueryEnded(
             at_ms=monotonic_ms(),
@@ -128,6 +129,7 @@
             rate_limit_per_s=rate_limit_per_s,
             rest_ms=rest_ms,
             is_leaving=is_leaving,
+            warmup_ms=warmup_ms,
         )
 
     def check_reach(self, effect: CheckReach) -> None:
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -93,6 +93,8 @@
         service_s: Service time of a request.
         limit_per_s: Limit that it names in its answers; None for none.
         zone: Its failure domain.
+        cold_until_s: Until when it is cold, by the monotonic clock.
+        states_warmup: Whether its health answers state that.
         is_leaving: Whether it says in all its answers that it leaves.
         rest_until_s: It turns requests away and asks for rest until then, by
             the monotonic clock.
@@ -110,6 +112,8 @@
     service_s: float = 0.02
     limit_per_s: float | None = None
     zone: str = "z"
+    cold_until_s: float = float("-inf")
+    states_warmup: bool = False
     is_leaving: bool = False
     rest_until_s: float = float("-inf")
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
@@ -191,6 +195,9 @@
                 self.send_header("X-Gentianwall-Instance-Id", fake_server.name)
                 load = f"{fake_server._running_requests},0,4,100"
                 self.send_header("X-Gentianwall-Server-Load", load)
+                if self.path == "/healthz" and fake_server.states_warmup:
+                    left_ms = str(fake_server.warmup_left_ms())
+                    self.send_header("X-Gentianwall-Warmup-Ms", left_ms)
                 if fake_server.is_leaving:
                     self.send_header("Server-Leaving", "1")
                 for name, value in headers.items():
@@ -200,6 +207,11 @@
 
         return Handler
 
+    def warmup_left_ms(self) -> int:
+        """Returns for how long the server is still cold."""
+        left_s = self.cold_until_s - time.monotonic()
+        return max(0, int(1000 * left_s)) if left_s > 0 else 0
+
     def heartbeat(self, state: str = "ready") -> bytes:
         """Returns the body of the next heartbeat."""
         self._sequence += 1
@@ -211,7 +223,7 @@
                 "version": "v1",
                 "maxConcurrency": 4,
                 "state": state,
-                "warmupLeftMs": 0,
+                "warmupLeftMs": self.warmup_left_ms(),
                 "sequence": self._sequence,
                 "born": self._started_ms,
             }
@@ -564,8 +576,17 @@
     return statuses
 
 
-def document(number: int, service: str = "orders") -> dict:
-    """Returns a configuration with one route to a service."""
+def document(
+    number: int, service: str = "orders", warmup_per_s: float = 0.0
+) -> dict:
+    """Returns a configuration with one route to a service.
+
+    Args:
+        number: Number of the configuration.
+        service: Name of the service.
+        warmup_per_s: Requests a second that a cold server takes; 0 for no
+            limit.
+    """
     route = {
         "host": HOST,
         "pathPrefix": "/orders/",
@@ -577,6 +598,8 @@
         "maxAttempts": 2,
     }
     spec = {"healthPath": "/healthz", "maxConns": 99}
+    if warmup_per_s:
+        spec |= {"warmupS": 5, "warmupPerS": warmup_per_s}
     return {
         "version": f"r{number}",
         "resources": [
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -11,6 +11,8 @@
     METRICS_PORT,
     FakeServer,
     call,
+    document,
+    load_entries,
     replace_configuration_until_acknowledged,
     running_fleet,
     running_server,
@@ -141,3 +143,52 @@
         path = f"/rpc?call=evacuations.{name}&of="
         host = fleet.controls[0].host
         assert call(host, CONTROL_PORT, "POST", path).status == 400
+
+
+def _most_in_a_second(times_s):
+    return max(
+        sum(start_s <= s < start_s + 1.0 for s in times_s)
+        for start_s in times_s
+    )
+
+
+@pytest.mark.parametrize("states_warmup", [True, False])
+def test_a_known_server_that_is_cold_again_gets_few_requests(
+    fleet, states_warmup
+):
+    """Guards against servers that crash when they are cold again.
+
+    Entries learn of it from a health answer, or from a heartbeat alone.
+    """
+    document_with_limit = document(2, warmup_per_s=3.2)
+    wait_until(
+        "the limit is acknowledged",
+        lambda: (
+            fleet.replace_configuration(fleet.controls[0], document_with_limit)
+            == 200
+        ),
+    )
+    server = FakeServer(
+        "i-1", "orders", "127.0.3.1", states_warmup=states_warmup
+    )
+    with running_server(server):
+        send_heartbeat_until_acknowledged(fleet, server)
+        wait_until_serving(fleet)
+        time.sleep(3.5)  # The number of entries is used after 3 s.
+        server.cold_until_s = time.monotonic() + 5.0
+        send_heartbeat_until_acknowledged(fleet, server)
+        time.sleep(0.1)
+        began_s = time.monotonic()
+        statuses = load_entries(fleet, began_s + 4.5, 40.0)
+        cold = [s for s in server.executed_at_s if s > began_s]
+        assert len(cold) >= 5
+        assert _most_in_a_second(cold) <= 12
+        assert set(statuses) == {200, 503}
+        wait_until(
+            "the server is warm",
+            lambda: time.monotonic() > server.cold_until_s + 0.5,
+        )
+        began_s = time.monotonic()
+        load_entries(fleet, began_s + 1.0, 40.0)
+        warm = [s for s in server.executed_at_s if s > began_s]
+        assert len(warm) > 15
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -7,6 +7,7 @@
 
 from gentianwall.claims.commands import (
     FEATURE_EVACUATION,
+    SUPPORTED_FEATURES,
     EvacuationsHeld,
     Noop,
     SetEvacuation,
@@ -109,7 +110,7 @@
     simulation = ReplicaSimulation(4, 1, voters=3)
     simulation.advance(3000)
     for node in simulation.nodes.values():
-        assert node.state.register.features == FEATURE_EVACUATION
+        assert node.state.register.features == SUPPORTED_FEATURES
 
 
 @pytest.fixture
