--- a/gentianwall/commands/explain.py
+++ b/gentianwall/commands/explain.py
@@ -19,6 +19,8 @@
         "server_changed",
         "server_paused",
         "server_crashed",
+        "server_cold",
+        "evacuations_in_force",
         "partition_began",
         "partition_ended",
         "control",
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -505,6 +505,8 @@
         "left_ms": round(call.deadline_ms - now_ms),
         "retry_after_ms": round(after_ms),
     }
+    if state.evacuations.domains:
+        fields["evacuated"] = ",".join(sorted(state.evacuations.domains))
     effects.append(Log("refused", fields))
     refusal = Refusal(reason, executed, after_ms)
     effects.append(RefuseRequest(call.call_id, refusal))
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -305,6 +305,15 @@
             return known.warmup_end_ms - now_ms
         return known.cold_wait_ms(plan, now_ms)
 
+    def count_cold_servers(self, now_ms: float) -> int:
+        """Returns how many servers are cold and get a limited rate."""
+        return sum(
+            now_ms < server.warmup_end_ms
+            for service in self.services.values()
+            if service.warmup_per_s > 0.0
+            for server in service.servers.values()
+        )
+
     def cold_plan(self, service: ServiceState) -> ColdPlan | None:
         """Returns how entries share cold servers; None without a limit."""
         if service.warmup_per_s <= 0.0:
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -59,6 +59,7 @@
     "log_lines_dropped_total": "Log lines dropped as the reader was slow.",
     "log_lines_suppressed_total": "Log lines over the rate of their event.",
     "rate_limited_servers": "Servers that name a rate limit.",
+    "cold_servers": "Servers that warm up and get limited requests.",
     "evacuated_domains": "Evacuated failure domains.",
     "evacuations_total": "Changes of evacuations known to this process.",
     "is_partitioned": "Whether this entry reaches no server.",
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -277,6 +277,7 @@
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
                 "rate_limited_servers": len(state.rate_limits.by_server),
+                "cold_servers": state.count_cold_servers(monotonic_ms()),
                 "evacuated_domains": len(state.evacuations.domains),
                 "evacuations_total": state.evacuations.version,
                 "is_ready": int(state.is_ready),
