--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -483,7 +483,7 @@
     if is_too_slow or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
-    state.rate_limits.spend(best.server.name)
+    state.record_sent(best.server, now_ms)
     _send(state, call, best.server, best.expected_ms, now_ms, effects)
 
 
@@ -588,6 +588,8 @@
         fields["shed"] = shed.value if shed is not None else ""
         fields["level"] = round(level, 2)
         fields["priority"] = call.priority
+    if state.evacuations.domains:
+        fields["evacuated"] = ",".join(sorted(state.evacuations.domains))
     effects.append(Log("refused", fields))
     refusal = Refusal(reason, executed, after_ms)
     effects.append(RefuseRequest(call.call_id, refusal))
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -14,6 +14,7 @@
 from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
 from gentianwall.gateway.budget import RetryLimits
+from gentianwall.gateway.cold_servers import ColdLimits
 from gentianwall.gateway.dispatching import is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
@@ -104,6 +105,9 @@
             link_name=settings.link_address,
             has_peers=settings.peer_port > 0,
             overload_policy=OverloadPolicy(settings.overload_policy),
+            cold_limits=ColdLimits(
+                settings.warmup_overage, settings.warmup_slack
+            ),
         )
         self.pools = ServerPools(reactor)
         self.checks = ServerChecks(
@@ -278,6 +282,7 @@
                 "callers_connections": len(self.site.channels),
                 "entries_known": state.entries,
                 "rate_limited_servers": len(state.rate_limits.by_server),
+                "cold_servers": state.count_cold_servers(monotonic_ms()),
                 "evacuated_domains": len(state.evacuations.domains),
                 "evacuations_total": state.evacuations.version,
                 "quota_waits_total": state.quota_waits,
