--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -167,7 +167,7 @@
     for entries, organisations in COST_SIZES:
         rng = random.Random(seed)
         loads = make_loads(rng, organisations)
-        fleet = _make_fleet(loads, entries, seed, MeasuredFleet)
+        fleet = make_fleet(loads, entries, seed, MeasuredFleet)
         run_phase(fleet, loads, 10.0, rng)
         fleet.poll_bytes = fleet.notice_bytes = fleet.polls = 0
         fleet.leader_s = 0.0
@@ -183,9 +183,10 @@
         )
 
 
-def _make_fleet(
+def make_fleet(
     loads: list[Load], entries: int, seed: int, fleet_class=LimitFleet
 ) -> LimitFleet:
+    """Returns a leader and entries that have just started."""
     sizes = {
         load.name: quota_size(load.rate_per_s, load.burst) for load in loads
     }
@@ -211,7 +212,7 @@
         return
     rng = random.Random(arguments.seed)
     loads = make_loads(rng)
-    fleet = _make_fleet(loads, arguments.entries, arguments.seed)
+    fleet = make_fleet(loads, arguments.entries, arguments.seed)
     small = loads[-1].name
 
     def report(phase: str, result: dict[str, float]) -> None:
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -18,6 +20,7 @@
     run_state_machine_as_test,
 )
 
+from benchmarks import limits as replay
 from gentianwall.control import limits as sizes
 from gentianwall.core import limit_leases as leader_side
 from gentianwall.gateway import limit_leases as entry_side
@@ -218,6 +221,20 @@
         _run(TightLimit, 400)
 
 
+def test_many_small_organisations_are_hardly_refused_below_their_quotas():
+    rng = random.Random(3)
+    loads = replay.make_loads(rng)
+    fleet = replay.make_fleet(loads, 52, 3)
+    small = loads[-1].name
+    replay.run_phase(fleet, loads, 2.0, rng)
+    for busy in ("", small):
+        result = replay.run_phase(fleet, loads, 10.0, rng, busy)
+        assert result["refused_share_of_others"] < 0.005
+        assert result["largest_window_of_bound"] <= 1.0
+        # Far fewer early polls than requests: each entry gets 8 a second.
+        assert result["polls_per_entry_s"] < 6.0
+
+
 def test_sizes_are_below_the_bound():
     for quota in [(0.1, 0.0), (1.0, 0.0), (5.0, 5.0), (100.0, 50.0)]:
         size = sizes.quota_size(*quota)
