Spend a quota's token when a request is sent, not when it arrives

Cause: requests that wait at the entry for a free server spent their token on arrival; after a stall they are sent together, and the tokens had already left the window of the leader. Change: a token is reserved on arrival, counts as leased until the request is sent, and is given back if it never is. Without a valid lease at that time the request needs another token. Tests that a lower limit is binding one window after all entries have it.

--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -166,8 +166,8 @@
         now_ms,
     )
     leased = None
+    leases = _current_leases(feed, replica)
     if poll.limits is not None:
-        leases = _current_leases(feed, replica)
         leased = leases.on_poll(sender, poll.limits, now_ms)
         for name, recall in leases.recalls.items():
             if name in feed.subscribers:
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -115,7 +115,7 @@
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
-    room_ms = quotas.spend(state, call, now_ms)
+    room_ms = quotas.reserve(state, call, now_ms)
     if room_ms is not None:
         _start(state, call, room_ms, now_ms, effects)
 
@@ -129,13 +129,23 @@
 ) -> None:
     """Dispatches a request, or refuses it if its quota has no room yet."""
     if room_ms > 0.0:
-        quotas.record_refusal(state, call, room_ms, now_ms, effects)
-        refuse(state, call, RefusalReason.OVER_QUOTA, now_ms, effects, room_ms)
+        _refuse_over_quota(state, call, room_ms, now_ms, effects)
         return
     state.service(call.service).retry_window.record_call(now_ms)
     dispatch(state, call, now_ms, effects)
 
 
+def _refuse_over_quota(
+    state: GatewayState,
+    call: RoutedCall,
+    room_ms: float,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    quotas.record_refusal(state, call, room_ms, now_ms, effects)
+    refuse(state, call, RefusalReason.OVER_QUOTA, now_ms, effects, room_ms)
+
+
 def start_waiting(
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
@@ -238,6 +248,7 @@
     A partitioned entry sends it to a peer instead.
     """
     if relaying.send_to_peer(state, call, now_ms, effects):
+        quotas.commit(state, call, now_ms)
         return
     service = state.service(call.service)
     if call.tried_servers:
@@ -446,6 +457,10 @@
     if is_too_slow or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
+    room_ms = quotas.commit(state, call, now_ms)
+    if room_ms > 0.0:
+        _refuse_over_quota(state, call, room_ms, now_ms, effects)
+        return
     state.rate_limits.spend(best.server.name)
     _send(call, best.server, best.expected_ms, now_ms, effects)
 
@@ -503,10 +518,10 @@
     """Refuses a request and states whether a server may have executed it."""
     state.calls.pop(call.call_id, None)
     state.querying.pop(call.call_id, None)
+    quotas.release(state, call)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     after_ms = 0.0
     if executed is Executed.NO:
-        quotas.refund(state, call)
         service_ms = state.service(call.service).service_ms_for(call.route)
         after_ms = min_retry_after_ms + (
             service_ms * state.rng.uniform(*RETRY_AFTER_SPREAD)
--- a/gentianwall/gateway/limit_leases.py
+++ b/gentianwall/gateway/limit_leases.py
@@ -99,6 +99,7 @@
         granted: Tokens granted in the lease session.
         spent: Tokens spent in the lease session.
         returned: Tokens given up in the lease session.
+        reserved: Tokens of requests that were not sent yet.
         reported: Spent, returned and wanted tokens of the last report.
         reported_in: Number of the first poll that reported them.
         spent_ms: When tokens were spent within the window.
@@ -114,6 +115,7 @@
     granted: int = 0
     spent: int = 0
     returned: int = 0
+    reserved: int = 0
     reported: tuple[int, int, int] = (0, 0, 0)
     reported_in: int = 0
     spent_ms: collections.deque[float] = attrs.field(factory=collections.deque)
@@ -128,8 +130,8 @@
 
     @property
     def tokens(self) -> int:
-        """Unspent tokens."""
-        return self.granted - self.spent - self.returned
+        """Tokens that are neither spent nor reserved."""
+        return self.granted - self.spent - self.returned - self.reserved
 
     def give_up(self, count: int) -> None:
         """Returns unused tokens, at most as many as there are."""
@@ -148,7 +150,7 @@
 
     def start_session(self) -> None:
         """Forgets the tokens of the last lease session."""
-        self.granted = self.spent = self.returned = 0
+        self.granted = self.spent = self.returned = self.reserved = 0
         self.reported = (0, 0, 0)
         self.reported_in = 0
 
@@ -221,7 +223,30 @@
     def spend_quota(
         self, name: str, now_ms: float, is_repeated: bool = False
     ) -> float:
-        """Spends a token for a request if there is one.
+        """Spends a token for a request that is sent at once.
+
+        Args:
+            name: Name of the limit; unknown names have no limit.
+            now_ms: The local clock.
+            is_repeated: Whether the request was counted as demand before.
+
+        Returns:
+            0 if the request may run, otherwise the time until there is room.
+        """
+        before = self.reserved(name)
+        room_ms = self.reserve(name, now_ms, is_repeated)
+        if self.reserved(name) > before:
+            self.commit(name, now_ms)
+        return room_ms
+
+    def reserve(
+        self, name: str, now_ms: float, is_repeated: bool = False
+    ) -> float:
+        """Reserves a leased token for a request, or spends a fallback one.
+
+        A reserved token counts as unspent until the request is sent: requests
+        that wait for a free server and are then sent together would otherwise
+        exceed the limit.
 
         Args:
             name: Name of the limit; unknown names have no limit.
@@ -240,9 +265,7 @@
             held.demand.record(now_ms)
         if now_ms < self.lease_until_ms:
             if held.tokens > 0:
-                held.spent += 1
-                _drop_old(held.spent_ms, now_ms)
-                held.spent_ms.append(now_ms)
+                held.reserved += 1
                 self._poll_if_low(held, now_ms)
                 return 0.0
             return self._room_ms(held, now_ms)
@@ -255,26 +278,28 @@
             return held.fallback_ms[0] + WINDOW_MS - now_ms
         return self._room_ms(held, now_ms)
 
-    def leased_spent(self, name: str) -> int:
-        """Returns how many leased tokens were spent in this session."""
+    def reserved(self, name: str) -> int:
+        """Returns how many tokens of a limit are reserved."""
         held = self.held.get(name)
-        return 0 if held is None else held.spent
+        return 0 if held is None else held.reserved
+
+    def commit(self, name: str, now_ms: float) -> None:
+        """Spends a reserved token, since its request is sent."""
+        held = self.held[name]
+        held.reserved -= 1
+        held.spent += 1
+        _drop_old(held.spent_ms, now_ms)
+        held.spent_ms.append(now_ms)
+
+    def release(self, name: str) -> None:
+        """Takes back a reserved token, since its request is not sent."""
+        self.held[name].reserved -= 1
 
     @property
     def unspent(self) -> int:
         """Unspent tokens of all limits."""
         return sum(held.tokens for held in self.held.values())
 
-    def refund(self, name: str) -> None:
-        """Takes back a token of a request that was not sent, if possible.
-
-        It is not if the leader may have been told that it was spent.
-        """
-        held = self.held.get(name)
-        if held is not None and held.spent > held.reported[0]:
-            held.spent -= 1
-            held.spent_ms.pop()
-
     def may_wait(self, name: str, now_ms: float) -> bool:
         """Returns whether a request without a token may get one soon."""
         held = self.held[name]
@@ -340,7 +365,7 @@
     ) -> LimitReport | None:
         wanted = held.demand.wanted(now_ms) if name in self.sizes else 0
         held.give_up(held.tokens - wanted)
-        state = (held.spent, held.returned, wanted)
+        state = (held.spent, held.returned, wanted + held.reserved)
         if state != held.reported:
             held.reported = state
             held.reported_in = self.number
@@ -416,8 +441,9 @@
         self, name: str, held: HeldLimit, now_ms: float
     ) -> LimitHandover:
         spent = held.ages(now_ms)
-        tokens = held.tokens if now_ms < self.lease_until_ms else 0
-        fallback = 0
+        tokens = fallback = 0
+        if now_ms < self.lease_until_ms:
+            tokens = held.tokens + held.reserved
         if now_ms < self.fallback_until_ms:
             fallback, held.fallback = held.fallback, 0
             tokens += max(0, fallback - len(held.fallback_ms))
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -9,6 +9,7 @@
     dispatching,
     overdue,
     partitions,
+    quotas,
     relaying,
 )
 from gentianwall.gateway.effects import (
@@ -273,6 +274,7 @@
     call = state.calls.pop(call_id, None)
     if call is None:
         return
+    quotas.release(state, call)
     dispatching.cancel_attempt(state, call, effects)
     fields = {
         "id": call.request_id,
--- a/gentianwall/gateway/quotas.py
+++ b/gentianwall/gateway/quotas.py
@@ -27,8 +27,10 @@
         state.limits.apply_sizes(sizes, now_ms)
 
 
-def spend(state: GatewayState, call: RoutedCall, now_ms: float) -> float | None:
-    """Spends a token of the quota of a request's organisation.
+def reserve(
+    state: GatewayState, call: RoutedCall, now_ms: float
+) -> float | None:
+    """Reserves a token of the quota of a request's organisation.
 
     Returns:
         0 if the request may run; None if it waits for a token; otherwise it is
@@ -37,7 +39,7 @@
     organisation = call.organisation
     if not organisation:
         return 0.0
-    room_ms = _try_spend(state, call, now_ms, False)
+    room_ms = _try_reserve(state, call, now_ms, False)
     if room_ms <= 0.0:
         return 0.0
     if not state.limits.may_wait(organisation, now_ms):
@@ -67,7 +69,7 @@
             if call is None:
                 del waiting[call_id]
                 continue
-            room_ms = _try_spend(state, call, now_ms, True)
+            room_ms = _try_reserve(state, call, now_ms, True)
             may_wait = now_ms < until_ms and state.limits.may_wait(
                 organisation, now_ms
             )
@@ -81,23 +83,51 @@
     return decided
 
 
-def _try_spend(
+def _try_reserve(
     state: GatewayState, call: RoutedCall, now_ms: float, is_repeated: bool
 ) -> float:
     limits = state.limits
-    before = limits.leased_spent(call.organisation)
-    room_ms = limits.spend_quota(call.organisation, now_ms, is_repeated)
-    if limits.leased_spent(call.organisation) > before:
+    before = limits.reserved(call.organisation)
+    room_ms = limits.reserve(call.organisation, now_ms, is_repeated)
+    if limits.reserved(call.organisation) > before:
         call.quota_generation = limits.generation
+    else:
+        call.is_quota_spent = room_ms <= 0.0
     return room_ms
 
 
-def refund(state: GatewayState, call: RoutedCall) -> None:
-    """Takes back the token of a request that was refused without an attempt."""
+def commit(state: GatewayState, call: RoutedCall, now_ms: float) -> float:
+    """Spends the token of a request that is about to be sent.
+
+    If the lease of the token has ended meanwhile, another one is needed.
+
+    Returns:
+        0 if the request may be sent, otherwise the time until there is room.
+    """
+    if not call.organisation or call.is_quota_spent:
+        return 0.0
     limits = state.limits
-    if call.attempt == 0 and call.quota_generation == limits.generation:
-        limits.refund(call.organisation)
+    if now_ms >= limits.lease_until_ms or not _has_token(state, call):
+        release(state, call)
+        room_ms = _try_reserve(state, call, now_ms, True)
+        if room_ms > 0.0:
+            return room_ms
+    if _has_token(state, call):
+        limits.commit(call.organisation, now_ms)
     call.quota_generation = -1
+    call.is_quota_spent = True
+    return 0.0
+
+
+def release(state: GatewayState, call: RoutedCall) -> None:
+    """Takes back the token of a request that was not sent, if it has one."""
+    if _has_token(state, call):
+        state.limits.release(call.organisation)
+    call.quota_generation = -1
+
+
+def _has_token(state: GatewayState, call: RoutedCall) -> bool:
+    return call.quota_generation == state.limits.generation
 
 
 def record_refusal(
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -78,8 +78,9 @@
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
             highest.
-        quota_generation: Lease session of the token that it spent of its
-            organisation's quota; -1 for none.
+        quota_generation: Lease session of the token that is reserved for it of
+            its organisation's quota; -1 for none.
+        is_quota_spent: Whether it has spent a token, or needs none.
     """
 
     call_id: int
@@ -108,6 +109,7 @@
     organisation: str = ""
     priority: int = 0
     quota_generation: int = -1
+    is_quota_spent: bool = False
 
 
 @attrs.define
--- a/harness/limit_fleet.py
+++ b/harness/limit_fleet.py
@@ -121,6 +121,18 @@
             self.leader.apply_sizes(0, {})
         self.leader.apply_sizes(1, self.sizes)
 
+    def apply_sizes(self, number: int, sizes: dict[str, LimitSize]) -> None:
+        """Puts another configuration in force at the leader and all entries."""
+        self.sizes = sizes
+        self.leader.apply_sizes(number, sizes)
+        for entry in self.entries.values():
+            entry.limits.apply_sizes(sizes, entry.clock.at(self.now_ms))
+
+    def forget_sent(self) -> None:
+        """Forgets what was sent, so that windows start now."""
+        self.most.clear()
+        self._sent_ms.clear()
+
     def lose_leader(self) -> None:
         """Ends the leadership; messages on their way may still arrive."""
         self.leader = None
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -221,6 +221,28 @@
         _run(TightLimit, 400)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_lower_limit_is_binding_one_window_after_all_entries_have_it(seed):
+    fleet = LimitFleet({"o": sizes.quota_size(40.0, 40.0)}, seed)
+    fleet.elect(has_past=False)
+    for name in NAMES:
+        fleet.start_entry(name)
+
+    def load(steps):
+        for _ in range(steps):
+            for name in NAMES:
+                fleet.request(name, "o")
+            fleet.advance(STEP_MS)
+
+    load(300)
+    lower = sizes.quota_size(1.0, 1.0)
+    fleet.apply_sizes(2, {"o": lower})
+    load(100)
+    fleet.forget_sent()
+    load(400)
+    assert fleet.most["o"] <= lower.total
+
+
 def test_many_small_organisations_are_hardly_refused_below_their_quotas():
     rng = random.Random(3)
     loads = replay.make_loads(rng)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -21,7 +21,7 @@
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import dispatching
 from gentianwall.gateway import effects as fx
-from gentianwall.gateway.events import FeedArrived
+from gentianwall.gateway.events import FeedArrived, RecheckDue
 from gentianwall.gateway.state import RoutedCall
 from gentianwall.replication.replica import BatchEnded
 from harness.gateway_entry import (
@@ -172,3 +172,35 @@
     )
     entry.deliver_update(number=9, configuration=lower)
     assert entry.state.limits.unspent == 0
+
+
+def test_requests_that_wait_for_servers_count_when_they_are_sent(entry):
+    entry.advance(60.0)
+    entry.request()
+    entry.deliver_answer()
+    entry.advance(400.0)
+    held = entry.state.limits.held["o"]
+    spent = held.spent
+    entry.state.service("s").has_load_reports = True
+    entry.state.service("s").health_path = "/h"
+    assert not _sent(entry.deliver_request())
+    assert (held.spent, held.reserved) == (spent, 1)
+    assert _sent(entry.reduce(RecheckDue(entry.now_ms, entry.last_call_id)))
+    assert (held.spent, held.reserved) == (spent + 1, 0)
+
+
+def test_a_token_whose_lease_ended_is_not_spent(entry):
+    entry.advance(60.0)
+    entry.request()
+    entry.deliver_answer()
+    entry.advance(400.0)
+    entry.state.service("s").has_load_reports = True
+    entry.state.service("s").health_path = "/h"
+    entry.state.limits.lease_until_ms = entry.now_ms + 100.0
+    entry.deliver_request()
+    assert entry.state.limits.held["o"].reserved == 1
+    entry.now_ms += 150.0
+    effects = entry.reduce(RecheckDue(entry.now_ms, entry.last_call_id))
+    assert single_refusal(effects).reason is RefusalReason.OVER_QUOTA
+    held = entry.state.limits.held["o"]
+    assert held.reserved == 0
