--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -9,6 +9,7 @@
     dispatching,
     overdue,
     partitions,
+    quotas,
     relaying,
 )
 from gentianwall.gateway.cold_servers import ASK_INTERVAL_MS
@@ -302,6 +303,7 @@
     call = state.calls.pop(call_id, None)
     if call is None:
         return
+    quotas.release(state, call)
     dispatching.cancel_attempt(state, call, effects)
     fields = {
         "id": call.request_id,
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from gentianwall.config.routes import RouteKind
+from gentianwall.config.routes import Organisation, RouteKind, digest_key
 from gentianwall.control.messages import CommandRequest, FeedPoll, PeerList
 from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
 from gentianwall.core.peers import MOST_PEERS, choose_peers
@@ -38,6 +38,7 @@
     encode,
 )
 from harness.gateway_entry import (
+    CONFIGURATION,
     IDLE,
     Entry,
     effects_of_type,
@@ -410,3 +411,18 @@
     partitioned.now_ms += UNLISTED_MS
     partitioned.reduce(FeedArrived(partitioned.now_ms, "c2", named))
     assert set(partitioned.state.peers.by_host) == {"10.0.0.4"}
+
+
+def test_a_relayed_request_spends_no_second_token_of_its_quota(peer):
+    """The peer counted it too, and refused what the first entry had allowed."""
+    organisation = Organisation("o", (digest_key(b"key"),), None, 1.0, 1.0)
+    configuration = attrs.evolve(
+        CONFIGURATION, number=8, organisations=(organisation,)
+    )
+    peer.deliver_update(number=8, configuration=configuration)
+    relay = attrs.evolve(RELAY, organisation="o")
+    (sent,) = effects_of_type(_deliver_relayed(peer, relay), fx.SendRequest)
+    assert sent.organisation == "o"
+    unknown = attrs.evolve(RELAY, organisation="x")
+    refusal = single_refusal(_deliver_relayed(peer, unknown))
+    assert refusal.executed is Executed.NO
