Review route files before they are sent

Cause: `gentianwallctl routes check` said only whether a file is valid. Operators learnt of routes that never match, organisations without keys, contradictory limits or a number that is too low after the change was sent.

Change: config/review.py finds these as data, beside the errors of parse_route_file, and the differences from another configuration. Exit codes are 0, 1 for warnings and 2 for errors, so wrong command lines now end with 2 instead of 1.

A wrong option, a missing file and an unreachable control instance end with exit code 2.

--- a/gentianwall/commands/routes.py
+++ b/gentianwall/commands/routes.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import pathlib
+import functools
 
 import attrs
 
 from gentianwall.commands.apply import ExitCode
+from gentianwall.commands.review import InForce, read_document, review_document
+from gentianwall.config.review import Review
 from gentianwall.config.route_file import parse_route_file
-from gentianwall.config.routes import RouteConfiguration
-from gentianwall.config.schema import ConfigErrors, ConfigProblem
+from gentianwall.config.schema import ConfigErrors, ConfigProblem, find_line
 from gentianwall.ctl.client import OperatorClient, Reply, Unreachable
 from gentianwall.ctl.tables import render_table
 
@@ -34,28 +35,46 @@
     organisations: list[dict] = attrs.field(factory=list)
 
 
-def read_routes(path: str) -> RouteConfiguration | ConfigErrors:
-    """Reads and checks a route file."""
-    return _parse(_read(path))
-
-
-def _read(path: str) -> bytes | ConfigErrors:
-    try:
-        return pathlib.Path(path).read_bytes()
-    except OSError as error:
-        return ConfigErrors((ConfigProblem(path, str(error.strerror)),))
+def review_routes(
+    path: str, against: str = "", client: OperatorClient | None = None
+) -> Review:
+    """Reviews a route file.
+
+    Args:
+        path: The route file.
+        against: Route file to compare it with; empty for none.
+        client: Gets the route file in force, to compare it with; None for no
+            comparison with it.
+    """
+    document = read_document(path)
+    in_force = None
+    if against:
+        in_force = InForce("(against)", read_document(against))
+    elif client is not None:
+        in_force = InForce("(in force)", _get_document(client))
+    text = (
+        ""
+        if isinstance(document, ConfigErrors)
+        else document.decode("utf-8", "replace")
+    )
+    return review_document(
+        document, parse_route_file, in_force, functools.partial(find_line, text)
+    )
 
 
-def _parse(document: bytes | ConfigErrors) -> RouteConfiguration | ConfigErrors:
-    if isinstance(document, ConfigErrors):
-        return document
-    return parse_route_file(document)
+def _get_document(client: OperatorClient) -> bytes | ConfigErrors:
+    result = get_routes(client)
+    if result.code is ExitCode.OK:
+        return result.message.encode()
+    return ConfigErrors((ConfigProblem(ROUTES_PATH, result.message),))
 
 
 def put_routes(client: OperatorClient, path: str) -> RoutesResult:
     """Sends a route file; sending the same file again is safe."""
-    document = _read(path)
-    configuration = _parse(document)
+    document = read_document(path)
+    if isinstance(document, ConfigErrors):
+        return RoutesResult(ExitCode.BAD_INPUT, str(document))
+    configuration = parse_route_file(document)
     if isinstance(configuration, ConfigErrors):
         return RoutesResult(ExitCode.BAD_INPUT, str(configuration))
     reply = client.put(ROUTES_PATH, document)
--- a/gentianwall/ctl/__main__.py
+++ b/gentianwall/ctl/__main__.py
@@ -19,6 +19,7 @@
 from gentianwall.commands import apply as apply_command
 from gentianwall.commands import evacuations as evacuations_command
 from gentianwall.commands import explain as explain_command
+from gentianwall.commands import review as review_command
 from gentianwall.commands import routes as routes_command
 from gentianwall.commands import timeline as timeline_command
 from gentianwall.commands.apply import ExitCode
@@ -244,13 +245,37 @@
 
 
 @routes_app.command(name="check")
-def check_routes(path: str) -> int:
-    """Checks a route file without sending it."""
-    result = routes_command.read_routes(path)
-    if isinstance(result, ConfigErrors):
-        return _fail(str(result), ExitCode.BAD_INPUT)
-    print("valid")
-    return ExitCode.OK
+def check_routes(
+    path: str,
+    *,
+    against: Annotated[
+        str, cyclopts.Parameter(help="Route file to compare it with.")
+    ] = "",
+    against_in_force: Annotated[
+        bool,
+        cyclopts.Parameter(
+            help="Compare it with the route file in force.", negative=""
+        ),
+    ] = False,
+    common: Common = COMMON,
+) -> int:
+    """Checks a route file without sending it.
+
+    Exit codes: 0 valid without warnings, 1 valid with warnings, 2 errors, also
+    if the file to compare with cannot be read.
+    """
+    if against and against_in_force:
+        message = "use either --against or --against-in-force"
+        return _fail(message, ExitCode.BAD_INPUT)
+    review = routes_command.review_routes(
+        path, against, common.client() if against_in_force else None
+    )
+    print_output(
+        review_command.describe_review(review),
+        review_command.render_review(review),
+        common.format,
+    )
+    return review_command.exit_code(review)
 
 
 @routes_app.command(name="put")
@@ -441,7 +466,17 @@
 def main() -> None:
     """Parses the command line and exits with the command's code."""
     try:
-        sys.exit(app(sys.argv[1:], result_action="return_value"))
+        sys.exit(
+            app(
+                sys.argv[1:],
+                result_action="return_value",
+                exit_on_error=False,
+            )
+        )
+    except cyclopts.CycloptsError:
+        # Cyclopts has printed the error. Its exit code 1 would stand for a
+        # valid route file with warnings.
+        sys.exit(ExitCode.BAD_INPUT)
     except OSError as error:
         sys.exit(_fail(str(error), ExitCode.BAD_INPUT))
 
