Check configuration documents of the platform

Cause: operators of the users' platform send JSON documents, which `gentianwallctl routes check` cannot read.

The names on the wire of options of a whole part, such as a service called `keys`, stay as they are.

--- a/gentianwall/platform/configurations.py
+++ b/gentianwall/platform/configurations.py
@@ -66,11 +66,18 @@
 
 
 def _with_wire_names(problem: ConfigProblem) -> ConfigProblem:
-    path, _, option = problem.option.rpartition(".")
-    if path.startswith("organisations."):
-        path = f"tenants.{path.removeprefix('organisations.')}"
-    option = WIRE_NAME_BY_OPTION.get(option, option)
-    return attrs.evolve(problem, option=f"{path}.{option}")
+    return attrs.evolve(problem, option=to_wire_option(problem.option))
+
+
+def to_wire_option(option: str) -> str:
+    """Returns the path of an option with its names on the wire."""
+    path, dot, name = option.rpartition(".")
+    if option.startswith("organisations."):
+        path = f"tenants{path.removeprefix('organisations')}"
+    # A path of two names, such as `services.keys`, does not end in an option.
+    if "." in path:
+        name = WIRE_NAME_BY_OPTION.get(name, name)
+    return f"{path}{dot}{name}"
 
 
 def _read_configuration(document: dict[str, Any]) -> RouteConfiguration:
--- a/tests/test_configuration_review.py
+++ b/tests/test_configuration_review.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import attrs
 import pytest
 
@@ -14,6 +16,8 @@
 from gentianwall.config.review import Severity, review_configuration
 from gentianwall.config.route_file import parse_route_file
 from gentianwall.ctl.client import Reply, Unreachable
+from gentianwall.platform import check
+from gentianwall.platform.configurations import to_wire_option
 
 VALID = """
 number = 7
@@ -38,6 +42,22 @@
 timeout_ms = 1
 targets = { desk = 1 }
 """
+PLATFORM_DOCUMENT = {
+    "version": "r7",
+    "resources": [
+        {"type": "services", "metadata": {"name": "desk"}, "spec": {}},
+        {
+            "type": "routes",
+            "metadata": {"name": "orders"},
+            "spec": {
+                "routeType": "safe",
+                "host": "shop.example",
+                "pathPrefix": "/",
+                "service": "desk",
+            },
+        },
+    ],
+}
 
 
 def _parse(text):
@@ -185,3 +205,24 @@
     path.write_text(VALID)
     review = routes_command.review_routes(str(path), "", StubClient(reply))
     assert exit_code(review) == code
+
+
+def test_documents_of_the_platform_are_reviewed_with_their_names(
+    tmp_path, capsys
+):
+    """Guards against option names that the document does not contain."""
+    old, new = tmp_path / "old.json", tmp_path / "new.json"
+    old.write_text(json.dumps(PLATFORM_DOCUMENT))
+    tenant = {"type": "tenants", "metadata": {"name": "acme"}, "spec": {}}
+    resources = [*PLATFORM_DOCUMENT["resources"], tenant]
+    new.write_text(json.dumps({"version": "r8", "resources": resources}))
+    arguments = ["check", str(new), "--against", str(old), "--format", "json"]
+    assert check.run(arguments) == 1
+    content = json.loads(capsys.readouterr().out)
+    assert [f["option"] for f in content["findings"]] == [
+        "tenants.acme.apiKeys"
+    ]
+    assert [c["part"] for c in content["changes"]] == ["tenants.acme"]
+    assert check.run(["check", str(old)]) == 0
+    assert check.run(["check", str(old), "--unknown"]) == 2
+    assert to_wire_option("services.keys") == "services.keys"
