Merge tests of evacuations and cold servers that overlap

Change: cases of the same failure share a test; none is weaker. The platform call without a zone is no longer tried with real processes: the same check of the product's own page is (test_fleet_routes).

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -204,17 +204,13 @@
     assert record.notice.state == "up"
 
 
-def test_no_statement_after_the_first_counts_for_earlier_builds(register):
+def test_only_the_first_statement_counts_without_limit_or_feature(register):
     """Guards against registries that differ between builds."""
     register.features = 0
     assert not _announce(register, 3, 20_000.0, AT_MS + 3000)
-
-
-def test_no_statement_after_the_first_counts_without_a_limit(register):
-    apply_command(
-        register,
-        PutConfiguration(attrs.evolve(CONFIGURATION, number=8), b"", AT_MS),
-    )
+    register.features = FEATURE_REPEATED_WARMUP
+    unlimited = attrs.evolve(CONFIGURATION, number=8)
+    apply_command(register, PutConfiguration(unlimited, b"", AT_MS))
     assert not _announce(register, 3, 20_000.0, AT_MS + 3000)
 
 
@@ -258,6 +254,7 @@
     entry.deliver_load_report("a", IDLE)
     effects = entry.deliver_request()
     if effects_of_type(effects, fx.SendRequest):
+        entry.deliver_answer()
         return True
     assert single_refusal(effects).status == 503
     return False
@@ -273,14 +270,12 @@
 
 def test_a_server_that_is_cold_again_gets_requests_at_a_bounded_rate(entry):
     assert _is_sent(entry)
-    entry.deliver_answer()
     record = attrs.evolve(server("a", 2), cold_until_ms=AT_MS + 9000)
     _deliver(entry, record)
     sent = []
     for _ in range(100):
         entry.now_ms += 100.0
         if _is_sent(entry):
-            entry.deliver_answer()
             sent.append(entry.now_ms)
     cold_end_ms = 5000.0 + 9000.0
     cold = [ms for ms in sent if ms < cold_end_ms]
@@ -309,14 +304,17 @@
     _state_warmup(entry, 60_000.0)
     entry.now_ms += 27_000.0
     assert _is_sent(entry)
-    entry.deliver_answer()
     entry.now_ms += 2000.0
     assert not _is_sent(entry)
 
 
 def test_servers_of_a_returned_domain_count_as_cold_until_they_say_so(entry):
-    finished = (("z", AT_MS - 3000),)
     changes = {"evacuation_version": 1, "evacuated_domains": ()}
+    long_ago = (("z", AT_MS - 21_000),)
+    _deliver(entry, finished_domains=long_ago, **changes)
+    assert _is_sent(entry)
+    finished = (("z", AT_MS - 3000),)
+    changes["evacuation_version"] = 2
     _deliver(entry, finished_domains=finished, **changes)
     assert not _is_sent(entry)
     (check,) = effects_of_type(
@@ -326,21 +324,11 @@
     _state_warmup(entry, 0.0)
     assert _is_sent(entry)
     # A later change of another domain does not make it cold again.
-    changes["evacuation_version"] = 2
+    changes["evacuation_version"] = 3
     _deliver(entry, finished_domains=finished, **changes)
     assert _is_sent(entry)
 
 
-def test_a_domain_that_returned_long_ago_is_warm(entry):
-    _deliver(
-        entry,
-        evacuation_version=1,
-        evacuated_domains=(),
-        finished_domains=(("z", AT_MS - 21_000),),
-    )
-    assert _is_sent(entry)
-
-
 @pytest.mark.parametrize(
     ("text", "expected"),
     [("2500", 2500.0), ("0", 0.0), ("-1", None), ("nan", None), ("x", None)],
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -7,7 +7,6 @@
 import pytest
 
 from harness.fleet import (
-    CONTROL_PORT,
     METRICS_PORT,
     FakeServer,
     call,
@@ -138,13 +137,6 @@
     assert len(near.executed_ids) == before
 
 
-def test_a_call_without_a_zone_is_refused(fleet):
-    for name in ("start", "finish"):
-        path = f"/rpc?call=evacuations.{name}&of="
-        host = fleet.controls[0].host
-        assert call(host, CONTROL_PORT, "POST", path).status == 400
-
-
 def _most_in_a_second(times_s):
     return max(
         sum(start_s <= s < start_s + 1.0 for s in times_s)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -72,19 +72,16 @@
 
 
 def test_a_delayed_start_changes_nothing_after_the_finish():
-    """Guards against an evacuation that no operator asks for any more."""
-    register = RegisterState()
-    _apply(register, "z1", True)
-    _apply(register, "z1", False)
-    assert _apply(register, "z1", True, base_version=0) == EvacuationsHeld(
-        3, ()
-    )
+    """Guards against an evacuation that no operator asks for any more.
 
-
-def test_a_finish_without_effect_still_outdates_earlier_starts():
-    register = RegisterState()
-    _apply(register, "z1", False)
-    assert not _apply(register, "z1", True, base_version=0).failure_domains
+    A finish without effect outdates earlier starts as well.
+    """
+    for was_started in (True, False):
+        register = RegisterState()
+        _apply(register, "z1", was_started)
+        _apply(register, "z1", False)
+        held = _apply(register, "z1", True, base_version=0)
+        assert held == EvacuationsHeld(3, ())
 
 
 def test_the_number_of_evacuated_domains_is_bounded():
@@ -265,12 +262,16 @@
 
 
 def test_requests_leave_an_evacuated_domain_and_return_after_it(entry):
+    _evacuate(entry, 1, "nowhere")
     assert _targets(entry) == "a"
-    effects = _evacuate(entry, 1, "z1")
+    effects = _evacuate(entry, 2, "z1")
     assert effects_of_type(effects, fx.CloseIdleConnections)
     assert entry.state.services["s"].homes == ("b",)
     assert _targets(entry) == "b"
-    _evacuate(entry, 2)
+    _evacuate(entry, 3, "z1", "z2")
+    refusal = single_refusal(entry.deliver_request())
+    assert (refusal.status, refusal.retry_after_ms > 0) == (503, True)
+    _evacuate(entry, 4)
     assert set(entry.state.services["s"].homes) == {"a", "b"}
     assert _targets(entry) == "a"
 
@@ -283,13 +284,6 @@
     single_refusal(effects)
 
 
-def test_without_other_domains_requests_are_refused_at_once(entry):
-    _evacuate(entry, 1, "z1", "z2")
-    refusal = single_refusal(entry.deliver_request())
-    assert refusal.status == 503
-    assert refusal.retry_after_ms > 0
-
-
 def test_no_server_of_an_evacuated_domain_is_queried_or_checked(entry):
     _evacuate(entry, 1, "z1")
     entry.now_ms += 500.0
@@ -322,8 +316,3 @@
     entry.deliver_load_report("a", IDLE)
     entry.deliver_load_report("b", IDLE)
     assert _targets(entry) == "a"
-
-
-def test_an_unknown_domain_has_no_effect(entry):
-    _evacuate(entry, 1, "nowhere")
-    assert _targets(entry) == "a"
