Answer no request that may have run with 429

Cause: since OVER_QUOTA exists, a refusal with that reason of a request that may have run was answered 429, which promises that it has not run. Change: 502 instead, for every status that makes that promise.

--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -68,6 +68,10 @@
 }
 
 
+# Statuses that promise that the request was not executed and never will be.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
+
 @attrs.frozen
 class Refusal:
     """Refusal sent to the caller instead of an answer.
@@ -88,9 +92,10 @@
     def status(self) -> int:
         """The HTTP status of the reason.
 
-        Status 503 promises that the request was not executed, so a request
+        Some statuses promise that the request was not executed, so a request
         that may have been is refused with 502 instead.
         """
         status = STATUS[self.reason]
-        is_promise_kept = self.executed is Executed.NO or status != 503
+        is_promise = status in NOT_EXECUTED_STATUSES
+        is_promise_kept = self.executed is Executed.NO or not is_promise
         return status if is_promise_kept else 502
