--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -69,7 +69,7 @@
 
 
 # Statuses that promise callers that the request has not run and never will.
-PROMISING_STATUSES = frozenset((429, 503))
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @attrs.frozen
