--- a/gentianwall/gateway/admission.py
+++ b/gentianwall/gateway/admission.py
@@ -20,7 +20,6 @@
 import attrs
 
 from gentianwall.config.routes import Route
-from gentianwall.gateway.overload import efficient_slots
 from gentianwall.gateway.placement import Candidate
 
 if TYPE_CHECKING:
@@ -63,7 +62,6 @@
     service_ms: float,
     full_share: float,
     now_ms: float,
-    is_saturating: bool = False,
 ) -> Verdict:
     """Decides whether a request is sent, rechecked later or refused.
 
@@ -73,14 +71,11 @@
         service_ms: Service time of the request at an idle, average server.
         full_share: Share of the servers that were full when last queried.
         now_ms: The local clock.
-        is_saturating: Whether a server counts as full once a further request
-            would lower the work that it does in a given time.
     """
     server = best.server
-    slots = server.record.notice.slots
-    if is_saturating:
-        slots = efficient_slots(slots)
-    has_free_slot = server.load(now_ms) <= slots - FREE_SLOT_MARGIN
+    has_free_slot = (
+        server.load(now_ms) <= server.record.notice.slots - FREE_SLOT_MARGIN
+    )
     is_in_time = now_ms + best.expected_ms <= call.target_at_ms
     if full_share >= SATURATED_SHARE:
         can_send = has_free_slot and is_in_time
--- a/gentianwall/gateway/demand.py
+++ b/gentianwall/gateway/demand.py
@@ -25,8 +25,20 @@
 # Organisations beyond this number are not told apart, the oldest first.
 MAX_ORGANISATIONS = 1000
 
-# Priority, work in ms and name of the route; greater ones are refused first.
-KindKey = tuple[int, float, str]
+
+@attrs.frozen(order=True)
+class KindKey:
+    """A kind of requests in the order of refusal; greater ones come first.
+
+    Attributes:
+        rank: Priority, higher for requests that are worth less.
+        work_ms: Work that one request needs.
+        route: Name of its route.
+    """
+
+    rank: float
+    work_ms: float
+    route: str
 
 
 @attrs.define
@@ -50,42 +62,43 @@
 
 @attrs.define
 class Demand:
-    """Recent work of one service by priority and route.
+    """Recent work of one service by rank and route.
 
     Attributes:
-        work: Work by priority and name of the route.
-        cost_ms: Work of one request, by the same keys.
+        work: Work by rank and route, with the last key of that kind.
+        updated_ms: When the last request was recorded.
     """
 
-    work: dict[tuple[int, str], DecayingSum] = attrs.field(factory=dict)
-    cost_ms: dict[tuple[int, str], float] = attrs.field(factory=dict)
+    work: dict[tuple[float, str], tuple[KindKey, DecayingSum]] = attrs.field(
+        factory=dict
+    )
     updated_ms: float = 0.0
 
-    def record(self, key: KindKey, work_ms: float, now_ms: float) -> None:
+    def record(self, key: KindKey, now_ms: float) -> None:
         """Records a request."""
-        priority, cost_ms, name = key
-        known = self.work.get((priority, name))
-        if known is None:
-            known = self.work[priority, name] = DecayingSum(MIX_DECAY_MS)
-        known.add(work_ms, now_ms)
-        self.cost_ms[priority, name] = cost_ms
+        kind = (key.rank, key.route)
+        _, work = self.work.get(kind) or (key, DecayingSum(MIX_DECAY_MS))
+        work.add(key.work_ms, now_ms)
+        self.work[kind] = (key, work)
         self.updated_ms = now_ms
 
     def position(self, key: KindKey) -> tuple[float, float]:
         """Returns which part of the work a kind is, by the order of refusal.
 
         The kind with the lowest priority, and among those the one that needs
-        most work, is refused first: it begins at 0.
+        most work, is refused first: it begins at 0. Without any recent work
+        every kind is the last to be refused.
         """
         before = total = own = 0.0
-        for (priority, name), work in self.work.items():
+        for other, work in self.work.values():
             amount = work.at(self.updated_ms)
             total += amount
-            other = (priority, self.cost_ms[priority, name], name)
-            if (priority, name) == (key[0], key[2]):
+            if (other.rank, other.route) == (key.rank, key.route):
                 own = amount
             elif other > key:
                 before += amount
+        if total <= 0.0:
+            return 1.0, 1.0
         return before / total, (before + own) / total
 
 
@@ -111,7 +124,7 @@
     known: dict[str, _Organisation] = attrs.field(factory=dict)
     first_ms: float | None = None
 
-    def record(self, name: str, work_ms: float, now_ms: float) -> float:
+    def record(self, name: str, now_ms: float) -> float:
         """Records a request; returns which share is above the usual demand."""
         if not name:
             return 0.0
@@ -122,14 +135,20 @@
         if len(self.known) > MAX_ORGANISATIONS:
             del self.known[next(iter(self.known))]
         organisation.recent.add(1.0, now_ms)
-        usual = organisation.usual.at(now_ms)
-        organisation.usual.add(1.0, now_ms)
+        excess_share = self._excess_share(organisation, now_ms)
+        # The excess does not count as usual, however long it lasts.
+        organisation.usual.add(1.0 - excess_share, now_ms)
+        return excess_share
+
+    def _excess_share(
+        self, organisation: _Organisation, now_ms: float
+    ) -> float:
+        """Returns which share of an organisation's requests is excess."""
         history_ms = now_ms - self.first_ms
         recent = organisation.recent.value
         if recent < MIN_RECENT or history_ms < MIN_HISTORY_MS:
             return 0.0
-        seen_ms = USUAL_DECAY_MS * (
-            1.0 - math.exp(-history_ms / USUAL_DECAY_MS)
-        )
-        allowed = EXCESS_FACTOR * max(1.0, usual * RECENT_DECAY_MS / seen_ms)
+        seen_share = 1.0 - math.exp(-history_ms / USUAL_DECAY_MS)
+        usual = organisation.usual.at(now_ms) / (USUAL_DECAY_MS * seen_share)
+        allowed = EXCESS_FACTOR * max(1.0, usual * RECENT_DECAY_MS)
         return max(0.0, 1.0 - allowed / recent)
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -319,14 +319,10 @@
         return
     reported = [c for c in ranked if c.server.name not in call.unreported]
     best = fresh or reported or ranked
-    verdict = admit(
-        call,
-        best[0],
-        service_ms,
-        service.full_share,
-        now_ms,
-        is_saturating=state.overload is not None,
-    )
+    if state.overload is not None:
+        verdict = state.overload.admit(call, best[0], service_ms, now_ms)
+    else:
+        verdict = admit(call, best[0], service_ms, service.full_share, now_ms)
     match verdict:
         case Verdict.SEND:
             _send_best(state, service, call, best, now_ms, effects)
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -195,7 +195,12 @@
     if call.attempt >= call.route.most_attempts:
         return False
     service = state.service(call.service)
-    if now_ms + service.service_ms_for(call.route) > call.deadline_ms:
+    service_ms = service.service_ms_for(call.route)
+    if now_ms + service_ms > call.deadline_ms:
+        return False
+    if state.overload is not None and not state.overload.may_retry(
+        call, service_ms, now_ms
+    ):
         return False
     has_untried_server = relaying.can_relay(state, call, now_ms) or any(
         server.record.notice.state == "up"
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -79,6 +79,8 @@
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
             highest.
+        is_protected: Whether the overload policy treats it as one of the
+            highest priority, so that no kind is starved.
     """
 
     call_id: int
@@ -106,6 +108,7 @@
     relay: Relay | None = None
     organisation: str = ""
     priority: int = 0
+    is_protected: bool = False
 
 
 @attrs.define
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -37,6 +37,7 @@
     FeedArrived,
     GatewayEvent,
 )
+from gentianwall.gateway.overload import Shed
 from gentianwall.gateway.reducer import reduce_gateway
 from gentianwall.gateway.state import GatewayState
 from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
@@ -278,12 +279,23 @@
                 "is_partitioned": int(state.reachability.is_partitioned),
                 "peers_known": len(state.peers.by_host),
                 "feed_age_seconds": min(feed_age_ms, 1e9) / 1000.0,
+                **self._overload_values(),
                 "log_lines_dropped_total": self.log.writer.dropped,
                 "log_lines_suppressed_total": self.log.suppressed,
             }
         )
         return self.metrics.text()
 
+    def _overload_values(self) -> dict[str, float]:
+        overload = self.state.overload
+        if overload is None:
+            return {}
+        refused = overload.refused
+        return {
+            "overload_level": overload.highest_level(monotonic_ms()),
+            **{f"shed_{shed.value}_total": refused[shed] for shed in Shed},
+        }
+
     def _start_deadline_timer(self, effect: StartDeadlineTimer) -> None:
         call_id = effect.call_id
         self.timers.start(
