--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -98,6 +98,8 @@
         quota_generation: Lease session of the token that is reserved for it of
             its organisation's quota; -1 for none.
         is_quota_spent: Whether it has spent a token, or needs none.
+        is_protected: Whether the overload policy treats it as one of the
+            highest priority, so that no kind is starved.
     """
 
     call_id: int
@@ -127,6 +129,7 @@
     priority: int = 0
     quota_generation: int = -1
     is_quota_spent: bool = False
+    is_protected: bool = False
 
 
 @attrs.define
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from harness.fleet import (
+    CONTROL_PORT,
     METRICS_PORT,
     FakeServer,
     call,
