Test overdue checks in evacuated domains, and senders that begin together

Cause: of 14 mutants on a scratch copy two were not found: overdue checks of requests that run in an evacuated domain, and senders that a lower number of entries adds all at once. Change: one assertion and one test for these.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -144,6 +144,20 @@
     assert fleet.most_in_a_second() > 12.8
 
 
+def test_entries_that_become_senders_together_do_not_send_together():
+    """Guards against a burst when the number of entries falls."""
+    fleet = Fleet(20, 1, 3.2, seed=1)
+    fleet.now_ms = 20_000.0
+    waits_ms = []
+    for state in fleet.entries:
+        state.feed_received_ms = fleet.now_ms
+        was_sender = state.may_send("i-0", fleet.now_ms)
+        state.entries = 12
+        waits_ms.append(state.cold_wait_ms("i-0", fleet.now_ms))
+        assert was_sender or waits_ms[-1] >= 1000.0
+    assert max(waits_ms) > 3000.0
+
+
 def test_chosen_senders_are_rarely_more_than_a_server_withstands():
     """Guards against a share that only fits the servers of the replay."""
     plan = gateway_state.make_plan(194, 3.2, LIMITS)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -285,13 +285,18 @@
 
 
 def test_no_server_of_an_evacuated_domain_is_queried_or_checked(entry):
+    assert _targets(entry) == "a"
     _evacuate(entry, 1, "z1")
     entry.now_ms += 500.0
     (query,) = effects_of_type(entry.deliver_request(), fx.QueryLoad)
     assert {notice.key.server for notice in query.notices} == {"b"}
+    entry.deliver_load_report("b", IDLE)
     for name in "ab":
         entry.state.reachability.record_failure(name, entry.now_ms)
+    entry.now_ms += 900.0
     effects = entry.reduce(Tick(entry.now_ms))
+    overdue = effects_of_type(effects, fx.CheckOverdue)
+    assert {check.notice.key.server for check in overdue} == {"b"}
     assert {
         check.notice.key.server
         for check in effects_of_type(effects, fx.CheckReach)
