Test processes with clients that misbehave

Cause: clients that send bodies without an end, slow heads, or do not read their answers exhaust the memory or the descriptors of a process.

The settings memory_mb and descriptors are declared so that the tests can set them; nothing uses them yet.

--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -113,6 +113,18 @@
         10.0,
         minimum=0.1,
     )
+    memory_mb: float = option(
+        "Memory in MB that the process may use; limits what clients can make "
+        "it hold; 0 takes the memory of the machine or control group.",
+        0.0,
+        minimum=0.0,
+    )
+    descriptors: int = option(
+        "File descriptors that the process may use; limits the connections of "
+        "clients; 0 takes the limit of the process.",
+        0,
+        minimum=0,
+    )
 
     @property
     def target_voters(self) -> int:
--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -110,6 +110,7 @@
         controls: Number of control instances.
         has_relays: Whether links between instances go through relays.
         is_secured: Whether tokens and link keys are required.
+        settings: Further settings of all instances.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         controls: int,
         has_relays: bool = False,
         is_secured: bool = False,
+        settings: dict | None = None,
     ):
         self.relays: dict[str, Relay] = {}
         self.token = ""
@@ -140,8 +142,9 @@
             }
         security = self._write_credentials() if is_secured else {}
         for instance in self.instances:
-            settings = {
+            instance_settings = {
                 **security,
+                **(settings or {}),
                 "instance": instance["name"],
                 "data_folder": f"data-{instance['name']}",
                 "instances": [
@@ -150,7 +153,7 @@
                 ],
             }
             path = self.folder / f"{instance['name']}.toml"
-            path.write_text(tomli_w.dumps(settings))
+            path.write_text(tomli_w.dumps(instance_settings))
 
     def _write_credentials(self) -> dict:
         """Generates tokens and keys; returns the settings that name them."""
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -93,6 +93,7 @@
         service_s: Service time of a request.
         limit_per_s: Limit that it names in its answers; None for none.
         is_leaving: Whether it says in all its answers that it leaves.
+        padding_bytes: Bytes that it adds to its answers to GET.
         rest_until_s: It turns requests away and asks for rest until then, by
             the monotonic clock.
         turned_away: Time and request id of each request that it turned away.
@@ -109,6 +110,7 @@
     service_s: float = 0.02
     limit_per_s: float | None = None
     is_leaving: bool = False
+    padding_bytes: int = 0
     rest_until_s: float = float("-inf")
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
     checked_at_s: list[float] = attrs.field(factory=list)
@@ -181,6 +183,8 @@
                 if fake_server.limit_per_s is not None:
                     stamp_headers["Server-Limit"] = f"{fake_server.limit_per_s}"
                 body = f"{fake_server.name} {self.path}".encode()
+                if self.command == "GET":
+                    body += bytes(fake_server.padding_bytes)
                 self._send(200, body, stamp_headers)
 
             def _send(self, status, body, headers) -> None:
@@ -297,6 +301,7 @@
         self.command = command
         self.rerouted_hosts: dict[str, dict[str, str]] = {}
         self.control_settings: list[str] = []
+        self.entry_settings: list[str] = []
         self.controls = [
             Node(f"127.{block}.1.{n}", "control", folder / f"c{n}")
             for n in range(1, controls + 1)
@@ -322,6 +327,7 @@
             f"is_first_start = {json.dumps(is_first_start)}",
         ]
         if node.role == "entry":
+            lines += self.entry_settings
             lines += [
                 f'callers_address = "{node.host}:{CALLERS_PORT}"',
                 f'readiness_address = "{node.host}:{READINESS_PORT}"',
