--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -9,9 +9,15 @@
 
 from gentianwall.commands.signals import on_stop_signal
 from gentianwall.config.fleet import FleetSettings
-from gentianwall.http.channel import CallerRequest, CallerSite
+from gentianwall.http.channel import (
+    CallerBounds,
+    CallerRequest,
+    CallerSite,
+    SiteLimits,
+)
 from gentianwall.logs import get_logger
 from gentianwall.replication.state import Role, Timing
+from gentianwall.runtime.client_reports import ClientReports
 from gentianwall.runtime.common import (
     fleet_link_setup,
     listen,
@@ -26,6 +32,7 @@
     LEADER_CLIENT_TICK_MS,
     LeaderClient,
 )
+from gentianwall.runtime.process_limits import make_budget
 from gentianwall.storage.journal import Journal, JournalNotEmpty
 from gentianwall.timers import TimerService
 
@@ -42,6 +49,11 @@
 MISSED_HEARTBEATS = 5
 # Interval at which the peers are updated with newly discovered members.
 PEER_UPDATE_INTERVAL_MS = 1000.0
+# Largest configuration; those of the largest deployments have less than 1 MB.
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+# A JSON document takes up to this multiple of its size when it is decoded: an
+# empty list in a list has 3 bytes in the document and 64 in memory.
+DOCUMENT_COPIES = 22
 
 
 @contextlib.contextmanager
@@ -74,13 +86,28 @@
     links = fleet_link_setup(settings)
     with run_control(setup, links, reactor, timers) as runtime:
         leader_client = LeaderClient(runtime)
+        budget = make_budget(settings.memory_mb, settings.descriptors)
+        reports = ClientReports(runtime.metrics, budget)
         site = CallerSite(
-            handler_factory(leader_client, settings), lambda request: None
+            handler_factory(leader_client, settings),
+            lambda request: None,
+            limits=SiteLimits(
+                budget=budget,
+                report_misuse=reports.reporter("control"),
+                body_copies=DOCUMENT_COPIES,
+            ),
         )
+        site.bounds = CallerBounds(body_bytes=MAX_DOCUMENT_BYTES)
         port = listen(reactor, settings.control_address, site)
         on_stop_signal(lambda: _stop_control(port))
         if settings.metrics_port:
-            listen_metrics(reactor, settings, lambda: _metrics_text(runtime))
+            listen_metrics(
+                reactor,
+                settings,
+                lambda: _metrics_text(runtime),
+                budget,
+                reports,
+            )
 
         def reload(changed: FleetSettings) -> None:
             _update_peers(runtime, changed)
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -5,7 +5,7 @@
 import math
 
 from gentianwall.config.routes import RouteKind
-from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.core.refusals import STATUS, Executed, Refusal, RefusalReason
 from gentianwall.gateway import homes, placement, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
@@ -67,6 +67,19 @@
     return route is not None and route.kind.is_idempotent
 
 
+def check_head(
+    state: GatewayState, host: str, path: str
+) -> RefusalReason | None:
+    """Returns why a request is refused by its head, or None.
+
+    Without a configuration no request is refused by its head: it may wait for
+    the first one.
+    """
+    if state.table is not None and state.table.find(host, path) is None:
+        return RefusalReason.NO_ROUTE
+    return None
+
+
 def on_request_arrived(
     state: GatewayState,
     event: RequestArrived,
@@ -82,6 +95,9 @@
         now_ms: The local clock; the time of arrival if omitted.
     """
     now_ms = event.at_ms if now_ms is None else now_ms
+    if event.refusal is not None:
+        _refuse_unrouted(event, event.refusal, effects)
+        return
     if event.relay is not None:
         _on_relayed_request(state, event, event.relay, effects)
         return
@@ -193,7 +209,7 @@
 ) -> None:
     """Refuses a request that was not assigned to a service."""
     after_ms = 0.0
-    if reason in (RefusalReason.NOT_READY, RefusalReason.NO_SERVER):
+    if STATUS[reason] == 503:
         after_ms = UNAVAILABLE_RETRY_AFTER_MS
     fields = {"id": event.request_id, "reason": reason.name.lower()}
     effects.append(Log("refused", {**fields, "path": event.path}))
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -12,7 +12,7 @@
     FailureKind,
     Tick,
 )
-from gentianwall.core.refusals import Refusal
+from gentianwall.core.refusals import Refusal, RefusalReason
 from gentianwall.routing.reports import SpeedReport
 
 
@@ -50,6 +50,8 @@
             force.
         relay: Decisions of the peer that relays the request; None if a caller
             sent it.
+        refusal: Why the request is refused before it is routed, by its head or
+            as too many run; None if it is not.
     """
 
     at_ms: float
@@ -60,6 +62,7 @@
     wait_ms: float | None
     fingerprint: str
     relay: Relay | None = None
+    refusal: RefusalReason | None = None
 
 
 @attrs.define
--- a/gentianwall/http/answer_limits.py
+++ b/gentianwall/http/answer_limits.py
@@ -12,6 +12,9 @@
 
 import attrs
 
+from gentianwall.http.client_budget import ClientBudget
+from gentianwall.timers import monotonic_ms
+
 # Common servers and callers do not accept larger heads. Interim answers count
 # too.
 MAX_HEAD_BYTES = 32 * 1024
@@ -54,14 +57,18 @@
     """Limits the memory of all answers that are being received.
 
     One answer may have any size up to its own limit. If all of them together
-    are over the common limit, the largest one is given up.
+    are over the common limit, the largest one is given up. They share the
+    memory of the process with what its clients hold; clients that make no
+    progress are given up first.
 
     Attributes:
         limit_bytes: Most bytes of all bodies together.
         held_bytes: Bytes held, by a key for each answer.
+        budget: What the clients of the process hold, if it is limited.
     """
 
     limit_bytes: int
+    budget: ClientBudget | None = None
     held_bytes: dict[int, int] = attrs.field(factory=dict)
     _give_up: dict[int, Callable[[], None]] = attrs.field(factory=dict)
 
@@ -77,7 +84,13 @@
         """
         self.held_bytes[key] = self.held_bytes.get(key, 0) + size_bytes
         self._give_up[key] = give_up
-        if sum(self.held_bytes.values()) > self.limit_bytes:
+        budget = self.budget
+        if budget is not None:
+            budget.answer_bytes += size_bytes
+            if budget.is_exceeded:
+                budget.reclaim_from_blocked(monotonic_ms())
+        is_over_limit = sum(self.held_bytes.values()) > self.limit_bytes
+        if is_over_limit or (budget is not None and budget.is_exceeded):
             largest = max(self.held_bytes, key=self.held_bytes.__getitem__)
             give_up = self._give_up[largest]
             self.remove(largest)
@@ -85,5 +98,7 @@
 
     def remove(self, key: int) -> None:
         """Forgets an answer that is complete or given up."""
-        self.held_bytes.pop(key, None)
+        held_bytes = self.held_bytes.pop(key, 0)
+        if self.budget is not None:
+            self.budget.answer_bytes -= held_bytes
         self._give_up.pop(key, None)
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -3,11 +3,15 @@
 Built on `twisted.web.http`. Requests with ambiguous framing are refused here,
 and so are requests that are oversized or arrive too slowly. Only complete
 requests are passed on. Which of several requests on a connection may run is
-decided by `pipelining`.
+decided by `pipelining`, and how much all connections hold together by
+`client_budget`.
 """
 
 from __future__ import annotations
 
+import contextlib
+import enum
+import io
 from collections.abc import Callable
 
 import attrs
@@ -15,6 +19,11 @@
 from twisted.web import http
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.http.client_budget import (
+    SMALL_BYTES,
+    BudgetLimits,
+    ClientBudget,
+)
 from gentianwall.http.pipelining import Pipeline
 from gentianwall.http.problems import CONTENT_TYPE, Problem, render_refusal
 from gentianwall.timers import monotonic_ms
@@ -22,6 +31,58 @@
 MAX_HEADERS = 100
 # Methods of requests that may be repeated, unless routes say otherwise.
 REPEATABLE_METHODS = (b"GET", b"HEAD")
+# Objects of a header, beside its text.
+HEADER_BYTES = 170
+# Smaller heads and answers are covered by what each connection is charged.
+SMALL_HEAD_BYTES = 4096
+SMALL_ANSWER_BYTES = 2048
+# Part of a larger answer that is written at a time. The transport asks for the
+# next one when the client has read it.
+ANSWER_PART_BYTES = 128 * 1024
+# Time for which a connection waits for memory before one is given up.
+MEMORY_WAIT_S = 2.0
+MEMORY_RECHECK_S = 0.1
+RETRY_AFTER_MS = 1000.0
+# Body bytes that must arrive in each window, on average 256 a second: less than
+# any link carries, and more than clients send that only keep a request open.
+RATE_WINDOW_S = 10.0
+MIN_WINDOW_BYTES = 2560
+# A refused client may still be sending. Closing at once would reset the
+# connection, and the client might not see the status.
+LINGER_S = 1.0
+ANY_BYTES = 2**62
+# Body bytes that are charged together. A charge for each chunk would take
+# longer than its parsing where chunks are of a few bytes.
+CHARGED_PART_BYTES = 16 * 1024
+# Chunk sizes and extensions may be as long as the body itself and this many
+# bytes more; 50,000 chunks of one byte stay below it.
+MAX_FRAMING_BYTES = 256 * 1024
+
+
+class Misuse(enum.Enum):
+    """Why a client was refused or its connection closed; a metric's label."""
+
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    HEAD_SLOW = "head_slow"
+    BODY_SLOW = "body_slow"
+    ANSWER_UNREAD = "answer_unread"
+    MALFORMED = "malformed"
+    REFUSED_AT_HEAD = "refused_at_head"
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
+    RUNNING_REQUESTS = "running_requests"
+
+
+def unlimited_budget() -> ClientBudget:
+    """Returns a budget that is never used up."""
+    return ClientBudget(
+        BudgetLimits(
+            memory_bytes=ANY_BYTES,
+            connections=ANY_BYTES,
+            running_requests=ANY_BYTES,
+        )
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -52,34 +113,59 @@
         body: The complete body, set before `process` is called.
         is_received: Whether the request was received completely.
         received_ms: When that was.
+        body_bytes: Bytes of the body received so far.
+        uncharged_bytes: Those of them that are not charged yet.
+        wire_bytes: Bytes of the body with its framing, in complete reads.
+        charged_bytes: Bytes charged for the request and its answer.
+        refusal_reason: Why it is refused by its head.
+        is_running: Whether it counts as one that runs at a server.
     """
 
     body = b""
     is_received = False
     received_ms = 0.0
+    charged_bytes = 0
+    refusal_reason: RefusalReason | None = None
+    is_running = False
+    # Set by requests with a body only: each attribute that is set takes time.
+    body_bytes = 0
+    uncharged_bytes = 0
+    wire_bytes = 0
+    _content: io.BytesIO | None = None
     _ready_answer: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
 
-    def __init__(self, channel, queued=False):
-        super().__init__(channel, queued)
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
-
     def gotLength(self, length) -> None:
-        """Refuses a body whose `Content-Length` is over the limit."""
-        if length is not None and length > self.channel.bounds.body_bytes:
-            self.channel.refuse(RefusalReason.REQUEST_TOO_LARGE)
+        """Checks the complete head; refuses a body that is not to be read."""
+        self.channel.on_head_received(self, length)
 
     def parseCookies(self) -> None:
         """Does not parse cookies; they are forwarded to the servers."""
 
     def handleContentChunk(self, data) -> None:
         """Adds a chunk to the body, or refuses a body over the limit."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self.channel.bounds.body_bytes:
-            self._chunks.clear()
-            self.channel.refuse(RefusalReason.REQUEST_TOO_LARGE)
+        if self.channel.is_refused:
+            return
+        self.body_bytes += len(data)
+        if self.body_bytes > self.channel.bounds.body_bytes:
+            self.channel.refuse(
+                RefusalReason.REQUEST_TOO_LARGE, Misuse.BODY_TOO_LARGE
+            )
             return
-        self._chunks.append(data)
+        self.uncharged_bytes += len(data)
+        if self.uncharged_bytes >= CHARGED_PART_BYTES:
+            self.channel.charge_body(self)
+            if self.channel.is_refused:
+                return
+        if self._content is None:
+            # Grows without copies and without an object for each piece, which
+            # takes more memory than a short piece itself.
+            self._content = io.BytesIO()
+        self._content.write(data)
+
+    def discard(self) -> None:
+        """Drops the body of a request that is not going to run."""
+        self._content = None
+        self.body = b""
 
     def requestReceived(self, command, path, version) -> None:
         """Processes the complete request if it has exactly one `Host`."""
@@ -94,14 +180,23 @@
                 400, "exactly one Host header is required"
             )
             return
-        self.body = b"".join(self._chunks)
-        self._chunks.clear()
-        self.method = command
-        self.uri = path
-        self.path = path.split(b"?", 1)[0]
-        self.clientproto = version
+        if self.uncharged_bytes:
+            self.channel.charge_body(self)
+            if self.channel.is_refused:
+                return
+        if self._content is not None:
+            self.body = self._content.getvalue()
+            self._content = None
+        self.set_target(command, path, version)
         self.process()
 
+    def set_target(self, method: bytes, uri: bytes, version: bytes) -> None:
+        """Sets what the request line states."""
+        self.method = method
+        self.uri = uri
+        self.path = uri.split(b"?", 1)[0]
+        self.clientproto = version
+
     def process(self) -> None:
         """Queues the request behind the earlier ones of the connection."""
         self.channel.on_received(self)
@@ -141,8 +236,8 @@
         self._ready_answer = (status, headers, body)
         self.channel.on_answer_ready(self, len(body), is_closing)
 
-    def write_answer(self, is_last: bool) -> None:
-        """Writes the answer that is ready.
+    def start_answer(self, is_last: bool) -> bytes:
+        """Sets the head of the answer that is ready; returns its body.
 
         Args:
             is_last: Whether the connection ends with this answer.
@@ -157,8 +252,10 @@
         if has_body and not self.responseHeaders.hasHeader(b"Content-Length"):
             length = b"%d" % len(body)
             self.responseHeaders.setRawHeaders(b"Content-Length", [length])
-        self.write(body)
-        self.finish()
+        if self.body:
+            # The request itself is no longer needed.
+            self.body = b""
+        return body
 
     def answer_problem(self, problem: Problem) -> None:
         """Sends a problem+json answer."""
@@ -166,6 +263,30 @@
         self.answer(problem.status, headers, problem.body)
 
 
+@attrs.define
+class _Outgoing:
+    """An answer that is being written.
+
+    Attributes:
+        request: The request.
+        body: Body of the answer.
+        is_last: Whether the connection ends with it.
+        position: Bytes of the body that were written.
+    """
+
+    request: CallerRequest
+    body: bytes
+    is_last: bool
+    position: int = 0
+
+    def write_part(self) -> bool:
+        """Writes the next part; returns whether it was the last one."""
+        end = self.position + ANSWER_PART_BYTES
+        self.request.write(self.body[self.position : end])
+        self.position = end
+        return end >= len(self.body)
+
+
 def has_repeatable_method(request: CallerRequest) -> bool:
     """Returns whether a request may be repeated by its method."""
     return request.method in REPEATABLE_METHODS
@@ -197,6 +318,27 @@
         self._is_advancing = False
         self._receive_timeout_call = None
         self._is_receiving = False
+        self._outgoing: _Outgoing | None = None
+        self._unparsed_bytes = 0
+        self._running_requests = 0
+        self._window_start_bytes = 0
+        self._body_time_s = 0.0
+        self._unread_call = None
+        self._memory_call = None
+        self._closing_call = None
+        self._is_linger_due = False
+        self._is_lost = False
+        self._resources = contextlib.ExitStack()
+        self.account = None
+
+    def open_account(self, budget: ClientBudget, address: str) -> None:
+        """Opens the account of the connection, which ends with it."""
+        self.budget = budget
+        self.account = self._resources.enter_context(
+            budget.account(
+                address, monotonic_ms(), self._give_up, self._on_memory_free
+            )
+        )
 
     def apply_bounds(self, bounds: CallerBounds) -> None:
         """Changes the limits, from the next request on.
@@ -221,14 +363,172 @@
         """Parses received bytes and limits the time to receive a request."""
         if self.is_refused:
             return
+        was_body = not self.line_mode and not self._handlingRequest
         super().dataReceived(data)
+        if not self.line_mode and not self._handlingRequest:
+            self._check_body(len(data) if was_body else 0)
         self._update_receive_timeout()
+        if (
+            self._buffer
+            or self._unparsed_bytes
+            or self._dataBuffer
+            or self._receivedHeaderSize
+        ):
+            self._charge_unparsed()
+
+    def rawDataReceived(self, data) -> None:
+        """Discards what follows a refused head."""
+        if not self.is_refused:
+            super().rawDataReceived(data)
+
+    def _check_body(self, received_bytes: int) -> None:
+        """Charges what was received of a body, and limits its framing."""
+        request = self.requests[-1] if self.requests else None
+        if request is None or request.is_received or self.is_refused:
+            return
+        request.wire_bytes += received_bytes
+        if request.uncharged_bytes:
+            self.charge_body(request)
+        framing_bytes = request.wire_bytes - request.body_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + request.body_bytes:
+            self.refuse_with_status(400, "the chunks are too small")
+
+    def _charge_unparsed(self) -> None:
+        """Charges bytes that are kept until they are parsed."""
+        unparsed_bytes = len(self._buffer)
+        if self.line_mode:
+            unparsed_bytes += self._receivedHeaderSize
+        elif self._dataBuffer:
+            unparsed_bytes += sum(map(len, self._dataBuffer))
+        if unparsed_bytes != self._unparsed_bytes:
+            change_bytes = unparsed_bytes - self._unparsed_bytes
+            self._unparsed_bytes = unparsed_bytes
+            self.budget.charge(self.account, change_bytes)
+
+    def on_head_received(
+        self, request: CallerRequest, length: int | None
+    ) -> None:
+        """Decides by the head of a request whether its body is read.
+
+        Args:
+            request: The request.
+            length: Length of its body; None if it is not stated.
+        """
+        if length is not None and length > self.bounds.body_bytes:
+            self.refuse(RefusalReason.REQUEST_TOO_LARGE, Misuse.BODY_TOO_LARGE)
+            return
+        head_bytes = (
+            self._receivedHeaderSize + HEADER_BYTES * self._receivedHeaderCount
+        )
+        if head_bytes > SMALL_HEAD_BYTES:
+            self._charge_request(request, head_bytes)
+        if length == 0 or self.is_refused:
+            # A request without a body is refused when it would start.
+            return
+        request.set_target(self._command, self._path, self._version)
+        reason = self.site.check_head(request)
+        if reason is not None:
+            self._refuse_at_head(request, reason)
+
+    def _refuse_at_head(
+        self, request: CallerRequest, reason: RefusalReason
+    ) -> None:
+        """Refuses a request after earlier ones; its body is not kept."""
+        self.report(Misuse.REFUSED_AT_HEAD)
+        self.is_refused = True
+        request.is_received = True
+        request.received_ms = monotonic_ms()
+        request.refusal_reason = reason
+        self._is_linger_due = True
+        self.pipeline.add(request, False)
+        self.pipeline.is_read_finished = True
+        self._advance()
+
+    def report(self, misuse: Misuse) -> None:
+        """Counts and logs that the client was refused or is closed."""
+        address = self.account.address if self.account else ""
+        held_bytes = self.account.held_bytes if self.account else 0
+        self.site.limits.report_misuse(misuse, address, held_bytes)
+
+    def _charge_request(self, request: CallerRequest, size_bytes: int) -> None:
+        request.charged_bytes += size_bytes
+        self.budget.charge(self.account, size_bytes)
+
+    def charge_body(self, request: CallerRequest) -> None:
+        """Charges received parts of a body; waits if too much is held."""
+        size_bytes, request.uncharged_bytes = request.uncharged_bytes, 0
+        self.account.progress_ms = monotonic_ms()
+        self._charge_request(request, size_bytes)
+        if self.budget.must_wait(self.account) and not self.is_refused:
+            self._wait_for_memory()
+
+    def _wait_for_memory(self) -> None:
+        if self.account.is_waiting:
+            return
+        self.budget.start_waiting(self.account)
+        self._networkProducer.pauseProducing()
+        if self._memory_call is None:
+            self._memory_call = self.callLater(
+                MEMORY_WAIT_S, self._on_memory_wait_over
+            )
+
+    def _on_memory_wait_over(self) -> None:
+        self._memory_call = None
+        if not self.account.is_waiting:
+            return
+        self.budget.end_wait(monotonic_ms())
+        if self.account.is_waiting:
+            self._memory_call = self.callLater(
+                MEMORY_RECHECK_S, self._on_memory_wait_over
+            )
+
+    def _on_memory_free(self) -> None:
+        """Reads on; called by the budget."""
+        if self._memory_call is not None:
+            self._memory_call.cancel()
+            self._memory_call = None
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+
+    def _give_up(self, is_memory_short: bool) -> None:
+        """Refuses the request being received, or closes the connection.
+
+        Called by the budget, from whatever charged bytes.
+        """
+        self.report(Misuse.MEMORY if is_memory_short else Misuse.CONNECTIONS)
+        can_answer = (
+            is_memory_short
+            and self.is_idle
+            and self._has_partial_request()
+            and not self.is_refused
+        )
+        if can_answer:
+            self._is_linger_due = True
+            self.refuse(RefusalReason.OVERLOADED, None)
+            return
+        self._discard_partial_request()
+        self.is_refused = True
+        self.transport.abortConnection()
+
+    def _discard_partial_request(self) -> None:
+        for request in self.requests:
+            if not request.is_received:
+                request.discard()
+        self._dataBuffer.clear()
 
     def on_received(self, request: CallerRequest) -> None:
         """Queues a complete request and runs it once it may run."""
+        if self.account.is_waiting:
+            self.budget.stop_waiting(self.account)
+            self._on_memory_free()
         self.pipeline.add(request, self.site.is_repeatable(request))
         if not self.persistent:
             self.pipeline.is_read_finished = True
+        account = self.account
+        account.progress_ms = request.received_ms
+        account.is_serving = True
+        if not account.is_proven:
+            self.budget.prove(account)
         self._advance()
 
     def on_answer_ready(
@@ -238,8 +538,19 @@
         if is_closing:
             self.pipeline.is_closing = True
         self.pipeline.record_answer(request, answer_bytes)
+        if request.is_running:
+            request.is_running = False
+            self._running_requests -= 1
+            self.budget.running_requests -= 1
+        if answer_bytes > SMALL_ANSWER_BYTES:
+            self._charge_request(request, answer_bytes)
         self._advance()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether every received request was answered completely."""
+        return self.pipeline.is_empty and self._outgoing is None
+
     def _advance(self) -> None:
         """Writes answers that are due, runs requests and reads further ones."""
         if self._is_advancing:
@@ -251,7 +562,7 @@
             self._is_advancing = False
         if is_last:
             self.loseConnection()
-        elif self.pipeline.is_empty and self._final_problem is not None:
+        elif self._final_problem is not None and self.is_idle:
             self._write_final_problem()
         else:
             self._resume_reading()
@@ -259,32 +570,127 @@
     def _write_and_run(self) -> bool:
         """Returns whether the connection ends with the last answer written."""
         while True:
-            answered = self.pipeline.take_answered()
-            if answered is not None:
-                request, is_last = answered
-                request.write_answer(is_last)
-                if is_last:
-                    return True
-                continue
+            is_due = self._outgoing is not None or self.pipeline.is_answer_due
+            if is_due and self._write_answers():
+                return True
+            if self._running_requests and self.budget.is_crowded:
+                # One request at a time for each connection.
+                return False
             request = self.pipeline.start_next()
             if request is None:
                 return False
-            self.site.handle(request)
+            self._run(request)
+
+    def _write_answers(self) -> bool:
+        """Writes answers that are due, for as long as the client reads.
+
+        Returns:
+            Whether the connection ends with the last one.
+        """
+        while not self._waitingForTransport:
+            if self._outgoing is None:
+                answered = self.pipeline.take_answered()
+                if answered is None:
+                    return False
+                request, is_last = answered
+                body = request.start_answer(is_last)
+                if len(body) > ANSWER_PART_BYTES:
+                    self._outgoing = _Outgoing(request, body, is_last)
+                    continue
+                request.write(body)
+            elif self._outgoing.write_part():
+                request, is_last = (
+                    self._outgoing.request,
+                    self._outgoing.is_last,
+                )
+                self._outgoing = None
+            else:
+                continue
+            request.finish()
+            if is_last or (self.pipeline.is_closing and self.is_idle):
+                return True
+        return False
+
+    def _run(self, request: CallerRequest) -> None:
+        site, limits, budget = self.site, self.site.limits, self.budget
+        reason = request.refusal_reason or site.check_head(request)
+        if reason is not None:
+            site.refuse_request(request, reason)
+            return
+        if limits.has_servers and budget.is_full:
+            self.report(Misuse.RUNNING_REQUESTS)
+            site.refuse_request(request, RefusalReason.QUEUE_FULL)
+            return
+        size_bytes = limits.body_copies * len(request.body)
+        if size_bytes and len(request.body) > SMALL_BYTES:
+            if not budget.reserve(self.account, size_bytes, monotonic_ms()):
+                self.report(Misuse.MEMORY)
+                site.refuse_request(request, RefusalReason.OVERLOADED)
+                return
+            request.charged_bytes += size_bytes
+        if limits.has_servers:
+            request.is_running = True
+            self._running_requests += 1
+            budget.running_requests += 1
+        site.handle(request)
 
     def requestDone(self, request) -> None:
         """Removes the oldest request, whose answer has been written."""
         self.requests.remove(request)
-        if not self._waitingForTransport:
+        if request.charged_bytes:
+            self.budget.charge(self.account, -request.charged_bytes)
+            request.charged_bytes = 0
+        if not self._waitingForTransport and not self.account.is_waiting:
             self._networkProducer.resumeProducing()
 
+    def pauseProducing(self) -> None:
+        """Stops to write and to read until the client has read answers."""
+        super().pauseProducing()
+        if self._unread_call is None and not self._is_lost:
+            self.account.is_blocked_by_client = True
+            self.account.progress_ms = monotonic_ms()
+            self.budget.charge(self.account, ANSWER_PART_BYTES)
+            self._unread_call = self.callLater(
+                self.bounds.body_timeout_s, self._on_unread_timeout
+            )
+
+    def resumeProducing(self) -> None:
+        """Writes and reads on after the client has read answers."""
+        super().resumeProducing()
+        if self.account.is_waiting:
+            self._networkProducer.pauseProducing()
+        self._end_unread()
+        self._advance()
+
+    def _end_unread(self) -> None:
+        if self._unread_call is None:
+            return
+        self._unread_call.cancel()
+        self._unread_call = None
+        self.account.is_blocked_by_client = self._is_receiving
+        self.account.progress_ms = monotonic_ms()
+        self.budget.charge(self.account, -ANSWER_PART_BYTES)
+
+    def _on_unread_timeout(self) -> None:
+        """Closes the connection of a client that does not read."""
+        self._unread_call = None
+        self.report(Misuse.ANSWER_UNREAD)
+        self.is_refused = True
+        self.transport.abortConnection()
+
     def _resume_reading(self) -> None:
-        if self.pipeline.is_empty:
+        if self._outgoing is None and self.pipeline.is_empty:
+            self.account.is_serving = False
             if self._savedTimeOut:
                 self.setTimeout(self.bounds.idle_timeout_s)
             if self._is_continue_due:
                 self._is_continue_due = False
                 self._send100Continue()
-        if self._handlingRequest and self.pipeline.can_read:
+        if (
+            self._handlingRequest
+            and self._outgoing is None
+            and self.pipeline.can_read
+        ):
             self._handlingRequest = False
             data = b"".join(self._dataBuffer)
             self._dataBuffer.clear()
@@ -295,6 +701,8 @@
         if is_receiving == self._is_receiving:
             return
         self._is_receiving = is_receiving
+        self._body_time_s = 0.0
+        self.account.is_blocked_by_client = is_receiving
         if self._receive_timeout_call is not None:
             self._receive_timeout_call.cancel()
             self._receive_timeout_call = None
@@ -308,22 +716,41 @@
         return is_reading or bool(self._buffer)
 
     def _on_receive_timeout(self) -> None:
+        """Checks the head when its time is over, and the body repeatedly."""
         self._receive_timeout_call = None
-        has_headers = not self.line_mode
-        if has_headers and not self._is_body_timeout_running:
-            self._is_body_timeout_running = True
-            self._receive_timeout_call = self.callLater(
-                self.bounds.body_timeout_s - self.bounds.header_timeout_s,
-                self._on_receive_timeout,
+        if self.line_mode or not self.requests:
+            self.refuse_with_status(
+                408, "the request came too slowly", Misuse.HEAD_SLOW
             )
             return
-        self.refuse_with_status(408, "the request came too slowly")
-
-    _is_body_timeout_running = False
+        received_bytes = self.requests[-1].body_bytes
+        is_first = self._body_time_s == 0.0
+        window_bytes = received_bytes - self._window_start_bytes
+        # A connection that waits for memory cannot be read.
+        is_slow = (
+            not is_first
+            and window_bytes < MIN_WINDOW_BYTES
+            and not self.account.is_waiting
+        )
+        if is_first:
+            self._body_time_s = self.bounds.header_timeout_s
+        left_s = self.bounds.body_timeout_s - self._body_time_s
+        if is_slow or left_s <= 0.0:
+            self.refuse_with_status(
+                408, "the request came too slowly", Misuse.BODY_SLOW
+            )
+            return
+        self._window_start_bytes = received_bytes
+        window_s = min(RATE_WINDOW_S, left_s)
+        self._body_time_s += window_s
+        self._receive_timeout_call = self.callLater(
+            window_s, self._on_receive_timeout
+        )
 
     def allContentReceived(self) -> None:
-        """Resets the body timeout once the request is complete."""
-        self._is_body_timeout_running = False
+        """Applies changed limits once the request is complete."""
+        if self.is_refused:
+            return
         if self._next_bounds is not None:
             self._set_bounds(self._next_bounds)
             self._next_bounds = None
@@ -339,20 +766,38 @@
         size = self._receivedHeaderSize + len(line)
         count = self._receivedHeaderCount
         if size > self.totalHeadersSize or count >= self.maxHeaders:
-            self.refuse_with_status(431, "the headers are too large")
+            self.refuse_with_status(
+                431, "the headers are too large", Misuse.HEAD_TOO_LARGE
+            )
             return
         super().lineReceived(line)
 
     def lineLengthExceeded(self, line) -> None:
         """Refuses a request line or header line over the limit."""
-        self.refuse_with_status(431, "the headers are too large")
+        self.refuse_with_status(
+            431, "the headers are too large", Misuse.HEAD_TOO_LARGE
+        )
 
-    def refuse(self, reason: RefusalReason) -> None:
-        """Refuses the request being received and closes the connection."""
-        self._send_and_close(render_refusal(Refusal(reason, Executed.NO), ""))
+    def refuse(self, reason: RefusalReason, misuse: Misuse | None) -> None:
+        """Refuses the request being received and closes the connection.
 
-    def refuse_with_status(self, status: int, detail: str) -> None:
+        Args:
+            reason: Reason of the refusal.
+            misuse: What is counted and logged; None if it was already.
+        """
+        if misuse is not None and not self.is_refused:
+            self.report(misuse)
+        refusal = Refusal(reason, Executed.NO)
+        if refusal.status == 503:
+            refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
+        self._send_and_close(render_refusal(refusal, ""))
+
+    def refuse_with_status(
+        self, status: int, detail: str, misuse: Misuse = Misuse.MALFORMED
+    ) -> None:
         """Refuses a malformed or slow request and closes the connection."""
+        if not self.is_refused:
+            self.report(misuse)
         refusal = Refusal(RefusalReason.BAD_REQUEST, Executed.NO, detail=detail)
         problem = render_refusal(refusal, "")
         body = problem.body.replace(b'"status": 400', b'"status": %d' % status)
@@ -364,7 +809,7 @@
     def _send100Continue(self) -> None:
         if self.is_refused:
             return
-        if self.pipeline.is_empty:
+        if self.is_idle:
             super()._send100Continue()
         else:
             # An interim answer before the earlier answers would be taken for
@@ -376,6 +821,7 @@
         if self.is_refused:
             return
         self.is_refused = True
+        self._discard_partial_request()
         self._final_problem = problem
         self._advance()
 
@@ -396,17 +842,57 @@
     def timeoutConnection(self) -> None:
         """Closes an idle connection; answers a partial request with 408."""
         if self._has_partial_request():
-            self.refuse_with_status(408, "the request came too slowly")
+            self.refuse_with_status(
+                408, "the request came too slowly", Misuse.HEAD_SLOW
+            )
             return
         super().timeoutConnection()
 
+    def loseConnection(self) -> None:
+        """Closes the connection once the client has read what was written.
+
+        It is aborted if that takes too long. A client that may still send a
+        body gets some time to read the answer first.
+        """
+        if self._is_linger_due and not self._is_lost:
+            self._is_linger_due = False
+            self._closing_call = self.callLater(LINGER_S, self._end_linger)
+            self._networkProducer.resumeProducing()
+            return
+        if self._closing_call is None and not self._is_lost:
+            self._closing_call = self.callLater(
+                self.bounds.body_timeout_s, self._on_closing_timeout
+            )
+        super().loseConnection()
+
+    def _end_linger(self) -> None:
+        self._closing_call = None
+        self.loseConnection()
+
+    def _on_closing_timeout(self) -> None:
+        self._closing_call = None
+        self.report(Misuse.ANSWER_UNREAD)
+        self.transport.abortConnection()
+
     def connectionLost(self, reason) -> None:
         """Cancels the receive timeout and removes the connection."""
-        if self._receive_timeout_call is not None:
-            self._receive_timeout_call.cancel()
-            self._receive_timeout_call = None
+        self._is_lost = True
+        self._end_unread()
+        for name in (
+            "_receive_timeout_call",
+            "_memory_call",
+            "_closing_call",
+        ):
+            call = getattr(self, name)
+            setattr(self, name, None)
+            if call is not None:
+                call.cancel()
         self.site.channels.discard(self)
         super().connectionLost(reason)
+        self._outgoing = None
+        self.budget.running_requests -= self._running_requests
+        self._running_requests = 0
+        self._resources.close()
 
     def close_when_idle(self) -> None:
         """Closes the connection at once if idle, else after the answers.
@@ -415,10 +901,58 @@
         being received, unless it is behind others.
         """
         self.pipeline.is_closing = True
-        if self.pipeline.is_empty and not self._has_partial_request():
+        if self.is_idle and not self._has_partial_request():
             self.loseConnection()
 
 
+HeadCheck = Callable[[CallerRequest], RefusalReason | None]
+MisuseReport = Callable[[Misuse, str, int], None]
+
+
+def _accept_head(request: CallerRequest) -> None:
+    """Refuses no request."""
+
+
+def _refuse_request(request: CallerRequest, reason: RefusalReason) -> None:
+    refusal = Refusal(reason, Executed.NO)
+    if refusal.status == 503:
+        refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
+    request.answer_problem(render_refusal(refusal, ""))
+
+
+def _report_nothing(misuse: Misuse, address: str, held_bytes: int) -> None:
+    """Reports nothing."""
+
+
+@attrs.frozen(kw_only=True)
+class SiteLimits:
+    """What clients of one port may take.
+
+    Attributes:
+        budget: Limits what all clients of the process hold.
+        report_misuse: Called with reason, address and held bytes when a client
+            is refused or closed.
+        has_servers: Whether requests are sent to servers, so that the number of
+            those that run is limited.
+        body_copies: Memory that handling a large body takes, as a multiple of
+            its size.
+    """
+
+    budget: ClientBudget = attrs.field(factory=unlimited_budget)
+    report_misuse: MisuseReport = _report_nothing
+    has_servers: bool = False
+    body_copies: int = 0
+
+
+def refuse_bodies(request: CallerRequest) -> RefusalReason | None:
+    """Refuses a request with a body; a head check."""
+    headers = request.requestHeaders
+    length = headers.getRawHeaders(b"Content-Length") or [b"0"]
+    if length != [b"0"] or headers.hasHeader(b"Transfer-Encoding"):
+        return RefusalReason.REQUEST_TOO_LARGE
+    return None
+
+
 class CallerSite(protocol.ServerFactory):
     """Accepts connections of callers.
 
@@ -427,6 +961,12 @@
         handle_disconnect: Called for a request whose caller disconnected.
         is_repeatable: Returns whether a request may run more than once, so
             that it may run beside others of its connection.
+        limits: What clients may take, and who hears of those that are refused.
+        check_head: Returns why a request is refused by its head, or None. It
+            is called when the head of a request with a body is complete, and
+            for every request when it would start.
+        refuse_request: Answers a request that is refused by its head, or for
+            which too many requests run.
 
     Attributes:
         channels: Open connections, closed at a graceful shutdown.
@@ -439,10 +979,18 @@
         handle: Callable[[CallerRequest], None],
         handle_disconnect: Callable[[CallerRequest], None],
         is_repeatable: Callable[[CallerRequest], bool] | None = None,
+        *,
+        limits: SiteLimits | None = None,
+        check_head: HeadCheck | None = None,
+        refuse_request: Callable[[CallerRequest, RefusalReason], None]
+        | None = None,
     ):
         self.handle = handle
         self.handle_disconnect = handle_disconnect
         self.is_repeatable = is_repeatable or has_repeatable_method
+        self.limits = limits or SiteLimits()
+        self.check_head = check_head or _accept_head
+        self.refuse_request = refuse_request or _refuse_request
         self._bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
@@ -457,11 +1005,16 @@
         for channel in self.channels:
             channel.apply_bounds(bounds)
 
-    def buildProtocol(self, addr) -> CallerChannel:
-        """Creates the protocol of one connection."""
+    def buildProtocol(self, addr) -> CallerChannel | None:
+        """Creates the protocol of one connection; None closes it."""
+        address = getattr(addr, "host", "")
+        if not self.limits.budget.make_room(monotonic_ms()):
+            self.limits.report_misuse(Misuse.CONNECTIONS, address, 0)
+            return None
         channel = CallerChannel(self.bounds)
         channel.site = self
         channel.factory = self
+        channel.open_account(self.limits.budget, address)
         self.channels.add(channel)
         return channel
 
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import io
 import re
 from collections.abc import Callable
 
@@ -28,6 +29,7 @@
     AnswerMemory,
     AnswerMeter,
 )
+from gentianwall.http.client_budget import ClientBudget
 from gentianwall.timers import monotonic_ms
 from gentianwall.utils.addresses import is_ip_address
 
@@ -43,12 +45,19 @@
 # With the copy of one body whose parts are joined, that is less than half of
 # the 433 MB of the smallest machines that entries run on.
 ANSWER_MEMORY_BYTES = 96 * 1024 * 1024
+# Copies of a body that the transport makes while it sends it.
+SENT_BODY_COPIES = 1
 # States of twisted's parser in which the head of an answer has been received.
 AFTER_HEAD = ("BODY", "DONE")
 
 _answer_memory = AnswerMemory(ANSWER_MEMORY_BYTES)
 
 
+def share_memory(budget: ClientBudget) -> None:
+    """Makes answers of servers share the memory that clients may use."""
+    _answer_memory.budget = budget
+
+
 @attrs.define
 class ServerRequest:
     """A request to a server.
@@ -299,14 +308,14 @@
         self._is_close_accepted = is_close_accepted
         self._on_success = on_success
         self._on_error = on_error
-        self._chunks: list[bytes] = []
+        self._content: io.BytesIO | None = io.BytesIO()
         self._is_finished = False
 
     def dataReceived(self, data) -> None:
         self._meter.body_bytes += len(data)
         if self._is_finished:
             return
-        self._chunks.append(data)
+        self._content.write(data)
         if self._meter.body_bytes > self._limit_bytes:
             self._give_up()
             return
@@ -318,7 +327,7 @@
 
     def _finish(self) -> None:
         self._is_finished = True
-        self._chunks.clear()
+        self._content = None
         _answer_memory.remove(id(self))
 
     def connectionLost(self, reason) -> None:
@@ -328,7 +337,7 @@
             reason.check(PotentialDataLoss) and self._is_close_accepted()
         )
         if reason.check(ResponseDone) or is_complete_at_close:
-            body = b"".join(self._chunks)
+            body = self._content.getvalue()
             self._finish()
             self._on_success(body)
         else:
--- a/gentianwall/http/pipelining.py
+++ b/gentianwall/http/pipelining.py
@@ -61,6 +61,12 @@
         """Whether every received request has been answered."""
         return not self._exchanges
 
+    @property
+    def is_answer_due(self) -> bool:
+        """Whether the answer to the oldest request is ready."""
+        exchanges = self._exchanges
+        return bool(exchanges) and exchanges[0].stage is Stage.ANSWERED
+
     @property
     def can_read(self) -> bool:
         """Whether the next request may be read."""
@@ -114,7 +120,7 @@
             The request and whether the connection ends with its answer, or
             None if the answer is not ready.
         """
-        if self.is_empty or self._exchanges[0].stage is not Stage.ANSWERED:
+        if not self.is_answer_due:
             return None
         request = self._exchanges.popleft().request
         if self.is_closing:
--- a/gentianwall/metrics.py
+++ b/gentianwall/metrics.py
@@ -26,6 +26,7 @@
 ATTEMPTS = "gentianwall_attempts_total"
 PROBES = "gentianwall_probes_total"
 CHARGES = "gentianwall_charges_total"
+CLIENTS_REFUSED = "gentianwall_clients_refused_total"
 CALL_SECONDS = "gentianwall_call_seconds"
 REQUESTS = "gentianwall_requests_total"
 REQUEST_SECONDS = "gentianwall_request_seconds"
@@ -36,6 +37,7 @@
     f"{REQUEST_SECONDS}_bucket": "Routed requests by duration, cumulative.",
     f"{REQUEST_SECONDS}_sum": "Summed duration of routed requests in s.",
     f"{REQUEST_SECONDS}_count": "Routed requests whose duration is summed.",
+    CLIENTS_REFUSED: "Clients refused or closed for their behaviour.",
     ANSWERS: "Answered calls by service and tier.",
     REFUSALS: "Refused calls by service and reason.",
     ATTEMPTS: "Attempts to send calls to servers.",
@@ -56,6 +58,12 @@
     "entries_known": "Entries that share the budget of retries.",
     "requests_in_flight": "Requests that have not ended yet.",
     "callers_connections": "Open connections of callers.",
+    "client_held_bytes": "Bytes that clients make this process hold.",
+    "client_limit_bytes": "Most bytes that clients make this process hold.",
+    "client_connections": "Open connections of clients at all ports.",
+    "client_limit_connections": "Most open connections of clients.",
+    "client_running_requests": "Requests of clients that run at servers.",
+    "clients_waiting": "Connections that wait for memory before reading.",
     "log_lines_dropped_total": "Log lines dropped as the reader was slow.",
     "log_lines_suppressed_total": "Log lines over the rate of their event.",
     "rate_limited_servers": "Servers that name a rate limit.",
@@ -153,6 +161,7 @@
         ] = {}
         self.services: dict[str, ServiceMetrics] = {}
         self.charges: dict[ChargeKey, float] = {}
+        self.misuses: dict[tuple[str, str], int] = {}
         self.process_values: dict[str, float] = {}
 
     def service(self, name: str) -> ServiceMetrics:
@@ -205,6 +214,11 @@
         refusals = self.service(service).refusals
         refusals[reason] = refusals.get(reason, 0) + 1
 
+    def record_misuse(self, port: str, reason: str) -> None:
+        """Counts a client that was refused or closed for its behaviour."""
+        key = (port, reason)
+        self.misuses[key] = self.misuses.get(key, 0) + 1
+
     def text(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
         # Imported on first use, since the import takes 10 MB and 0.1 s.
@@ -226,6 +240,9 @@
         charges = counter(CHARGES)
         for key, price in self.charges.items():
             charges.set({"caller": key.caller, "tier": key.tier}, price)
+        refused = counter(CLIENTS_REFUSED)
+        for (port, reason), count in self.misuses.items():
+            refused.set({"port": port, "reason": reason}, count)
         for name, value in self.process_values.items():
             collector_class = Counter if name.endswith("_total") else Gauge
             collector = collector_class(
--- a/gentianwall/runtime/common.py
+++ b/gentianwall/runtime/common.py
@@ -7,9 +7,16 @@
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.config.settings import Address, parse_address
 from gentianwall.core.events import MessageArrived
-from gentianwall.http.channel import CallerRequest, CallerSite
+from gentianwall.http.channel import (
+    CallerRequest,
+    CallerSite,
+    SiteLimits,
+    refuse_bodies,
+)
+from gentianwall.http.client_budget import ClientBudget
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import LinkSetup
+from gentianwall.runtime.client_reports import ClientReports
 from gentianwall.timeline import Timeline
 from gentianwall.timers import monotonic_ms, wall_ms
 
@@ -47,19 +54,32 @@
 
 
 def listen_metrics(
-    reactor, settings: FleetSettings, render: Callable[[], bytes]
+    reactor,
+    settings: FleetSettings,
+    render: Callable[[], bytes],
+    budget: ClientBudget,
+    reports: ClientReports,
 ):
     """Serves metrics as text at `GET /metrics`; returns the port."""
 
     def answer(request: CallerRequest) -> None:
         if request.path == b"/metrics":
+            reports.update_metrics()
             headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
             request.answer(200, headers, render())
         else:
             request.answer(404, [], b"")
 
     address = f"{settings.host}:{settings.metrics_port}"
-    return listen(reactor, address, CallerSite(answer, lambda request: None))
+    site = CallerSite(
+        answer,
+        lambda request: None,
+        limits=SiteLimits(
+            budget=budget, report_misuse=reports.reporter("metrics")
+        ),
+        check_head=refuse_bodies,
+    )
+    return listen(reactor, address, site)
 
 
 def message_events(
--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -34,15 +34,23 @@
 )
 from gentianwall.core.state import EntryState
 from gentianwall.http.announcements import AnnouncementHandler
-from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
+from gentianwall.http.channel import (
+    CallerBounds,
+    CallerRequest,
+    CallerSite,
+    SiteLimits,
+)
+from gentianwall.http.connections import SENT_BODY_COPIES, share_memory
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import Links, make_link_setup, open_links
 from gentianwall.logs import get_logger
 from gentianwall.metrics import Metrics
 from gentianwall.runtime.calls import CallHandler
+from gentianwall.runtime.client_reports import ClientReports
 from gentianwall.runtime.common import listen, message_events, stop_listening
 from gentianwall.runtime.operators import EntryOperatorHandler
 from gentianwall.runtime.probes import ProbeSender
+from gentianwall.runtime.process_limits import make_budget
 from gentianwall.timeline import EventKind, Timeline
 from gentianwall.timers import TimerService, monotonic_ms, wall_ms
 
@@ -73,6 +81,8 @@
         self.reactor = reactor
         self.timers = timers
         self.metrics = Metrics()
+        self.budget = make_budget(settings.memory_mb, settings.descriptors)
+        self.client_reports = ClientReports(self.metrics, self.budget)
         self.timeline = Timeline(settings.instance)
         self.links: Links | None = None
         self._events: collections.deque[EntryEvent] = collections.deque()
@@ -112,9 +122,17 @@
             self.settings.server_token_folder, self.handle
         )
         self.operators = EntryOperatorHandler(self)
+        share_memory(self.budget)
         self.probes = ProbeSender(self.calls, self.metrics, self.handle)
         self.site = CallerSite(
-            self._on_request, self.calls.on_caller_disconnected
+            self._on_request,
+            self.calls.on_caller_disconnected,
+            limits=SiteLimits(
+                budget=self.budget,
+                report_misuse=self.client_reports.reporter("callers"),
+                has_servers=True,
+                body_copies=SENT_BODY_COPIES,
+            ),
         )
         self._ports = [
             listen(self.reactor, own.callers_address, self.site),
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -13,8 +13,9 @@
 from gentianwall.config.routes import CallerLimits
 from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
+from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway.budget import RetryLimits
-from gentianwall.gateway.dispatching import is_repeatable
+from gentianwall.gateway.dispatching import check_head, is_repeatable
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckOverdue,
@@ -39,12 +40,20 @@
 )
 from gentianwall.gateway.reducer import reduce_gateway
 from gentianwall.gateway.state import GatewayState
-from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
+from gentianwall.http.channel import (
+    CallerBounds,
+    CallerRequest,
+    CallerSite,
+    SiteLimits,
+    refuse_bodies,
+)
+from gentianwall.http.connections import SENT_BODY_COPIES, share_memory
 from gentianwall.http.dialect import Dialect
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import Links, open_links
 from gentianwall.logs import EventLog
 from gentianwall.metrics import Metrics, RequestKey
+from gentianwall.runtime.client_reports import ClientReports
 from gentianwall.runtime.common import (
     fleet_link_setup,
     listen,
@@ -53,6 +62,7 @@
     stop_listening,
 )
 from gentianwall.runtime.gateway_requests import GatewayRequestHandler
+from gentianwall.runtime.process_limits import make_budget
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import ServerPools
 from gentianwall.timeline import Timeline
@@ -103,6 +113,11 @@
             link_name=settings.link_address,
             has_peers=settings.peer_port > 0,
         )
+        self.budget = make_budget(settings.memory_mb, settings.descriptors)
+        self.client_reports = ClientReports(
+            self.metrics, self.budget, self._write_client_line
+        )
+        share_memory(self.budget)
         self.pools = ServerPools(reactor)
         self.checks = ServerChecks(
             self.pools, timers, dialect, self.metrics, self.handle
@@ -120,11 +135,16 @@
         self.peer_site = CallerSite(
             self.requests.on_relayed_request_arrived,
             self.requests.on_caller_disconnected,
+            limits=self._server_site_limits("peers"),
+            refuse_request=self.requests.refuse_arriving_relayed,
         )
         self.site = CallerSite(
             self.requests.on_request_arrived,
             self.requests.on_caller_disconnected,
             self._is_repeatable,
+            limits=self._server_site_limits("callers"),
+            check_head=self._check_head,
+            refuse_request=self.requests.refuse_arriving,
         )
         self._events: collections.deque[GatewayEvent] = collections.deque()
         self._is_handling = False
@@ -144,12 +164,26 @@
             self._ports.append(
                 listen(self.reactor, peer_address, self.peer_site)
             )
-        readiness = CallerSite(self._answer_readiness, lambda request: None)
+        readiness = CallerSite(
+            self._answer_readiness,
+            lambda request: None,
+            limits=SiteLimits(
+                budget=self.budget,
+                report_misuse=self.client_reports.reporter("readiness"),
+            ),
+            check_head=refuse_bodies,
+        )
         self._readiness_port = listen(
             self.reactor, settings.readiness_address, readiness
         )
         if settings.metrics_port:
-            listen_metrics(self.reactor, settings, self.metrics_text)
+            listen_metrics(
+                self.reactor,
+                settings,
+                self.metrics_text,
+                self.budget,
+                self.client_reports,
+            )
         self.tick()
 
     def _is_repeatable(self, request: CallerRequest) -> bool:
@@ -157,6 +191,23 @@
         path = request.path.decode("latin-1")
         return is_repeatable(self.state, host, path)
 
+    def _server_site_limits(self, port: str) -> SiteLimits:
+        return SiteLimits(
+            budget=self.budget,
+            report_misuse=self.client_reports.reporter(port),
+            has_servers=True,
+            body_copies=SENT_BODY_COPIES,
+        )
+
+    def _check_head(self, request: CallerRequest) -> RefusalReason | None:
+        """Returns why a request is refused before its body is read."""
+        host = request.header(b"Host")
+        path = request.path.decode("latin-1")
+        return check_head(self.state, host, path)
+
+    def _write_client_line(self, fields: dict[str, object]) -> None:
+        self.log.write("client_refused", fields)
+
     def _answer_readiness(self, request: CallerRequest) -> None:
         is_ready = self.state.is_ready
         body = b"ready\n" if is_ready else b"not ready\n"
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -10,7 +10,7 @@
 import attrs
 
 from gentianwall.core.events import CallerDisconnected, FailureKind
-from gentianwall.core.refusals import Refusal
+from gentianwall.core.refusals import Refusal, RefusalReason
 from gentianwall.gateway.effects import (
     CancelRequest,
     CheckServer,
@@ -141,8 +141,24 @@
             return
         self._open_request(request, relay)
 
+    def refuse_arriving(
+        self, request: CallerRequest, reason: RefusalReason
+    ) -> None:
+        """Refuses a request that is not routed; its body may be unread."""
+        self._open_request(request, None, reason)
+
+    def refuse_arriving_relayed(
+        self, request: CallerRequest, reason: RefusalReason
+    ) -> None:
+        """Refuses a request of a peer, which tells its caller."""
+        relay = decode_relay(request.header(RELAY_HEADER))
+        self._open_request(request, relay, reason)
+
     def _open_request(
-        self, request: CallerRequest, relay: Relay | None
+        self,
+        request: CallerRequest,
+        relay: Relay | None,
+        refusal: RefusalReason | None = None,
     ) -> None:
         self._last_id += 1
         call_id = self._last_id
@@ -157,7 +173,7 @@
         )
         self.open_requests[call_id] = call
         self._call_id_by_request[id(request)] = call_id
-        is_needed = self._is_fingerprint_needed()
+        is_needed = refusal is None and self._is_fingerprint_needed()
         self._handle(
             RequestArrived(
                 at_ms=now_ms,
@@ -168,6 +184,7 @@
                 wait_ms=self._wait_ms(request, now_ms),
                 fingerprint=_fingerprint(request) if is_needed else "",
                 relay=relay,
+                refusal=refusal,
             )
         )
 
--- a/gentianwall/runtime/operators.py
+++ b/gentianwall/runtime/operators.py
@@ -29,12 +29,15 @@
 from gentianwall.http.operators import (
     MAX_DECLARATION_BYTES,
     OperatorPages,
+    OperatorSite,
     Page,
     send_json,
     send_text,
 )
 from gentianwall.http.tokens import load_token
 from gentianwall.membership.messages import ServerKey
+from gentianwall.runtime.client_reports import ClientReports
+from gentianwall.runtime.process_limits import make_budget
 from gentianwall.timers import monotonic_ms, wall_ms
 
 COMMAND_WAIT_MS = 4000.0
@@ -53,10 +56,10 @@
         self._pending_requests: dict[str, server.Request] = {}
         self._last_number = 0
 
-    def site(self) -> server.Site:
+    def site(self) -> OperatorSite:
         """Returns the site that serves the operators' port."""
         pages = [
-            *common_pages(self._runtime),
+            *common_pages(self._runtime, self._runtime.client_reports),
             Page("/v1/status", "GET", self._handle_status),
             Page("/v1/servers", "GET", self._handle_servers),
             Page("/v1/declaration", "POST", self._handle_declaration),
@@ -64,7 +67,12 @@
             Page("/v1/drain", "POST", self._handle_drain),
         ]
         token = load_token(self._runtime.settings.operator_token_file)
-        return server.Site(OperatorPages(pages, token))
+        return OperatorSite(
+            OperatorPages(pages, token),
+            self._runtime.budget,
+            self._runtime.client_reports.reporter("operators"),
+            self._runtime.reactor.callLater,
+        )
 
     def answer_public_page(self, request: CallerRequest) -> None:
         """Answers `/livez`, `/readyz` and `/prices` at the callers' port."""
@@ -211,17 +219,24 @@
     def __init__(self, runtime, settings: Settings):
         self._runtime = runtime
         self._settings = settings
+        self._budget = make_budget(settings.memory_mb, settings.descriptors)
+        self._reports = ClientReports(runtime.metrics, self._budget)
 
-    def site(self) -> server.Site:
+    def site(self) -> OperatorSite:
         """Returns the site that serves the operators' port."""
         pages = [
-            *common_pages(self._runtime),
+            *common_pages(self._runtime, self._reports),
             Page("/livez", "GET", self._handle_livez, is_public=True),
             Page("/readyz", "GET", self._handle_readyz, is_public=True),
             Page("/v1/replica", "GET", self._handle_replica),
         ]
         token = load_token(self._settings.operator_token_file)
-        return server.Site(OperatorPages(pages, token))
+        return OperatorSite(
+            OperatorPages(pages, token),
+            self._budget,
+            self._reports.reporter("operators"),
+            self._runtime.reactor.callLater,
+        )
 
     def _handle_livez(self, request: server.Request) -> None:
         send_text(request, 200, b"live\n")
@@ -250,10 +265,11 @@
         send_json(request, 200, content)
 
 
-def common_pages(runtime) -> list[Page]:
+def common_pages(runtime, reports: ClientReports) -> list[Page]:
     """Returns the pages that entries and control instances share."""
 
     def metrics(request: server.Request) -> None:
+        reports.update_metrics()
         links = runtime.links
         values = runtime.metrics.process_values
         values["link_sent_bytes_total"] = links.sent_bytes
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -13,7 +13,14 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from gentianwall.http.channel import CallerBounds, CallerSite
+from gentianwall.core.refusals import RefusalReason
+from gentianwall.http.channel import (
+    CallerBounds,
+    CallerSite,
+    Misuse,
+    SiteLimits,
+)
+from gentianwall.http.client_budget import BudgetLimits, ClientBudget
 from gentianwall.http.pipelining import (
     MAX_OPEN_REQUESTS,
     MAX_WAITING_BYTES,
@@ -21,6 +28,7 @@
 )
 
 BOUNDS = CallerBounds()
+MIB = 1024 * 1024
 
 
 @pytest.fixture
@@ -321,3 +329,222 @@
     assert ended == sorted(ended)
     if close_at > 200 or not pipeline.is_closing:
         assert ended == list(range(len(kinds)))
+
+
+BUDGET_LIMITS = BudgetLimits(
+    memory_bytes=MIB, connections=8, running_requests=4
+)
+HEAD = b"POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+
+class Process:
+    """Connections of one site with a small budget and a fake clock."""
+
+    def __init__(self, has_servers=False, **options):
+        self.received = []
+        self.reports = []
+        self.budget = ClientBudget(BUDGET_LIMITS)
+        self.clock = Clock()
+        self.site = CallerSite(
+            self.received.append,
+            lambda request: None,
+            limits=SiteLimits(
+                budget=self.budget,
+                report_misuse=lambda misuse, *_: self.reports.append(misuse),
+                has_servers=has_servers,
+                body_copies=int(has_servers),
+            ),
+            **options,
+        )
+        self.channels = []
+
+    def connect(self):
+        """Opens a connection; returns its channel and transport."""
+        channel = self.site.buildProtocol(None)
+        channel.callLater = self.clock.callLater
+        transport = StringTransport()
+        channel.makeConnection(transport)
+        self.channels.append(channel)
+        return channel, transport
+
+    def close(self):
+        """Closes all connections."""
+        for channel in self.channels:
+            channel.connectionLost(Failure(ConnectionLost()))
+
+
+# Bodies that were charged and not released used up the budget for good.
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 6), st.booleans()),
+        max_size=30,
+    )
+)
+def test_nothing_stays_charged_when_all_connections_are_lost(steps):
+    process = Process(has_servers=True)
+    process.connect()
+    for connection, step, is_small in steps:
+        size = 2000 if is_small else 400_000
+        if connection >= len(process.channels):
+            process.connect()
+        channel = process.channels[connection % len(process.channels)]
+        if channel.transport.disconnecting:
+            continue
+        if step == 0:
+            channel.dataReceived(HEAD % (b"x", size))
+        elif step == 1:
+            channel.dataReceived(bytes(size // 2))
+        elif step == 2:
+            channel.dataReceived(HEAD % (b"x", size) + bytes(size))
+        elif step == 3 and process.received:
+            process.received.pop(0).answer(200, [], bytes(size))
+        elif step == 4:
+            channel.pauseProducing()
+        elif step == 5:
+            channel.resumeProducing()
+        else:
+            process.clock.advance(5.0)
+        assert process.budget.used_bytes <= BUDGET_LIMITS.memory_bytes
+    process.close()
+    assert process.budget.used_bytes == process.budget.connections == 0
+    assert process.budget.running_requests == 0
+    assert all(not call.active() for call in process.clock.getDelayedCalls())
+
+
+# Bodies for paths without a route took 235 MB before they were refused.
+def test_a_request_refused_by_its_head_is_answered_before_its_body():
+    process = Process(check_head=lambda request: RefusalReason.NO_ROUTE)
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"x", 900_000) + bytes(1000))
+    assert transport.value().startswith(b"HTTP/1.1 404 ")
+    assert b'"executed": "no"' in transport.value()
+    held_bytes = channel.account.held_bytes
+    channel.dataReceived(bytes(300_000))
+    assert channel.account.held_bytes == held_bytes
+    # The client may still be sending: it has time to read the answer.
+    assert not transport.disconnecting
+    process.clock.advance(1.1)
+    assert transport.disconnecting
+    assert process.received == []
+    assert process.reports == [Misuse.REFUSED_AT_HEAD]
+
+
+def test_a_refusal_by_the_head_keeps_the_order_of_answers():
+    is_known = {b"/a": None, b"/b": RefusalReason.NO_ROUTE}
+    process = Process(check_head=lambda request: is_known[request.path])
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"a", 1) + b"z" + HEAD % (b"b", 9) + b"zz")
+    assert transport.value() == b""
+    process.received[0].answer(200, [], b"first")
+    answers = transport.value()
+    assert answers.index(b"first") < answers.index(b"HTTP/1.1 404 ")
+
+
+def test_a_request_without_a_body_refused_by_its_head_keeps_its_connection():
+    process = Process(check_head=lambda request: RefusalReason.NO_ROUTE)
+    channel, transport = process.connect()
+    for count in (1, 2):
+        channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert transport.value().count(b"HTTP/1.1 404 ") == count
+    process.clock.advance(2.0)
+    assert not transport.disconnecting
+
+
+# Bodies that stop before their end were kept for 60 s, however many.
+def test_a_body_waits_for_memory_and_the_one_without_progress_is_refused():
+    process = Process()
+    stalled, stalled_transport = process.connect()
+    stalled.dataReceived(HEAD % (b"a", 600_001) + bytes(600_000))
+    active, active_transport = process.connect()
+    active.dataReceived(HEAD % (b"b", 900_000) + bytes(250_000))
+    assert active_transport.producerState == "paused"
+    stalled.account.progress_ms -= 5000.0
+    process.clock.advance(2.1)
+    assert stalled_transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b'"executed": "no"' in stalled_transport.value()
+    assert b"Retry-After: " in stalled_transport.value()
+    assert active_transport.producerState == "producing"
+    active.dataReceived(bytes(650_000))
+    assert len(process.received[0].body) == 900_000
+    assert process.reports == [Misuse.MEMORY]
+
+
+# A connection that waited on went with its next request unread.
+def test_a_body_that_is_complete_does_not_wait():
+    process = Process()
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"a", 900_000) + bytes(900_000))
+    assert len(process.received) == 1
+    assert transport.producerState == "producing"
+    process.clock.advance(5.0)
+    process.received[0].answer(200, [], b"done")
+    channel.dataReceived(HEAD % (b"b", 1) + b"z")
+    assert len(process.received) == 2
+    assert process.reports == []
+
+
+# An upload on a slow link must not be taken for one that only stays open.
+def test_a_slow_upload_succeeds_and_a_slower_one_is_refused():
+    process = Process()
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"a", 50 * 300))
+    for _ in range(50):
+        process.clock.advance(1.0)
+        channel.dataReceived(bytes(300))
+    assert len(process.received) == 1
+    process.received[0].answer(200, [], b"")
+    channel.dataReceived(HEAD % (b"b", 15_000))
+    for _ in range(40):
+        process.clock.advance(1.0)
+        channel.dataReceived(bytes(10))
+    assert b"HTTP/1.1 408 " in transport.value()
+    assert process.reports == [Misuse.BODY_SLOW]
+
+
+# Answers of 64 MiB were kept for clients that did not read them.
+def test_a_client_that_does_not_read_its_answer_is_closed():
+    process = Process()
+    channel, transport = process.connect()
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+    transport.write = lambda data: (
+        StringTransport.write(transport, data),
+        len(transport.value()) > 65536 and channel.pauseProducing(),
+    )
+    process.received[0].answer(200, [], bytes(500_000))
+    sent_bytes = len(transport.value())
+    assert sent_bytes < 200_000
+    assert process.budget.used_bytes > 500_000
+    channel.resumeProducing()
+    assert sent_bytes < len(transport.value()) < 400_000
+    process.clock.advance(BOUNDS.body_timeout_s + 1)
+    assert transport.disconnected or transport.aborting
+    assert process.reports == [Misuse.ANSWER_UNREAD]
+
+
+# Pipelined requests opened a connection to a server each: 1,028 descriptors.
+def test_connections_run_one_request_at_a_time_when_many_run():
+    process = Process(has_servers=True)
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    transports = []
+    for _ in range(5):
+        channel, transport = process.connect()
+        transports.append(transport)
+        channel.dataReceived(get * 6)
+    assert len(process.received) == process.budget.running_requests == 4
+    assert transports[4].value().startswith(b"HTTP/1.1 503 ")
+    assert process.reports[0] is Misuse.RUNNING_REQUESTS
+    for request in list(process.received):
+        request.answer(200, [], b"")
+    assert len(process.received) > 4
+
+
+def test_chunks_of_one_byte_are_refused_beyond_a_limit():
+    process = Process()
+    channel, transport = process.connect()
+    channel.dataReceived(
+        b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    for _ in range(100):
+        channel.dataReceived(b"1\r\nz\r\n" * 1000)
+    assert transport.value().startswith(b"HTTP/1.1 400 ")
+    assert process.received == []
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -16,8 +16,10 @@
 from harness import misbehaving as shapes
 from harness.fleet import (
     CALLERS_PORT,
+    CONTROL_LINK_PORT,
     CONTROL_PORT,
     HOST,
+    LINK_PORT,
     METRICS_PORT,
     PEER_PORT,
     READINESS_PORT,
@@ -113,6 +115,7 @@
         flood.run(FLOOD_S, lambda: usage.sample(pid))
         wait_until("an ordinary request is answered", is_served, 20.0)
         usage.sample(pid)
+    print(usage)
     assert usage.is_alive
     assert usage.peak_mb < MEMORY_MB, usage
     assert usage.descriptors < DESCRIPTORS, usage
@@ -183,6 +186,21 @@
     )
 
 
+@pytest.mark.parametrize("shape", ["upload", "slow heads"])
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_the_link_ports(fleet, shape, role):
+    is_entry = role == "entry"
+    node = fleet.entries[0] if is_entry else fleet.controls[0]
+    port = LINK_PORT if is_entry else CONTROL_LINK_PORT
+    _flood(
+        node.process.pid,
+        f"{node.host}:{port}",
+        b"/",
+        shape,
+        lambda: _is_entry_serving(fleet) and _is_control_serving(fleet),
+    )
+
+
 @pytest.fixture
 def cluster():
     """One entry and one control instance with listed addresses."""
