Merge limits on what all clients of a process make it hold

Requests without a key are refused by their head too, before their body is read (gateway/identity.check_head), in place of the check for a route alone.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -5,7 +5,7 @@
 import math
 
 from gentianwall.config.routes import RouteKind
-from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.core.refusals import STATUS, Executed, Refusal, RefusalReason
 from gentianwall.gateway import homes, identity, placement, quotas, relaying
 from gentianwall.gateway.admission import RECHECK_MS, Verdict, admit
 from gentianwall.gateway.effects import (
@@ -83,6 +83,9 @@
         now_ms: The local clock; the time of arrival if omitted.
     """
     now_ms = event.at_ms if now_ms is None else now_ms
+    if event.refusal is not None:
+        _refuse_unrouted(event, event.refusal, effects)
+        return
     if event.relay is not None:
         _on_relayed_request(state, event, event.relay, effects)
         return
@@ -253,7 +256,7 @@
 ) -> None:
     """Refuses a request that was not assigned to a service."""
     after_ms = 0.0
-    if reason in (RefusalReason.NOT_READY, RefusalReason.NO_SERVER):
+    if STATUS[reason] == 503:
         after_ms = UNAVAILABLE_RETRY_AFTER_MS
     fields = {"id": event.request_id, "reason": reason.name.lower()}
     effects.append(Log("refused", {**fields, "path": event.path}))
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -12,7 +12,7 @@
     FailureKind,
     Tick,
 )
-from gentianwall.core.refusals import Refusal
+from gentianwall.core.refusals import Refusal, RefusalReason
 from gentianwall.routing.reports import SpeedReport
 
 
@@ -53,6 +53,8 @@
         relay: Decisions of the peer that relays the request; None if a caller
             sent it.
         authorization: Values of all its `Authorization` headers.
+        refusal: Why the request is refused before it is routed, by its head or
+            as too many run; None if it is not.
     """
 
     at_ms: float
@@ -64,6 +66,7 @@
     fingerprint: str
     relay: Relay | None = None
     authorization: tuple[bytes, ...] = attrs.field(default=(), repr=False)
+    refusal: RefusalReason | None = None
 
 
 @attrs.define
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -13,6 +13,7 @@
 from gentianwall.config.routes import CallerLimits
 from gentianwall.control.messages import FeedNotice, FeedRedirect, PeerList
 from gentianwall.core.events import DrainStarted, Tick
+from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway.budget import RetryLimits
 from gentianwall.gateway.cold_servers import ColdLimits
 from gentianwall.gateway.dispatching import is_repeatable
@@ -38,15 +39,24 @@
     FeedArrived,
     GatewayEvent,
 )
+from gentianwall.gateway.identity import check_head
 from gentianwall.gateway.overload import Shed
 from gentianwall.gateway.reducer import reduce_gateway
 from gentianwall.gateway.state import GatewayState
-from gentianwall.http.channel import CallerBounds, CallerRequest, CallerSite
+from gentianwall.http.channel import (
+    CallerBounds,
+    CallerRequest,
+    CallerSite,
+    SiteLimits,
+    refuse_bodies,
+)
+from gentianwall.http.connections import SENT_BODY_COPIES, share_memory
 from gentianwall.http.dialect import Dialect
 from gentianwall.links.messages import Envelope
 from gentianwall.links.sockets import Links, open_links
 from gentianwall.logs import EventLog
 from gentianwall.metrics import Metrics, RequestKey
+from gentianwall.runtime.client_reports import ClientReports
 from gentianwall.runtime.common import (
     fleet_link_setup,
     listen,
@@ -54,7 +64,11 @@
     message_events,
     stop_listening,
 )
-from gentianwall.runtime.gateway_requests import GatewayRequestHandler
+from gentianwall.runtime.gateway_requests import (
+    AUTHORIZATION,
+    GatewayRequestHandler,
+)
+from gentianwall.runtime.process_limits import make_budget
 from gentianwall.runtime.relay_authentication import RelayAuthenticator
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import ServerPools
@@ -110,6 +124,11 @@
                 settings.warmup_overage, settings.warmup_slack
             ),
         )
+        self.budget = make_budget(settings.memory_mb, settings.descriptors)
+        self.client_reports = ClientReports(
+            self.metrics, self.budget, self._write_client_line
+        )
+        share_memory(self.budget)
         self.pools = ServerPools(reactor)
         self.checks = ServerChecks(
             self.pools, timers, dialect, self.metrics, self.handle
@@ -127,11 +146,16 @@
         self.peer_site = CallerSite(
             self.requests.on_relayed_request_arrived,
             self.requests.on_caller_disconnected,
+            limits=self._server_site_limits("peers"),
+            refuse_request=self.requests.refuse_arriving_relayed,
         )
         self.site = CallerSite(
             self.requests.on_request_arrived,
             self.requests.on_caller_disconnected,
             self._is_repeatable,
+            limits=self._server_site_limits("callers"),
+            check_head=self._check_head,
+            refuse_request=self.requests.refuse_arriving,
         )
         self._events: collections.deque[GatewayEvent] = collections.deque()
         self._is_handling = False
@@ -151,12 +175,26 @@
             self._ports.append(
                 listen(self.reactor, peer_address, self.peer_site)
             )
-        readiness = CallerSite(self._answer_readiness, lambda request: None)
+        readiness = CallerSite(
+            self._answer_readiness,
+            lambda request: None,
+            limits=SiteLimits(
+                budget=self.budget,
+                report_misuse=self.client_reports.reporter("readiness"),
+            ),
+            check_head=refuse_bodies,
+        )
         self._readiness_port = listen(
             self.reactor, settings.readiness_address, readiness
         )
         if settings.metrics_port:
-            listen_metrics(self.reactor, settings, self.metrics_text)
+            listen_metrics(
+                self.reactor,
+                settings,
+                self.metrics_text,
+                self.budget,
+                self.client_reports,
+            )
         self.tick()
 
     def _is_repeatable(self, request: CallerRequest) -> bool:
@@ -164,6 +202,24 @@
         path = request.path.decode("latin-1")
         return is_repeatable(self.state, host, path)
 
+    def _server_site_limits(self, port: str) -> SiteLimits:
+        return SiteLimits(
+            budget=self.budget,
+            report_misuse=self.client_reports.reporter(port),
+            has_servers=True,
+            body_copies=SENT_BODY_COPIES,
+        )
+
+    def _check_head(self, request: CallerRequest) -> RefusalReason | None:
+        """Returns why a request is refused before its body is read."""
+        host = request.header(b"Host")
+        path = request.path.decode("latin-1")
+        keys = request.requestHeaders.getRawHeaders(AUTHORIZATION) or ()
+        return check_head(self.state, host, path, keys)
+
+    def _write_client_line(self, fields: dict[str, object]) -> None:
+        self.log.write("client_refused", fields)
+
     def _answer_readiness(self, request: CallerRequest) -> None:
         is_ready = self.state.is_ready
         body = b"ready\n" if is_ready else b"not ready\n"
