--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -130,6 +130,21 @@
     assert sum(scenario.entries_per_domain) > 100
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        "organisation",
+        "organisation_burst",
+        "varying",
+        "varying_burst",
+        "restart",
+    ],
+)
+def test_the_scenarios_of_overload_have_kinds_of_unlike_priority(name):
+    scenario = load_scenario(f"benchmarks/fleet_load/scenarios/{name}.toml")
+    assert {0, 1, 2} == {request.priority for request in scenario.requests}
+
+
 def test_an_unknown_option_of_a_scenario_is_named(tmp_path):
     path = tmp_path / "bad.toml"
     path.write_text("seconds = 1\nsurprise = 2\n")
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -55,6 +55,7 @@
         ({"link_port": "70000"}, "link_port"),
         ({"role": '"control"'}, "control_address"),
         ({"surprise": "1"}, "surprise"),
+        ({"overload_policy": '"all"'}, "overload_policy"),
     ],
 )
 def test_an_invalid_or_missing_option_is_named_in_the_errors(
