--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -259,6 +259,14 @@
         _search(SEARCHED_SEEDS)
 
 
+def _load(fleet, steps):
+    """Lets a request arrive at each entry in each step."""
+    for _ in range(steps):
+        for name in NAMES:
+            fleet.request(name, "o")
+        fleet.advance(STEP_MS)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_a_lower_limit_is_binding_one_window_after_all_entries_have_it(seed):
     fleet = LimitFleet({"o": sizes.quota_size(40.0, 40.0)}, seed)
@@ -266,18 +274,12 @@
     for name in NAMES:
         fleet.start_entry(name)
 
-    def load(steps):
-        for _ in range(steps):
-            for name in NAMES:
-                fleet.request(name, "o")
-            fleet.advance(STEP_MS)
-
-    load(300)
+    _load(fleet, 300)
     lower = sizes.quota_size(1.0, 1.0)
     fleet.apply_sizes(2, {"o": lower})
-    load(100)
+    _load(fleet, 100)
     fleet.forget_sent()
-    load(400)
+    _load(fleet, 400)
     assert fleet.most["o"] <= lower.total
 
 
@@ -294,24 +296,18 @@
     for name in NAMES:
         fleet.start_entry(name)
 
-    def load(steps):
-        for _ in range(steps):
-            for name in NAMES:
-                fleet.request(name, "o")
-            fleet.advance(STEP_MS)
-
-    load(200)
+    _load(fleet, 200)
     assert fleet.most["o"] > 4.0 * 5.0
     fleet.lose_leader()
     for name in NAMES[survivors:]:
         fleet.start_entry(name)
     fleet.elect(is_restarted=True)
     sent = fleet.sent["o"]
-    load(round(2000.0 / STEP_MS))
+    _load(fleet, round(2000.0 / STEP_MS))
     assert fleet.sent["o"] - sent >= size.restart // 2
     fleet.lose_leader()
     fleet.elect(is_restarted=True)
-    load(200)
+    _load(fleet, 200)
     assert fleet.most["o"] <= bound(4.0, 4.0)
 
 
