Lease the tokens of an exhausted quota at an even rate

Change: after a limit was exhausted the leader grants at 1.1 times its rate, for two windows, and for longer while requests lack tokens and as much is spent.

--- a/gentianwall/control/limits.py
+++ b/gentianwall/control/limits.py
@@ -57,12 +57,14 @@
             lease.
         restart: Those of `total` that are set aside for a leader that has just
             started.
+        per_s: Tokens a second that are leased after it was exhausted.
     """
 
     per_window: int
     total: int
     fallback: int
     restart: int = 0
+    per_s: float = math.inf
 
     @property
     def leasable(self) -> int:
@@ -78,6 +80,7 @@
         total=math.floor(allowed) + QUOTA_SLACK,
         fallback=FALLBACK_TOKENS + math.floor(FALLBACK_RATIO * allowed),
         restart=RESTART_TOKENS,
+        per_s=rate_per_s * (1.0 + QUOTA_OVERAGE),
     )
 
 
--- a/gentianwall/core/limit_leases.py
+++ b/gentianwall/core/limit_leases.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -49,6 +50,15 @@
 # A limit counts as exhausted when this share of it was spent in the window. The
 # few tokens that are left elsewhere are not worth the wait for them.
 EXHAUSTED_RATIO = 0.95
+# Tokens of a limit are leased at an even rate for this long, two windows, after
+# it was exhausted. Otherwise an organisation above its quota would spend the
+# tokens of a window at once and be refused until they return, again and again.
+PACED_MS = 2.0 * WINDOW_MS
+# It goes on for as long as requests lack tokens and this share of what the even
+# rate allows is spent, so that a chance shortage does not prolong it.
+PACED_RATIO = 0.9
+# Tokens of this time may be leased at once then.
+PACED_BURST_S = 0.5
 # Unused tokens are recalled at most this often for a limit, and from at most so
 # many entries, which bounds the messages.
 RECALL_MS = 100.0
@@ -136,6 +146,9 @@
         fallbacks: Fallback shares by entry.
         given_up: Fallback tokens that entries gave up to this leader.
         recall_due_ms: When tokens may be recalled again.
+        paced: Tokens that may be leased now while leases are paced.
+        paced_ms: When `paced` was last updated.
+        exhausted_ms: When requests last found it exhausted.
     """
 
     size: LimitSize
@@ -148,6 +161,9 @@
     fallbacks: dict[str, FallbackShare] = attrs.field(factory=dict)
     given_up: int = 0
     recall_due_ms: float = float("-inf")
+    paced: float = 0.0
+    paced_ms: float = float("-inf")
+    exhausted_ms: float = float("-inf")
 
     def add_spent(self, count: int, until_ms: float) -> None:
         """Counts spent tokens until a time."""
@@ -155,6 +171,24 @@
             heapq.heappush(self.spent, (until_ms, count))
             self.spent_count += count
 
+    @property
+    def is_above_rate(self) -> bool:
+        """Whether the requests of a window come at the rate of the limit."""
+        per_window = self.size.per_s * WINDOW_MS / 1000.0
+        return self.spent_count >= PACED_RATIO * per_window
+
+    def is_paced(self, now_ms: float) -> bool:
+        """Returns whether its tokens are leased at an even rate."""
+        is_rate_known = math.isfinite(self.size.per_s)
+        return is_rate_known and now_ms - self.exhausted_ms < PACED_MS
+
+    def add_paced(self, now_ms: float) -> None:
+        """Adds the paced tokens for the time since the last update."""
+        most = max(1.0, PACED_BURST_S * self.size.per_s)
+        elapsed_s = (now_ms - self.paced_ms) / 1000.0
+        self.paced = min(most, self.paced + self.size.per_s * elapsed_s)
+        self.paced_ms = now_ms
+
     def drop_old(self, now_ms: float) -> None:
         """Stops counting the tokens that have left the window."""
         while self.spent and self.spent[0][0] <= now_ms:
@@ -327,6 +361,7 @@
         lease.spent += spent
         returned = max(0, min(report.returned - lease.returned, before - spent))
         lease.returned += returned
+        ledger.paced += returned
         ledger.outstanding += lease.outstanding - before
         ledger.add_spent(spent, now_ms + WINDOW_MS)
         lease.wanted = max(report.wanted, report.waiting)
@@ -359,6 +394,7 @@
             if total:
                 lease.granted += total
                 ledger.outstanding += total
+                ledger.paced = max(0.0, ledger.paced - total)
                 lease.changed_in = session.serial + 1
                 session.unconfirmed.add(name)
             if granted < lacking:
@@ -368,11 +404,13 @@
     def _free(self, ledger: Ledger, now_ms: float) -> int:
         """Returns how many tokens may be leased in addition."""
         ledger.drop_old(now_ms)
+        ledger.add_paced(now_ms)
         most = self._leasable(ledger, now_ms)
-        return min(
+        free = min(
             most - ledger.outstanding - ledger.spent_count,
             ledger.size.per_window - ledger.spent_count,
         )
+        return min(free, int(ledger.paced)) if ledger.is_paced(now_ms) else free
 
     def _leasable(self, ledger: Ledger, now_ms: float) -> int:
         """Returns how many tokens may be leased or spent within the window."""
@@ -396,9 +434,18 @@
         window, or if no entry holds tokens.
         """
         most = min(ledger.size.per_window, self._leasable(ledger, now_ms))
+        if ledger.is_paced(now_ms) and ledger.paced < 1.0:
+            if ledger.is_above_rate:
+                ledger.exhausted_ms = now_ms
+            return max(1.0, (1.0 - ledger.paced) / ledger.size.per_s * 1000.0)
         is_spent = ledger.spent_count >= EXHAUSTED_RATIO * most
         if ledger.outstanding > 0 and not is_spent:
             return 0.0
+        size = ledger.size
+        most_ever = min(size.per_window, size.leasable)
+        if ledger.spent_count >= EXHAUSTED_RATIO * most_ever:
+            # Not where only tokens of an earlier leader are missing.
+            ledger.exhausted_ms = now_ms
         if ledger.spent:
             return max(1.0, ledger.spent[0][0] - now_ms)
         past_until_ms = self.since_ms + LEADER_LEASE_MS + WINDOW_MS
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -283,6 +283,26 @@
     assert fleet.most["o"] <= lower.total
 
 
+def test_an_organisation_above_its_quota_is_served_at_an_even_rate():
+    """It was served 100 requests in one second and none in the next three."""
+    rng = random.Random(2)
+    fleet = LimitFleet({"o": sizes.quota_size(20.0, 20.0)}, 1)
+    fleet.elect(has_past=False)
+    names = [f"e{number}" for number in range(52)]
+    for name in names:
+        fleet.start_entry(name)
+    served = []
+    for _ in range(24):
+        sent = fleet.sent["o"]
+        for _ in range(140):
+            fleet.request(rng.choice(names), "o")
+            fleet.advance(1000.0 / 140)
+        served.append(fleet.sent["o"] - sent)
+    assert min(served[12:]) >= 18
+    assert max(served[12:]) <= 26
+    assert fleet.most["o"] <= bound(20.0, 20.0)
+
+
 @pytest.mark.parametrize("survivors", [0, 1, len(NAMES) - 1])
 @pytest.mark.parametrize("seed", range(5))
 def test_some_requests_run_after_all_processes_were_killed(survivors, seed):
