Expect the connection of a request that is refused by its head to end

Cause: a request without a valid key is refused before its body is read, and the connection is closed then, since the body would be taken for the next request. Change: the test expects the answer to announce the end, and sends the request with the other key on a new connection to each entry. Measured: tests/test_organisations.py passes.

--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -271,8 +271,13 @@
     configured.configure(acme=KEYS[1:2])
     for caller in callers:
         request_id = caller.send(key)
-        assert caller.read()[0] == 401
+        status, headers = caller.read()
+        assert status == 401
         assert not configured.received(request_id)
+        # The body of a refused request is not read.
+        assert headers["connection"] == "close"
+    for entry in configured.fleet.entries:
+        caller = connect(entry)
         caller.send("Authorization: Bearer key-acme-2")
         assert caller.read()[0] == 200
 
