Declare the limits of a process once for both kinds of settings

Cause: memory_mb and descriptors were declared alike in the settings of fleets and of listed clusters. Change: one function for each option. The generated reference is unchanged. Measured: test_questionnaire, test_fleet_settings and test_schema pass.

--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -14,7 +14,13 @@
     option,
     structure,
 )
-from gentianwall.config.settings import ROLES, Address, parse_address
+from gentianwall.config.settings import (
+    ROLES,
+    Address,
+    descriptors_option,
+    memory_option,
+    parse_address,
+)
 
 MIN_VOTERS = 3
 
@@ -143,18 +149,8 @@
         8.0,
         minimum=0.0,
     )
-    memory_mb: float = option(
-        "Memory in MB that the process may use; limits what clients can make "
-        "it hold; 0 takes the memory of the machine or control group.",
-        0.0,
-        minimum=0.0,
-    )
-    descriptors: int = option(
-        "File descriptors that the process may use; limits the connections of "
-        "clients; 0 takes the limit of the process.",
-        0,
-        minimum=0,
-    )
+    memory_mb: float = memory_option()
+    descriptors: int = descriptors_option()
 
     @property
     def target_voters(self) -> int:
--- a/gentianwall/config/settings.py
+++ b/gentianwall/config/settings.py
@@ -18,6 +18,26 @@
 ROLES = ("entry", "control")
 
 
+def memory_option() -> float:
+    """Returns the option of the memory that a process may use."""
+    return option(
+        "Memory in MB that the process may use; limits what clients can make "
+        "it hold; 0 takes the memory of the machine or control group.",
+        0.0,
+        minimum=0.0,
+    )
+
+
+def descriptors_option() -> int:
+    """Returns the option of the descriptors that a process may use."""
+    return option(
+        "File descriptors that the process may use; limits the connections of "
+        "clients; 0 takes the limit of the process.",
+        0,
+        minimum=0,
+    )
+
+
 @attrs.frozen
 class Address:
     """An IP address and a port."""
@@ -114,18 +134,8 @@
         "Timing and snapshots of the replicated log.",
         factory=ReplicationSettings,
     )
-    memory_mb: float = option(
-        "Memory in MB that the process may use; limits what clients can make "
-        "it hold; 0 takes the memory of the machine or control group.",
-        0.0,
-        minimum=0.0,
-    )
-    descriptors: int = option(
-        "File descriptors that the process may use; limits the connections of "
-        "clients; 0 takes the limit of the process.",
-        0,
-        minimum=0,
-    )
+    memory_mb: float = memory_option()
+    descriptors: int = descriptors_option()
 
     @property
     def own_instance(self) -> InstanceSettings:
