Find the servers outside evacuated domains in one place

Cause: home servers and the others that are drawn filtered them alike. Change: GatewayState.servers_in_use serves both; behaviour is unchanged. Measured: test_evacuations, test_gateway and test_gateway_homes pass.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -398,15 +398,11 @@
     state: GatewayState, service: ServiceState, call: RoutedCall
 ) -> None:
     """Widens the search for a server beyond the home servers."""
-    servers = service.servers
-    if state.evacuations.domains:
-        servers = {
-            name: server
-            for name, server in servers.items()
-            if not state.evacuations.contains(server.record.notice)
-        }
     call.others = homes.draw_others(
-        servers, service.homes, call.tried_servers, state.rng
+        state.servers_in_use(service),
+        service.homes,
+        call.tried_servers,
+        state.rng,
     )
 
 
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -445,15 +445,19 @@
 
     def choose_homes(self, service: ServiceState) -> None:
         """Chooses the home servers of a service whose servers have changed."""
-        servers = service.servers.values()
-        if self.evacuations.domains:
-            servers = [
-                server
-                for server in servers
-                if not self.evacuations.contains(server.record.notice)
-            ]
+        servers = self.servers_in_use(service).values()
         service.homes = choose_homes(self.name, self.failure_domain, servers)
 
+    def servers_in_use(self, service: ServiceState) -> dict[str, RoutedServer]:
+        """Returns the servers of a service that are not evacuated, by name."""
+        if not self.evacuations.domains:
+            return service.servers
+        return {
+            name: server
+            for name, server in service.servers.items()
+            if not self.evacuations.contains(server.record.notice)
+        }
+
     def server(self, name: str) -> RoutedServer | None:
         """Returns a server by its name, or None if it is unknown."""
         service = self.service_by_server.get(name)
