Record an exhausted quota apart from the time until it has room

Cause: the function that tells the time until a limit has room also changed the state that paces its leases, in two of its branches. Change: _record_shortage does that; the condition is the same, since what may be leased is never above what may ever be. The budget of clients adds its bytes up in one property. Measured: test_limit_leases, test_quotas and test_client_budget pass.

--- a/gentianwall/core/limit_leases.py
+++ b/gentianwall/core/limit_leases.py
@@ -282,6 +282,7 @@
         exhausted = {}
         recalled: dict[str, dict[str, int]] = {}
         for name, count in shortages.items():
+            self._record_shortage(self.ledgers[name], now_ms)
             exhausted_ms = self._exhausted_ms(self.ledgers[name], now_ms)
             if exhausted_ms:
                 exhausted[name] = exhausted_ms
@@ -427,25 +428,31 @@
         """Returns whether earlier leases are over and their use is too old."""
         return now_ms - self.since_ms >= LEADER_LEASE_MS + WINDOW_MS
 
+    def _record_shortage(self, ledger: Ledger, now_ms: float) -> None:
+        """Records that requests lack tokens, if their limit is exhausted.
+
+        A limit of which only tokens of an earlier leader are missing is not.
+        """
+        if ledger.is_paced(now_ms) and ledger.paced < 1.0:
+            is_exhausted = ledger.is_above_rate
+        else:
+            most = min(ledger.size.per_window, ledger.size.leasable)
+            is_exhausted = ledger.spent_count >= EXHAUSTED_RATIO * most
+        if is_exhausted:
+            ledger.exhausted_ms = now_ms
+
     def _exhausted_ms(self, ledger: Ledger, now_ms: float) -> float:
         """Returns the time until a limit has room; 0 if others may return some.
 
         A limit is exhausted if nearly as much as it allows was spent in the
         window, or if no entry holds tokens.
         """
-        most = min(ledger.size.per_window, self._leasable(ledger, now_ms))
         if ledger.is_paced(now_ms) and ledger.paced < 1.0:
-            if ledger.is_above_rate:
-                ledger.exhausted_ms = now_ms
             return max(1.0, (1.0 - ledger.paced) / ledger.size.per_s * 1000.0)
+        most = min(ledger.size.per_window, self._leasable(ledger, now_ms))
         is_spent = ledger.spent_count >= EXHAUSTED_RATIO * most
         if ledger.outstanding > 0 and not is_spent:
             return 0.0
-        size = ledger.size
-        most_ever = min(size.per_window, size.leasable)
-        if ledger.spent_count >= EXHAUSTED_RATIO * most_ever:
-            # Not where only tokens of an earlier leader are missing.
-            ledger.exhausted_ms = now_ms
         if ledger.spent:
             return max(1.0, ledger.spent[0][0] - now_ms)
         past_until_ms = self.since_ms + LEADER_LEASE_MS + WINDOW_MS
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -151,8 +151,7 @@
     @property
     def is_exceeded(self) -> bool:
         """Whether more is held than the budget allows."""
-        used_bytes = self.held_bytes + self.answer_bytes
-        return used_bytes > self.limits.memory_bytes
+        return self.used_bytes > self.limits.memory_bytes
 
     @property
     def used_bytes(self) -> int:
