Keep the function that only replays used in the harness, and name a state

Cause: LeasedLimits.spend_quota was called by the replay of limits alone; the product reserves a token and commits it later. A budget with half of its requests running was called crowded. Behaviour is unchanged. Measured: test_limit_leases, test_quotas, test_client_budget, test_channel and test_fleet_routes (real processes) pass.

--- a/gentianwall/gateway/limit_leases.py
+++ b/gentianwall/gateway/limit_leases.py
@@ -220,25 +220,6 @@
         self.sizes = dict(sizes)
         self.is_poll_due = True
 
-    def spend_quota(
-        self, name: str, now_ms: float, is_repeated: bool = False
-    ) -> float:
-        """Spends a token for a request that is sent at once.
-
-        Args:
-            name: Name of the limit; unknown names have no limit.
-            now_ms: The local clock.
-            is_repeated: Whether the request was counted as demand before.
-
-        Returns:
-            0 if the request may run, otherwise the time until there is room.
-        """
-        before = self.reserved(name)
-        room_ms = self.reserve(name, now_ms, is_repeated)
-        if self.reserved(name) > before:
-            self.commit(name, now_ms)
-        return room_ms
-
     def reserve(
         self, name: str, now_ms: float, is_repeated: bool = False
     ) -> float:
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -578,7 +578,7 @@
             is_due = self._outgoing is not None or self.pipeline.is_answer_due
             if is_due and self._write_answers():
                 return True
-            if self._running_requests and self.budget.is_crowded:
+            if self._running_requests and self.budget.is_nearly_full:
                 # One request at a time for each connection.
                 return False
             request = self.pipeline.start_next()
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -124,7 +124,7 @@
         self._accounts: set[Account] = set()
         self._held_by_address: dict[str, int] = {}
         self._connections_by_address: dict[str, int] = {}
-        self._crowded_requests = limits.running_requests / 2
+        self._nearly_full_requests = limits.running_requests / 2
         # Connections that never had a complete request, with the time when
         # they were opened, and the others; both in this order.
         self._unproven: dict[Account, float] = {}
@@ -159,9 +159,9 @@
         return self.held_bytes + self.answer_bytes
 
     @property
-    def is_crowded(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether each connection may run only one request at a time."""
-        return self.running_requests >= self._crowded_requests
+        return self.running_requests >= self._nearly_full_requests
 
     @property
     def is_full(self) -> bool:
--- a/harness/limit_fleet.py
+++ b/harness/limit_fleet.py
@@ -30,6 +30,17 @@
     return (rate_per_s * 5.0 + burst) * 1.1 + 20.0
 
 
+def _spend(
+    limits: LeasedLimits, name: str, now_ms: float, is_repeated: bool = False
+) -> float:
+    """Spends a token at once; returns the time until there is room."""
+    before = limits.reserved(name)
+    room_ms = limits.reserve(name, now_ms, is_repeated)
+    if limits.reserved(name) > before:
+        limits.commit(name, now_ms)
+    return room_ms
+
+
 @attrs.define
 class Clock:
     """A clock that deviates from the true time."""
@@ -171,7 +182,7 @@
         if entry.is_suspended:
             return
         now_ms = entry.clock.at(self.now_ms)
-        if entry.limits.spend_quota(limit, now_ms) <= 0.0:
+        if _spend(entry.limits, limit, now_ms) <= 0.0:
             self._record(limit)
         elif entry.limits.may_wait(limit, now_ms):
             entry.waiting.append(
@@ -206,7 +217,7 @@
         waiting, entry.waiting = entry.waiting, []
         for request in waiting:
             limit = request.limit
-            if entry.limits.spend_quota(limit, now_ms, True) <= 0.0:
+            if _spend(entry.limits, limit, now_ms, True) <= 0.0:
                 self._record(limit)
                 self.waited_ms.append(self.now_ms - request.arrived_ms)
             elif now_ms < request.until_ms and entry.limits.may_wait(
