--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -113,7 +113,8 @@
             instance itself, and replies from other instances.
         fault: Unhandled exception that stops the process; empty if none.
         unstored_effects: Effects whose write to disk failed. Until they are
-            written, events are dropped and no effect is performed.
+            written, messages and ticks are dropped and no effect is performed.
+        unreported_snapshot: A snapshot that was written in the meantime.
     """
 
     def __init__(self, setup: ControlSetup, reactor, timers: TimerService):
@@ -127,6 +128,7 @@
         self.receive_reply: Callable[[Message], None] = _drop_message
         self.fault = ""
         self.unstored_effects: list[ControlEffect] = []
+        self.unreported_snapshot: Snapshot | None = None
 
     def recover(self) -> None:
         """Reads the journal and rebuilds the replica.
@@ -265,10 +267,12 @@
         """
         effects, self.unstored_effects = self.unstored_effects, []
         self._perform(effects)
-        if not self.unstored_effects:
-            log.info(
-                "Journal written after a retry. Messages are handled again."
-            )
+        if self.unstored_effects:
+            return
+        log.info("Journal written after a retry. Messages are handled again.")
+        snapshot, self.unreported_snapshot = self.unreported_snapshot, None
+        if snapshot is not None:
+            self._report_snapshot(snapshot)
 
     def _write_snapshot(self, effect: TakeSnapshot) -> None:
         """Encodes the register and writes a snapshot file; runs in a thread."""
@@ -289,8 +293,18 @@
                 lambda: self.reactor.callInThread(self._write_snapshot, effect),
             )
             return
-        event = SnapshotTaken(monotonic_ms(), snapshot)
-        self.reactor.callFromThread(self._handle, [event])
+        self.reactor.callFromThread(self._report_snapshot, snapshot)
+
+    def _report_snapshot(self, snapshot: Snapshot) -> None:
+        """Reports a written snapshot once no effects are unstored.
+
+        The report must not be lost: it is not sent again, and the replica takes
+        no other snapshot before it.
+        """
+        if self.unstored_effects:
+            self.unreported_snapshot = snapshot
+            return
+        self._handle([SnapshotTaken(monotonic_ms(), snapshot)])
 
     def _store(self, effects: list[ControlEffect]) -> bool:
         """Writes and syncs storage effects; returns whether that succeeded.
