--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -211,16 +211,8 @@
         Raises:
             OSError: The disk is full or failing.
         """
-        path = self._snapshot_path(snapshot.index)
         payload = codec.pack(snapshot, Snapshot)
-        temporary = path.with_suffix(".new")
-        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            _write_all(fd, payload, 0)
-        finally:
-            os.close(fd)
-        os.rename(temporary, path)
-        self._sync_folder()
+        os.close(self._write_file(self._snapshot_path(snapshot.index), payload))
         self._snapshot_crcs[snapshot.index] = zlib.crc32(payload)
 
     def _snapshot_path(self, index: int) -> pathlib.Path:
@@ -235,28 +227,45 @@
         return sorted(files)
 
     def _write_new_file(self, full_state: PersistentState) -> None:
-        obsolete = [path for _, path in self._list_journal_files()]
+        files = self._list_journal_files()
+        obsolete = [path for n, path in files if n <= self._file_number]
         if full_state.snapshot is not None:
             if full_state.snapshot.index not in self._snapshot_crcs:
                 self.write_snapshot(full_state.snapshot)
             obsolete += self._find_older_snapshots(full_state.snapshot.index)
-        self._file_number += 1
-        path = self._folder / f"journal-{self._file_number:08d}"
+        number = self._file_number + 1
+        frame = _encode_frame(self._make_records(full_state))
+        fd = self._write_file(self._folder / f"journal-{number:08d}", frame)
+        self.close()
+        self._file_number = number
+        self._fd = fd
+        self.size_bytes = len(frame)
+        for stale_path in obsolete:
+            stale_path.unlink()
+
+    def _write_file(self, path: pathlib.Path, data: bytes) -> int:
+        """Writes and syncs a file under a temporary name and renames it.
+
+        If the disk refuses that, it removes the temporary file, which would
+        take up space that the journal needs.
+
+        Returns:
+            The descriptor of the file.
+
+        Raises:
+            OSError: The disk is full or failing.
+        """
         temporary = path.with_suffix(".new")
         fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            frame = _encode_frame(self._make_records(full_state))
-            _write_all(fd, frame, 0)
+            _write_all(fd, data, 0)
             os.rename(temporary, path)
             self._sync_folder()
         except OSError:
             os.close(fd)
+            temporary.unlink(missing_ok=True)
             raise
-        self.close()
-        self._fd = fd
-        self.size_bytes = len(frame)
-        for stale_path in obsolete:
-            stale_path.unlink()
+        return fd
 
     def _find_older_snapshots(self, index: int) -> list[pathlib.Path]:
         current = self._snapshot_path(index)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -237,6 +237,44 @@
     assert len(_reopen(tmp_path).entries) == 3
 
 
+# Each refused attempt left a file behind: they used up the disk for good.
+@pytest.mark.parametrize(
+    ("owner", "operation"),
+    [
+        (os, "pwrite"),
+        (os, "fsync"),
+        (os, "rename"),
+        (Journal, "_sync_folder"),
+    ],
+)
+def test_refused_snapshots_do_not_use_up_the_disk(
+    owner, operation, journal, tmp_path, monkeypatch
+):
+    _write_entries(journal, 9)
+    snapshot = Snapshot(8, 1, (), encode_register(RegisterState()))
+    persistent_state = PersistentState("d", 1, "", snapshot, [_make_entry(9)])
+    journal.write_snapshot(snapshot)
+
+    def refuse(*args):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(owner, operation, refuse)
+    names = []
+    for _ in range(3):
+        with pytest.raises(OSError):
+            journal.store([StoreSnapshot(snapshot)], persistent_state)
+        names.append(sorted(p.name for p in (tmp_path / "data").iterdir()))
+    assert not [name for name in names[0] if name.endswith(".new")]
+    assert names[0] == names[1] == names[2]
+    monkeypatch.undo()
+    journal.store([StoreSnapshot(snapshot)], persistent_state)
+    _write_entry(journal, 10)
+    assert len(list((tmp_path / "data").iterdir())) == 2
+    recovered = _reopen(tmp_path)
+    assert recovered.snapshot == snapshot
+    assert [e.index for e in recovered.entries] == [9, 10]
+
+
 def test_a_cluster_is_bootstrapped_only_once(tmp_path):
     folder = str(tmp_path / "data")
     assert not isinstance(Journal(folder).bootstrap("r"), JournalNotEmpty)
