--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from harness.full_disks import (
     CAPACITY_BYTES,
     DOCUMENT_BYTES,
     THREAD_DELAY_S,
+    TIMING,
     FullDiskCluster,
 )
 
@@ -38,3 +44,29 @@
         assert not runtime.unstored_effects
     changes = 2 * CAPACITY_BYTES // DOCUMENT_BYTES
     assert all([cluster.change() for _ in range(changes)])
+
+
+@given(
+    is_leader=st.booleans(),
+    refused=st.sampled_from(["create write sync rename", "write", "sync"]),
+    full_s=st.sampled_from([FULL_S, 0.3, 1.5]),
+    after=st.integers(0, 16),
+)
+@settings(max_examples=20)
+def test_an_instance_recovers_wherever_its_disk_becomes_full(
+    is_leader, refused, full_s, after
+):
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        pytest.MonkeyPatch.context() as monkeypatch,
+    ):
+        cluster = FullDiskCluster(pathlib.Path(folder), monkeypatch, 3, 3)
+        cluster.advance(2.0)
+        leader = cluster.leader()
+        others = [name for name in cluster.names if name != leader]
+        disk = cluster.disks[leader if is_leader else others[0]]
+        disk.fill(refused, full_s, after)
+        for _ in range(2 * TIMING.snapshot_entries):
+            cluster.change()
+        assert disk.refusals
+        cluster.check_recovered()
