Acknowledge no change that a single control instance has not stored

Operators of a cluster with one control instance could see a configuration acknowledged while its disk was full; if the process then ended, it was gone.

Cause: a single voter commits and applies a command before the driver stores it. While the disk refuses that, the reply is withheld. But a configuration sent again is in force in memory, and such a change is acknowledged without another commit; a heartbeat likewise. With more voters a majority has stored what the register has, so they are not affected.

While effects are unstored, these requests now take the usual way, which answers once the disk has room or not at all.

The stub of a runtime in the harness has no unstored effects.

--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -136,7 +136,8 @@
         self._server_heartbeats.add(notice.key.server)
         at_ms = wall_ms() if has_repeated_warmup(register, notice) else None
         cold_until_ms = warmup_end_ms(registry, notice, warmup_ms, at_ms)
-        if not changes_registry(registry, notice, sequence, cold_until_ms):
+        is_changed = changes_registry(registry, notice, sequence, cold_until_ms)
+        if not is_changed and self._is_register_stored():
             on_result(Done())
             return
         command = AnnounceServer(notice, sequence, warmup_ms, wall_ms())
@@ -182,7 +183,7 @@
             configuration.number,
             document,
         )
-        if held is not None:
+        if held is not None and self._is_register_stored():
             on_result(held)
             return
         if configuration.organisations and self._is_leader_outdated():
@@ -204,6 +205,13 @@
         else:
             self._submit(command, REPLY_TIMEOUT_MS, on_result)
 
+    def _is_register_stored(self) -> bool:
+        """Returns whether what the register has may be acknowledged.
+
+        A single control instance commits commands before it stores them.
+        """
+        return not self._runtime.unstored_effects
+
     def _is_leader_outdated(self) -> bool:
         """Returns whether another replica leads and lacks organisations."""
         replica = self._runtime.state.replica
--- a/harness/leader.py
+++ b/harness/leader.py
@@ -62,4 +62,5 @@
         links=links,
         handle_self_message=lambda event: links.send("a", event.message),
         receive_reply=None,
+        unstored_effects=[],
     )
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -9,6 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gentianwall.claims.commands import ConfigurationHeld
+from gentianwall.config.routes import CallerLimits, RouteConfiguration
+from gentianwall.runtime import leader_client
+from gentianwall.runtime.leader_client import LeaderClient
 from harness.full_disks import (
     CAPACITY_BYTES,
     DOCUMENT_BYTES,
@@ -46,6 +50,25 @@
     assert all([cluster.change() for _ in range(changes)])
 
 
+def test_a_configuration_refused_by_the_disk_is_not_acknowledged(
+    tmp_path, monkeypatch
+):
+    cluster = FullDiskCluster(tmp_path, monkeypatch, size=1, voters=1)
+    monkeypatch.setattr(leader_client, "monotonic_ms", cluster.now_ms)
+    cluster.advance(2.0)
+    client = LeaderClient(cluster.runtimes["r0"])
+    cluster.disks["r0"].fill("write", 1.0)
+    configuration = RouteConfiguration(7, (), (), CallerLimits())
+    results = []
+    for _ in range(2):
+        client.put_configuration(configuration, b"seven", results.append)
+        cluster.advance(0.1)
+    assert not results
+    cluster.advance(RECOVERY_S)
+    client.put_configuration(configuration, b"seven", results.append)
+    assert ConfigurationHeld(7, True) in results
+
+
 @given(
     is_leader=st.booleans(),
     refused=st.sampled_from(["create write sync rename", "write", "sync"]),
