Keep an overdue request at its server until another one answers

Callers saw 502 for requests whose server was at work, 290 ms before their deadline; beside a planned stop of the entry that breaks the promise that what was passed on is answered (LOST).

Cause: an overdue request was cancelled first, and a place at another server was looked for then. Where there was none, or that server could not be connected or refused, the request was given up. Class of fault: what runs is released before what replaces it is certain.

Change: the first attempt runs on until either one is answered. A refusal or a failure of one attempt decides nothing while the other runs or is looked for, and without another server the request waits for the one that has it (log event 'kept'); such a search counts as no retry. CancelRequest names the attempt, which messages and disk never hold.

Ruled out: the deadline and the grace period, which were not reached.

Two existing tests expected the cancellation when the search begins; they now expect it exactly when the other server has answered.

--- a/benchmarks/fleet_load/model.py
+++ b/benchmarks/fleet_load/model.py
@@ -397,7 +397,7 @@
         self.model = model
         self.domain = domain
         self._open: dict[int, _Request] = {}
-        self._sent: dict[int, _Sent] = {}
+        self._sent: dict[tuple[int, int], _Sent] = {}
         self._queries: set[str] = set()
         self._idle_until_ms: dict[str, list[float]] = {}
         self.is_dark = False
@@ -544,8 +544,8 @@
                 self._query(notice.key.server)
             case fx.SendRequest():
                 self._send(effect)
-            case fx.CancelRequest(call_id):
-                self._cancel(call_id)
+            case fx.CancelRequest(call_id, attempt):
+                self._cancel(call_id, attempt)
             case fx.ForwardAnswer(call_id):
                 model.on_answer(self._open.pop(call_id))
             case fx.RefuseRequest(call_id, refusal):
@@ -615,19 +615,20 @@
         call_id, attempt = effect.call_id, effect.attempt
         request = self._open[call_id]
         server = model.servers[effect.notice.key.server]
-        sent = self._sent[call_id] = _Sent(server)
+        key = (call_id, attempt)
+        sent = self._sent[key] = _Sent(server)
         delay_ms = self._delay_ms(server)
         connect_ms = self._connect_ms(server)
 
         def fail(kind: FailureKind) -> None:
-            if self._sent.get(call_id) is sent:
-                del self._sent[call_id]
+            if self._sent.get(key) is sent:
+                del self._sent[key]
                 self._handle(ServerFailed(model.now_ms, call_id, attempt, kind))
 
         def answer(is_refusal: bool) -> None:
-            if self._sent.get(call_id) is not sent:
+            if self._sent.get(key) is not sent:
                 return
-            del self._sent[call_id]
+            del self._sent[key]
             self._release(server)
             status = 503 if is_refusal else 200
             self._handle(
@@ -647,7 +648,7 @@
                 model.schedule(delay_ms, lambda: answer(False))
 
         def arrive() -> None:
-            if self._sent.get(call_id) is not sent or server.is_dark:
+            if self._sent.get(key) is not sent or server.is_dark:
                 return
             sent.job = Job(request.work_ms, finish)
             if server.accept(sent.job, model.now_ms):
@@ -663,8 +664,8 @@
             return
         model.schedule(connect_ms + delay_ms, arrive)
 
-    def _cancel(self, call_id: int) -> None:
-        sent = self._sent.pop(call_id, None)
+    def _cancel(self, call_id: int, attempt: int) -> None:
+        sent = self._sent.pop((call_id, attempt), None)
         if sent is not None and sent.job is not None:
             sent.server.drop(sent.job, self.model.now_ms)
             self.model.wake_server(sent.server)
--- a/gentianwall/gateway/budget.py
+++ b/gentianwall/gateway/budget.py
@@ -65,6 +65,11 @@
         bucket[2] += 1
         return True
 
+    def refund(self, now_ms: float) -> None:
+        """Takes back a retry that was counted and not made."""
+        bucket = self._bucket(now_ms)
+        bucket[2] = max(0, bucket[2] - 1)
+
     def _bucket(self, now_ms: float) -> list:
         width_ms = self.limits.window_ms / BUCKETS
         number = int(now_ms / width_ms)
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -27,6 +27,7 @@
     GatewayState,
     Phase,
     RoutedCall,
+    RunningAttempt,
     ServiceState,
 )
 
@@ -56,6 +57,9 @@
 # factor from this range, so that refused callers do not return all at once.
 RETRY_AFTER_SPREAD = (0.5, 1.5)
 UNAVAILABLE_RETRY_AFTER_MS = 300.0
+# Time between two searches for another server for one overdue request. Each
+# queries the load of several servers.
+REASSIGN_PAUSE_MS = 250.0
 
 
 def is_repeatable(state: GatewayState, host: str, path: str) -> bool:
@@ -507,14 +511,16 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    call.phase = Phase.SENT
-    call.attempt += 1
+    number = call.add_attempt(
+        RunningAttempt(
+            server=server.name,
+            sent_ms=now_ms,
+            expected_ms=expected_ms,
+            load_factor=server.expected_ms(now_ms, 1.0),
+        )
+    )
     call.tried_servers.add(server.name)
-    call.server = server.name
-    call.sent_ms = now_ms
-    call.expected_ms = expected_ms
-    call.slowness = server.slowness(now_ms)
-    call.load_factor = server.expected_ms(now_ms, 1.0)
+    slowness = server.slowness(now_ms)
     server.own_requests[call.call_id] = SentRequest(
         now_ms, max(1.0, expected_ms)
     )
@@ -522,7 +528,7 @@
     effects.append(
         SendRequest(
             call.call_id,
-            call.attempt,
+            number,
             server.record.notice,
             left_ms,
             call.route.kind.is_idempotent,
@@ -536,7 +542,7 @@
         "server": server.name,
         "attempt": call.attempt,
         "load": round(server.load(now_ms), 1),
-        "slowness": round(call.slowness, 2),
+        "slowness": round(slowness, 2),
         "report_age_ms": round(min(age_ms, 1e9)),
         "expected_ms": round(expected_ms),
         "left_ms": round(left_ms),
@@ -555,6 +561,9 @@
 ) -> None:
     """Refuses a request and states whether a server may have executed it.
 
+    A request that still runs at a server is not refused before its deadline: it
+    waits for that answer.
+
     Args:
         state: State of the entry.
         call: The request.
@@ -564,8 +573,11 @@
         min_retry_after_ms: Least retry-after time.
         shed: Why it is refused before other requests; None if it is not.
     """
-    state.calls.pop(call.call_id, None)
     state.querying.pop(call.call_id, None)
+    if call.running:
+        _await_running(state, call, reason, now_ms, effects)
+        return
+    state.calls.pop(call.call_id, None)
     quotas.release(state, call)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     after_ms = 0.0
@@ -607,6 +619,27 @@
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def _await_running(
+    state: GatewayState,
+    call: RoutedCall,
+    reason: RefusalReason,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Waits for the attempt that runs, as there is no place for another one."""
+    if call.phase is Phase.QUERYING:
+        state.service(call.service).retry_window.refund(now_ms)
+    call.phase = Phase.SENT
+    call.reassign_due_ms = now_ms + REASSIGN_PAUSE_MS
+    fields = {
+        "id": call.request_id,
+        "reason": reason.name.lower(),
+        "server": next(iter(call.running.values())).server,
+        "left_ms": round(call.deadline_ms - now_ms),
+    }
+    effects.append(Log("kept", fields))
+
+
 def refuse_shed(
     state: GatewayState,
     call: RoutedCall,
@@ -626,12 +659,24 @@
 def forward_answer(
     state: GatewayState,
     call: RoutedCall,
+    attempt: RunningAttempt,
     server: str,
     status: int,
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    """Forwards the answer of a server, which a peer may have relayed."""
+    """Forwards the answer of a server, and cancels what else runs.
+
+    Args:
+        state: State of the entry.
+        call: The request.
+        attempt: The attempt that was answered.
+        server: Name of the server, to which a peer may have relayed it.
+        status: HTTP status of the answer.
+        now_ms: The local clock.
+        effects: List to which effects are appended.
+    """
+    cancel_attempts(state, call, effects)
     del state.calls[call.call_id]
     effects.append(ForwardAnswer(call.call_id))
     fields = {
@@ -639,10 +684,10 @@
         "service": call.service,
         "kind": call.route.kind.value,
         "server": server,
-        "peer": call.peer,
+        "peer": attempt.peer,
         "status": status,
         "attempt": call.attempt,
-        "server_ms": round(now_ms - call.sent_ms),
+        "server_ms": round(now_ms - attempt.sent_ms),
         "total_ms": round(now_ms - call.arrived_ms),
         "target_ms": round(call.route.target_ms),
         **_organisation_fields(call),
@@ -650,26 +695,39 @@
     effects.append(Log("answered", fields))
 
 
-def cancel_attempt(
-    state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
-) -> RoutedServer | None:
-    """Cancels the load query or the attempt of a request.
+def is_taken_elsewhere(state: GatewayState, call: RoutedCall) -> bool:
+    """Returns whether another attempt of a request runs or is prepared.
 
-    Returns the server of the attempt, or None if none was in progress.
+    The end of one attempt then decides nothing about the request.
     """
+    return bool(call.running) or call.call_id in state.querying
+
+
+def cancel_attempts(
+    state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
+) -> None:
+    """Cancels the load queries and all attempts of a request."""
     state.querying.pop(call.call_id, None)
-    if call.phase is not Phase.SENT:
+    for number in list(call.running):
+        effects.append(CancelRequest(call.call_id, number))
+        end_attempt(state, call, number)
+
+
+def end_attempt(
+    state: GatewayState, call: RoutedCall, number: int
+) -> tuple[RunningAttempt, SentRequest | None] | None:
+    """Removes an attempt from its request and its server or peer.
+
+    Returns:
+        The attempt, and how its server was expected to take it if that is
+        known; None if the attempt does not run any more.
+    """
+    attempt = call.running.pop(number, None)
+    if attempt is None:
         return None
-    effects.append(CancelRequest(call.call_id))
-    relaying.end_relay(state, call)
-    return remove_from_server(state, call)
-
-
-def remove_from_server(
-    state: GatewayState, call: RoutedCall
-) -> RoutedServer | None:
-    """Removes a request from the server it was sent to; returns that server."""
-    server = state.server(call.server)
-    if server is not None:
-        server.own_requests.pop(call.call_id, None)
-    return server
+    if attempt.peer:
+        state.peers.record_end(attempt.peer, call.call_id)
+        return attempt, None
+    server = state.server(attempt.server)
+    sent = server and server.own_requests.pop(call.call_id, None)
+    return attempt, sent
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -85,9 +85,10 @@
 
 @attrs.define
 class CancelRequest:
-    """Closes the connection that a request was sent on."""
+    """Closes the connection of an attempt."""
 
     call_id: int
+    attempt: int
 
 
 @attrs.define
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -14,7 +14,6 @@
 )
 from gentianwall.gateway.cold_servers import ASK_INTERVAL_MS
 from gentianwall.gateway.effects import (
-    CancelRequest,
     CheckOverdue,
     CheckServer,
     CloseIdleConnections,
@@ -49,33 +48,30 @@
 ) -> None:
     """Forwards an answer to the caller, or retries or refuses the request."""
     call = state.calls.get(event.call_id)
-    if call is None or call.attempt != event.attempt:
+    ended = call and dispatching.end_attempt(state, call, event.attempt)
+    if ended is None:
         return
-    server = state.server(call.server)
-    sent = (
-        server.own_requests.pop(call.call_id, None)
-        if server is not None
-        else None
-    )
+    attempt, sent = ended
+    server = state.server(attempt.server)
     service = state.service(call.service)
     if server is not None and event.report is not None:
         service.has_load_reports = True
         server.record_report(event.report, event.at_ms)
     if event.is_leaving:
-        record_leaving(state, call.server, effects)
+        record_leaving(state, attempt.server, effects)
     is_success = event.is_authentic and not event.is_refusal
     is_success = is_success and event.status < FIRST_ERROR_STATUS
     if event.rate_limit_per_s is not None or is_success:
         record_rate_limit(
-            state, call.server, event.rate_limit_per_s, event.at_ms, effects
+            state, attempt.server, event.rate_limit_per_s, event.at_ms, effects
         )
     # A server that named a time is fit again after it; counted as a failure,
     # its refusal would keep work away for seconds beyond that time.
     is_kept_by_rest = event.rest_ms > 0.0 and not state.rests.has_relapsed(
-        call.server, event.at_ms
+        attempt.server, event.at_ms
     )
     if event.rest_ms > 0.0:
-        _record_rest(state, call.server, event.rest_ms, event.at_ms, effects)
+        _record_rest(state, attempt.server, event.rest_ms, event.at_ms, effects)
     if event.is_refusal:
         if server is not None and not is_kept_by_rest:
             server.record_refusal(event.at_ms)
@@ -93,18 +89,26 @@
     if event.status >= FIRST_ERROR_STATUS:
         call.is_maybe_executed = True
         _record_failure(server, event.at_ms)
+        if dispatching.is_taken_elsewhere(state, call):
+            return
         if _reserve_retry(state, call, event.at_ms):
             _log_retry(call, f"status_{event.status}", effects)
             dispatching.dispatch(state, call, event.at_ms, effects)
             return
     elif server is not None:
         server.record_success(sent, event.at_ms)
-        duration_ms = event.at_ms - call.sent_ms
+        duration_ms = event.at_ms - attempt.sent_ms
         service.record_service_time(
-            duration_ms / max(1.0, call.load_factor), call.route
+            duration_ms / max(1.0, attempt.load_factor), call.route
         )
     dispatching.forward_answer(
-        state, call, call.server, event.status, event.at_ms, effects
+        state,
+        call,
+        attempt,
+        attempt.server,
+        event.status,
+        event.at_ms,
+        effects,
     )
 
 
@@ -176,14 +180,20 @@
     dispatched to another server without a charge to the retry budget.
     """
     call = state.calls.get(event.call_id)
-    if call is None or call.attempt != event.attempt:
+    ended = call and dispatching.end_attempt(state, call, event.attempt)
+    if ended is None:
         return
-    server = dispatching.remove_from_server(state, call)
-    partitions.record_lost_path(state, call.server, event.at_ms, effects)
+    attempt, _ = ended
+    server = state.server(attempt.server)
+    partitions.record_lost_path(state, attempt.server, event.at_ms, effects)
     if event.kind is FailureKind.NOT_CONNECTED:
         call.attempt -= 1  # Nothing was sent.
         if server is not None:
             _pause_server(state, server, event.at_ms, effects)
+        if dispatching.is_taken_elsewhere(state, call):
+            service = state.service(call.service)
+            service.retry_window.refund(event.at_ms)
+            return
         _log_retry(call, "not_connected", effects)
         dispatching.dispatch(state, call, event.at_ms, effects)
         return
@@ -192,7 +202,7 @@
     # Servers of an evacuated failure domain end because of its loss and not
     # because of a request.
     is_crash_suspected = event.kind.is_crash_evidence and not (
-        state.is_evacuated(call.server)
+        state.is_evacuated(attempt.server)
     )
     if server is not None and is_crash_suspected:
         effects.append(CheckServer(call.call_id, server.record.notice))
@@ -209,6 +219,8 @@
     effects: list[GatewayEffect],
 ) -> None:
     """Retries a request if that is allowed, or refuses it with the reason."""
+    if dispatching.is_taken_elsewhere(state, call):
+        return
     if _reserve_retry(state, call, now_ms):
         _log_retry(call, reason.name.lower(), effects)
         dispatching.dispatch(state, call, now_ms, effects)
@@ -287,13 +299,11 @@
     if call is None:
         dispatching.expire_unrouted(state, call_id, effects)
         return
-    if call.phase is Phase.SENT:
+    for attempt in call.running.values():
         call.is_maybe_executed = True
-    server = dispatching.cancel_attempt(state, call, effects)
-    if server is not None and (
-        now_ms - call.sent_ms > OVERDUE_FACTOR * call.expected_ms
-    ):
-        server.record_failure(now_ms)
+        if now_ms - attempt.sent_ms > OVERDUE_FACTOR * attempt.expected_ms:
+            _record_failure(state.server(attempt.server), now_ms)
+    dispatching.cancel_attempts(state, call, effects)
     dispatching.refuse(state, call, RefusalReason.DEADLINE, now_ms, effects)
 
 
@@ -309,7 +319,7 @@
     if call is None:
         return
     quotas.release(state, call)
-    dispatching.cancel_attempt(state, call, effects)
+    dispatching.cancel_attempts(state, call, effects)
     fields = {
         "id": call.request_id,
         "server": call.server,
@@ -376,7 +386,9 @@
     """Checks on overdue requests and reassigns those that their server lost."""
     _ask_presumed_cold(state, now_ms, effects)
     occupied = {
-        call.server for call in state.calls.values() if call.phase is Phase.SENT
+        attempt.server
+        for call in state.calls.values()
+        for attempt in call.running.values()
     }
     for name in sorted(occupied):
         server = state.server(name)
@@ -425,11 +437,14 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
-    """Sends a request that may be repeated to another server, if sensible.
+    """Looks for another server for a request that may be repeated, if sensible.
 
-    The server gets no failure recorded: it may only have been full.
+    The first server may still be at work, so its attempt runs on until either
+    one answers. It gets no failure recorded: it may only have been full.
     """
-    if not call.route.kind.is_idempotent:
+    if not call.route.kind.is_idempotent or now_ms < call.reassign_due_ms:
+        return
+    if call.phase is Phase.QUERYING or len(call.running) > 1:
         return
     sent = server.own_requests[call.call_id]
     if relaying.can_relay(state, call, now_ms):
@@ -443,11 +458,9 @@
         return
     if not _reserve_retry(state, call, now_ms):
         return
-    call.is_maybe_executed = True
     reason = "overdue" if sent.missing_since_ms is None else "dropped"
     _log_retry(call, reason, effects)
-    effects.append(CancelRequest(call.call_id))
-    dispatching.remove_from_server(state, call)
+    call.phase = Phase.QUERYING
     dispatching.dispatch(state, call, now_ms, effects)
 
 
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -22,12 +22,13 @@
 ) -> None:
     """Forwards a relayed answer, tries another peer, or refuses the request."""
     call = state.calls.get(event.call_id)
-    if call is None or call.attempt != event.attempt or not call.peer:
+    ended = call and dispatching.end_attempt(state, call, event.attempt)
+    if ended is None:
         return
-    state.peers.record_end(call.peer, call.call_id)
+    attempt, _ = ended
     refusal = event.refusal
     if refusal is None:
-        state.peers.record_success(call.peer)
+        state.peers.record_success(attempt.peer)
         if event.is_leaving:
             outcomes.record_leaving(state, event.server, effects)
         if event.rate_limit_per_s is not None:
@@ -39,15 +40,23 @@
                 effects,
             )
         dispatching.forward_answer(
-            state, call, event.server, event.status, event.at_ms, effects
+            state,
+            call,
+            attempt,
+            event.server,
+            event.status,
+            event.at_ms,
+            effects,
         )
         return
     if refusal.executed is not Executed.NO:
         call.is_maybe_executed = True
     elif refusal.reason in UNUSABLE_PEER_REASONS:
-        _leave_peer(state, call, event.at_ms)
+        _leave_peer(state, call, attempt.peer, event.at_ms)
         _try_other_peer(state, call, refusal.reason, event.at_ms, effects)
         return
+    if dispatching.is_taken_elsewhere(state, call):
+        return
     dispatching.refuse(
         state,
         call,
@@ -66,14 +75,14 @@
     A peer that is lost may have used up all attempts of the request.
     """
     call = state.calls.get(event.call_id)
-    if call is None or call.attempt != event.attempt or not call.peer:
+    ended = call and dispatching.end_attempt(state, call, event.attempt)
+    if ended is None:
         return
-    state.peers.record_end(call.peer, call.call_id)
-    peer = call.peer
-    _leave_peer(state, call, event.at_ms)
+    attempt, _ = ended
+    _leave_peer(state, call, attempt.peer, event.at_ms)
     fields = {
         "id": call.request_id,
-        "peer": peer,
+        "peer": attempt.peer,
         "kind": event.kind.name.lower(),
     }
     effects.append(Log("peer_failed", fields))
@@ -82,14 +91,18 @@
         _try_other_peer(state, call, reason, event.at_ms, effects)
         return
     call.is_maybe_executed = True
+    if dispatching.is_taken_elsewhere(state, call):
+        return
     dispatching.refuse(
         state, call, RefusalReason.SERVER_LOST, event.at_ms, effects
     )
 
 
-def _leave_peer(state: GatewayState, call: RoutedCall, now_ms: float) -> None:
+def _leave_peer(
+    state: GatewayState, call: RoutedCall, peer: str, now_ms: float
+) -> None:
     """Takes back an attempt that reached no server, and pauses the peer."""
-    state.peers.pause(call.peer, now_ms)
+    state.peers.pause(peer, now_ms)
     call.peer = ""
     call.attempt -= 1
 
@@ -101,6 +114,8 @@
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
+    if dispatching.is_taken_elsewhere(state, call):
+        return
     if state.reachability.is_partitioned and not relaying.can_relay(
         state, call, now_ms
     ):
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -17,7 +17,7 @@
 from gentianwall.gateway import identity
 from gentianwall.gateway.effects import GatewayEffect, Log, RelayRequest
 from gentianwall.gateway.events import Relay, RequestArrived
-from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
+from gentianwall.gateway.state import GatewayState, RoutedCall, RunningAttempt
 
 # Peers tried for one request before it is refused.
 MAX_PEERS_TRIED = 4
@@ -48,13 +48,11 @@
     peer = state.peers.choose(call.tried_peers, state.rng, now_ms)
     state.querying.pop(call.call_id, None)
     attempts_left = max(1, call.route.most_attempts - call.attempt)
-    call.phase = Phase.SENT
-    call.attempt += 1
-    call.server = ""
-    call.peer = peer
+    service_ms = state.service(call.service).service_ms_for(call.route)
+    number = call.add_attempt(
+        RunningAttempt(peer=peer, sent_ms=now_ms, expected_ms=service_ms)
+    )
     call.tried_peers.add(peer)
-    call.sent_ms = now_ms
-    call.expected_ms = state.service(call.service).service_ms_for(call.route)
     state.peers.record_sent(peer, call.call_id)
     relay = Relay(
         service=call.service,
@@ -68,7 +66,7 @@
     effects.append(
         RelayRequest(
             call.call_id,
-            call.attempt,
+            number,
             peer,
             left_ms,
             relay,
@@ -114,9 +112,3 @@
         target_ms=relay.target_ms,
         most_attempts=min(relay.attempts_left, own_route.most_attempts),
     )
-
-
-def end_relay(state: GatewayState, call: RoutedCall) -> None:
-    """Ends the relay of a request whose caller no longer waits."""
-    if call.peer:
-        state.peers.record_end(call.peer, call.call_id)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -58,6 +58,26 @@
     SENT = "sent"
 
 
+@attrs.frozen(kw_only=True)
+class RunningAttempt:
+    """An attempt of a request that has neither been answered nor failed.
+
+    Attributes:
+        server: Name of the server; empty if a peer relays the request.
+        peer: Host of the peer that relays it; empty for none.
+        sent_ms: When it was sent there.
+        expected_ms: Its expected time.
+        load_factor: That time as a multiple of the service time at an idle,
+            average server.
+    """
+
+    server: str = ""
+    peer: str = ""
+    sent_ms: float
+    expected_ms: float
+    load_factor: float = 1.0
+
+
 @attrs.define
 class RoutedCall:
     """A request between its arrival and its answer.
@@ -73,23 +93,22 @@
             that the caller has probably waited before. Later answers are
             worth less.
         phase: Current phase.
-        attempt: Number of attempts so far.
+        attempt: Number of attempts so far, without those that could not be
+            sent.
+        running: Attempts that run, by the number that identifies them. There
+            are two while an overdue request also runs at another server.
+        reassign_due_ms: When another server may be looked for again.
         tried_servers: Servers that it was sent to, or that could not be
             reached.
         unreported: Queried servers that have not reported their load yet.
         queried: Servers queried since the dispatch or the last recheck started.
         queries_left: How many more may be queried until the next recheck.
-        server: Name of the server it was last sent to; empty while a peer
-            relays it.
-        peer: Host of the peer that relays it; empty for none.
+        server: Name of the server it was last sent to; empty if it was last
+            sent to a peer.
+        peer: Host of the peer it was last sent to; empty for none.
         tried_peers: Hosts of the peers that it was sent to.
         relay: Decisions of the peer that it came from; None if it came from a
             caller.
-        sent_ms: When it was sent there.
-        expected_ms: Expected time of that attempt.
-        slowness: Slowness of that server at the time of sending.
-        load_factor: Expected time of that attempt as a multiple of the service
-            time at an idle, average server.
         is_maybe_executed: Whether a server may have executed the request.
         others: Names of servers considered beside the home servers.
         organisation: Name of the organisation that sent it; empty for none.
@@ -111,15 +130,13 @@
     target_at_ms: float
     phase: Phase = Phase.QUERYING
     attempt: int = 0
+    running: dict[int, RunningAttempt] = attrs.field(factory=dict)
+    reassign_due_ms: float = float("-inf")
     tried_servers: set[str] = attrs.field(factory=set)
     unreported: set[str] = attrs.field(factory=set)
     queried: set[str] = attrs.field(factory=set)
     queries_left: int = 0
     server: str = ""
-    sent_ms: float = 0.0
-    expected_ms: float = 0.0
-    slowness: float = 1.0
-    load_factor: float = 1.0
     is_maybe_executed: bool = False
     others: tuple[str, ...] = ()
     peer: str = ""
@@ -131,6 +148,16 @@
     is_quota_spent: bool = False
     is_protected: bool = False
 
+    def add_attempt(self, attempt: RunningAttempt) -> int:
+        """Adds an attempt that starts now; returns its number."""
+        number = 1 + max(self.attempt, max(self.running, default=0))
+        self.phase = Phase.SENT
+        self.attempt += 1
+        self.server = attempt.server
+        self.peer = attempt.peer
+        self.running[number] = attempt
+        return number
+
 
 @attrs.define
 class ServiceState:
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -75,9 +75,9 @@
         request: The request as received.
         arrived_ms: When it arrived.
         is_relayed: Whether a peer sent it for its caller.
-        attempt: Current attempt.
-        server: Name of the server of that attempt.
-        answer: Answer of the server, or of the peer that relays the request.
+        attempts: Attempts that were started, by their numbers.
+        server: Name of the server that sent the answer.
+        answer: Last answer of a server, or of a peer that relays the request.
     """
 
     call_id: int
@@ -85,7 +85,7 @@
     request: CallerRequest
     arrived_ms: float
     is_relayed: bool = False
-    attempt: Attempt | None = None
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
     server: str = ""
     answer: ServerAnswer | None = None
 
@@ -232,7 +232,7 @@
         call = self.open_requests.get(effect.call_id)
         if call is None:
             return
-        call.server = effect.notice.key.server
+        server = effect.notice.key.server
         request = self._server_request(
             call,
             effect.left_ms,
@@ -243,11 +243,11 @@
         request.is_close_delimited = True
         request.is_echo_required = True
         request.headers.setRawHeaders(
-            self._dialect.expected_server, [call.server.encode()]
+            self._dialect.expected_server, [server.encode()]
         )
 
         def on_answer(answer: ServerAnswer) -> None:
-            call.answer = answer
+            call.answer, call.server = answer, server
             self._handle(self._answered_event(call, effect.attempt, answer))
 
         def on_failure(kind: FailureKind) -> None:
@@ -257,7 +257,9 @@
             )
 
         pool = self._pools.pool_of(effect.notice)
-        self._start_attempt(call, pool, request, on_answer, on_failure)
+        self._start_attempt(
+            call, effect.attempt, pool, request, on_answer, on_failure
+        )
 
     def relay(self, effect: RelayRequest) -> None:
         """Starts an attempt: sends a request to a peer."""
@@ -305,7 +307,7 @@
             pool = self._peer_pools[effect.peer] = ConnectionPool(
                 self._reactor, effect.peer, self._peer_port, CONNECT_TIMEOUT_S
             )
-        self._start_attempt(call, pool, request, on_answer, on_failure)
+        self._start_attempt(call, attempt, pool, request, on_answer, on_failure)
 
     def _server_request(
         self,
@@ -337,9 +339,15 @@
         )
 
     def _start_attempt(
-        self, call: OpenRequest, pool, request, on_answer, on_failure
+        self,
+        call: OpenRequest,
+        number: int,
+        pool: ConnectionPool,
+        request: ServerRequest,
+        on_answer: Callable[[ServerAnswer], None],
+        on_failure: Callable[[FailureKind], None],
     ) -> None:
-        call.attempt = Attempt(
+        attempt = call.attempts[number] = Attempt(
             pool,
             request,
             call.request_id,
@@ -348,7 +356,7 @@
             on_answer,
             on_failure,
         )
-        call.attempt.start()
+        attempt.start()
 
     def _answered_event(
         self, call: OpenRequest, attempt: int, answer: ServerAnswer
@@ -411,10 +419,11 @@
         )
 
     def cancel(self, effect: CancelRequest) -> None:
-        """Closes the connection of the current attempt."""
+        """Closes the connection of an attempt."""
         call = self.open_requests.get(effect.call_id)
-        if call is not None and call.attempt is not None:
-            call.attempt.cancel()
+        attempt = call and call.attempts.pop(effect.attempt, None)
+        if attempt is not None:
+            attempt.cancel()
 
     def forward_answer(self, effect: ForwardAnswer) -> None:
         """Sends the server's complete answer to the caller."""
@@ -471,7 +480,7 @@
         call = self.open_requests.pop(call_id, None)
         if call is not None:
             self._call_id_by_request.pop(id(call.request), None)
-            call.attempt = None  # Breaks the reference cycle with the request.
+            call.attempts.clear()  # Breaks reference cycles with the request.
         return call
 
 
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from gentianwall.config.routes import RouteKind
-from gentianwall.core.events import Tick
+from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
 from gentianwall.gateway import effects as fx
+from gentianwall.gateway.events import DeadlineExpired
 from gentianwall.gateway.overdue import CONFIRM_MS, OVERDUE_FACTOR
 from gentianwall.routing.reports import SpeedReport
 from harness.gateway_entry import IDLE, Entry, effects_of_type, server
@@ -32,6 +34,10 @@
     return sent.notice.key.server
 
 
+def _other(name):
+    return {"a": "b", "b": "a"}[name]
+
+
 def _tick(entry, later_ms):
     entry.now_ms += later_ms
     return entry.reduce(Tick(entry.now_ms))
@@ -49,12 +55,13 @@
     name = _send(entry)
     _tick(entry, 2.2 * EXPECTED_MS)
     entry.deliver_load_report(name, IDLE)
-    effects = _tick(entry, CONFIRM_MS)
-    assert effects_of_type(effects, fx.CancelRequest)
-    entry.deliver_load_report({"a": "b", "b": "a"}[name], IDLE)
+    _tick(entry, CONFIRM_MS)
+    entry.deliver_load_report(_other(name), IDLE)
     call = entry.state.calls[1]
     assert (call.attempt, call.server != name) == (2, True)
     assert entry.state.server(name).failure_rate == 0.0
+    effects = entry.deliver_answer(attempt=2)
+    assert effects == [fx.CancelRequest(1, 1), fx.ForwardAnswer(1)]
 
 
 def test_an_answer_on_its_way_is_waited_for(entry):
@@ -76,10 +83,62 @@
 
 def test_a_request_far_beyond_its_expected_time_is_reassigned(entry):
     name = _send(entry)
-    effects = _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
-    assert effects_of_type(effects, fx.CancelRequest)
-    entry.deliver_load_report({"a": "b", "b": "a"}[name], IDLE)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
     assert entry.state.calls[1].server != name
+    effects = entry.deliver_answer(attempt=2)
+    assert effects == [fx.CancelRequest(1, 1), fx.ForwardAnswer(1)]
+
+
+# It was given up before another server had taken it, and its caller got 502
+# although the answer was on its way.
+def test_an_overdue_request_is_not_refused_while_its_server_works(entry):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    effects = entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
+    assert not effects
+    assert entry.deliver_answer(attempt=1) == [fx.ForwardAnswer(1)]
+
+
+def test_a_search_without_a_server_counts_as_no_retry(entry):
+    name = _send(entry)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, slack=2.0, ratio=0.0)
+    for _ in range(3):
+        _tick(entry, OVERDUE_FACTOR * EXPECTED_MS / 3 + 1)
+        entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
+    assert window.spend(entry.now_ms)
+
+
+@pytest.mark.parametrize("kind", [FailureKind.NOT_CONNECTED, FailureKind.LOST])
+def test_the_failure_of_the_other_server_leaves_the_first_at_work(entry, kind):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    effects = entry.fail_attempt(kind, attempt=2)
+    assert not effects_of_type(effects, fx.RefuseRequest | fx.CancelRequest)
+    assert entry.deliver_answer(attempt=1) == [fx.ForwardAnswer(1)]
+
+
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_a_refusal_of_one_server_leaves_the_other_at_work(entry, attempt):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    refused = entry.deliver_answer(503, is_refusal=True, attempt=attempt)
+    assert not refused
+    assert entry.deliver_answer(attempt=3 - attempt) == [fx.ForwardAnswer(1)]
+
+
+@pytest.mark.parametrize("event_class", [DeadlineExpired, CallerDisconnected])
+def test_both_attempts_end_with_the_wait_of_the_caller(entry, event_class):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    effects = entry.reduce(event_class(entry.now_ms, 1))
+    cancelled = effects_of_type(effects, fx.CancelRequest)
+    assert [effect.attempt for effect in cancelled] == [1, 2]
+    assert not any(entry.state.server(name).own_requests for name in "ab")
 
 
 @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.UPLOAD])
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -226,7 +226,7 @@
 def test_a_caller_that_leaves_ends_the_relay(partitioned):
     relayed = _relayed(partitioned.deliver_request())
     effects = partitioned.reduce(CallerDisconnected(partitioned.now_ms, 1))
-    assert effects == [fx.CancelRequest(1)]
+    assert effects == [fx.CancelRequest(1, 1)]
     assert not partitioned.state.peers.by_host[relayed.peer].outstanding
 
 
