Pass on only requests that are over before the process ends

What callers saw: in a planned stop of an entry, requests whose bodies were complete late in the grace period were passed on and then cut without an answer, among them requests that may not be repeated.

Cause: an entry that stops passed on everything that it read until half a second before the kill, without a look at the time that was left. What was open then was closed with the process. Class of fault: work is admitted without regard to a known end.

Change: the start of the drain carries when requests end, 150 ms before the kill instead of 500. A request is passed on if the wait of its caller ends by then or, if it may be repeated, three times its expected time and its target time do. Otherwise it is refused as not run, and so are requests that wait for servers, a token or a configuration, and retries. What is open at the end is answered, 503 if nothing was sent and 504 otherwise, and a body that is still being received is refused. A line, drained, says how many there were.

Ruled out: requests on kept connections that are idle, which are closed with the listener.

--- a/gentianwall/commands/explain.py
+++ b/gentianwall/commands/explain.py
@@ -14,6 +14,7 @@
         "started",
         "stopped",
         "draining",
+        "drained",
         "control_heard",
         "configuration_in_force",
         "server_changed",
--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -17,9 +17,13 @@
 # Readiness is checked every second, and two failed checks take an entry out of
 # use; it accepts new connections until then.
 UNREADY_BEFORE_CLOSE_MS = 2600.0
-# The platform kills the process after the grace period; connections are closed
-# this long before.
-STOP_BEFORE_KILL_MS = 500.0
+# The platform kills the process after the grace period. Requests without an
+# answer are refused this long before.
+REFUSE_BEFORE_KILL_MS = 150.0
+# The process ends this long before, with or without open connections.
+EXIT_BEFORE_KILL_MS = 60.0
+# Most of the grace period that these take.
+MAX_MARGIN_SHARE = 0.25
 DRAIN_CHECK_INTERVAL_MS = 20.0
 
 
@@ -46,20 +50,29 @@
         return
     now_ms = monotonic_ms()
     grace_ms = runtime.settings.grace_s * 1000.0
-    limit_ms = now_ms + grace_ms - STOP_BEFORE_KILL_MS
+    scale = min(1.0, MAX_MARGIN_SHARE * grace_ms / REFUSE_BEFORE_KILL_MS)
+    end_ms = now_ms + grace_ms - scale * REFUSE_BEFORE_KILL_MS
+    exit_ms = now_ms + grace_ms - scale * EXIT_BEFORE_KILL_MS
     close_ms = now_ms + min(UNREADY_BEFORE_CLOSE_MS, grace_ms / 2)
-    runtime.begin_drain()
+    runtime.begin_drain(end_ms)
 
     def close_listener() -> None:
         runtime.stop_listening()
-        check_idle()
+        await_requests()
 
-    def check_idle() -> None:
-        if runtime.is_idle or monotonic_ms() > limit_ms:
-            reactor.callLater(DRAIN_CHECK_INTERVAL_MS / 1000.0, reactor.stop)
+    def await_requests() -> None:
+        if runtime.is_idle or monotonic_ms() >= end_ms:
+            runtime.end_drain()
+            await_closes()
             return
-        timers.start(
-            "drain", monotonic_ms() + DRAIN_CHECK_INTERVAL_MS, check_idle
-        )
+        check_ms = min(end_ms, monotonic_ms() + DRAIN_CHECK_INTERVAL_MS)
+        timers.start("drain", check_ms, await_requests)
+
+    def await_closes() -> None:
+        if runtime.is_idle or monotonic_ms() >= exit_ms:
+            reactor.stop()
+            return
+        check_ms = min(exit_ms, monotonic_ms() + DRAIN_CHECK_INTERVAL_MS)
+        timers.start("drain", check_ms, await_closes)
 
     timers.start("drain", close_ms, close_listener)
--- a/gentianwall/core/events.py
+++ b/gentianwall/core/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import attrs
 
@@ -167,9 +168,15 @@
 
 @attrs.define
 class DrainStarted:
-    """The process started to drain before it stops."""
+    """The process started to drain before it stops.
+
+    Attributes:
+        at_ms: When the event occurred.
+        end_ms: When requests that are still open are refused.
+    """
 
     at_ms: float
+    end_ms: float = math.inf
 
 
 @attrs.define
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -29,6 +29,7 @@
     RoutedCall,
     ServiceState,
 )
+from gentianwall.gateway.stopping import RETRY_AFTER_MS
 
 # Servers whose load report is younger than this are not queried. The speed of
 # servers changes every few hundred milliseconds.
@@ -219,12 +220,14 @@
 ) -> None:
     """Queues a request until the first configuration arrives.
 
-    Refuses the request if the process started too long ago.
+    Refuses the request if the process started too long ago, or stops before
+    that.
     """
     wait_ms = START_WAIT_MS
     if event.wait_ms is not None:
         wait_ms = min(wait_ms, START_WAIT_SHARE * event.wait_ms)
-    if event.at_ms > state.started_ms + STARTUP_MS:
+    is_too_late = event.at_ms + wait_ms > state.stop.end_ms
+    if event.at_ms > state.started_ms + STARTUP_MS or is_too_late:
         _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
         return
     state.unrouted[event.call_id] = event
@@ -272,8 +275,13 @@
 ) -> None:
     """Sends a request to the best server, after load queries if needed.
 
-    A partitioned entry sends it to a peer instead.
+    A partitioned entry sends it to a peer instead, and one that stops refuses
+    it if it might not be over in time.
     """
+    service_ms = state.service(call.service).service_ms_for(call.route)
+    if not state.stop.has_time_for(call, service_ms, now_ms):
+        _refuse_before_stop(state, call, now_ms, effects)
+        return
     if relaying.send_to_peer(state, call, now_ms, effects):
         quotas.commit(state, call, now_ms)
         return
@@ -491,6 +499,9 @@
     if is_too_slow or is_full:
         refuse(state, call, RefusalReason.OVERLOADED, now_ms, effects)
         return
+    if not state.stop.has_time_for(call, best.expected_ms, now_ms):
+        _refuse_before_stop(state, call, now_ms, effects)
+        return
     room_ms = quotas.commit(state, call, now_ms)
     if room_ms > 0.0:
         _refuse_over_quota(state, call, room_ms, now_ms, effects)
@@ -571,7 +582,9 @@
     after_ms = 0.0
     if executed is Executed.NO:
         service_ms = state.service(call.service).service_ms_for(call.route)
-        if state.overload is not None and reason is RefusalReason.OVERLOADED:
+        if state.is_draining and reason is RefusalReason.NOT_READY:
+            after_ms = RETRY_AFTER_MS
+        elif state.overload is not None and reason is RefusalReason.OVERLOADED:
             after_ms = max(
                 min_retry_after_ms,
                 state.overload.retry_after_ms(call, service_ms, now_ms),
@@ -607,6 +620,17 @@
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def _refuse_before_stop(
+    state: GatewayState,
+    call: RoutedCall,
+    now_ms: float,
+    effects: list[GatewayEffect],
+) -> None:
+    """Refuses a request that might not be over when the process ends."""
+    state.stop.refused += 1
+    refuse(state, call, RefusalReason.NOT_READY, now_ms, effects)
+
+
 def refuse_shed(
     state: GatewayState,
     call: RoutedCall,
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -198,6 +198,13 @@
     call_id: int
 
 
+@attrs.define
+class DrainEnded:
+    """The process ends now, or soon after its last answers are written."""
+
+    at_ms: float
+
+
 @attrs.define
 class ServerCrashed:
     """A server refuses connections after it lost a request."""
@@ -231,5 +238,6 @@
     | ServerCrashed
     | FeedArrived
     | DrainStarted
+    | DrainEnded
     | Tick
 )
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -228,6 +228,8 @@
     service_ms = service.service_ms_for(call.route)
     if now_ms + service_ms > call.deadline_ms:
         return False
+    if not state.stop.has_time_for(call, service_ms, now_ms):
+        return False
     if state.overload is not None and not state.overload.may_retry(
         call, service_ms, now_ms
     ):
@@ -297,6 +299,30 @@
     dispatching.refuse(state, call, RefusalReason.DEADLINE, now_ms, effects)
 
 
+def on_drain_ended(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Answers all requests that are still open when the process ends."""
+    unsent = len(state.unrouted)
+    for call_id in list(state.unrouted):
+        dispatching.expire_unrouted(state, call_id, effects)
+    calls = list(state.calls.values())
+    for call in calls:
+        if call.attempt:
+            on_deadline_expired(state, call.call_id, now_ms, effects)
+        else:
+            unsent += 1
+            dispatching.refuse(
+                state, call, RefusalReason.NOT_READY, now_ms, effects
+            )
+    fields = {
+        "refused": state.stop.refused,
+        "left_unsent": unsent,
+        "left_sent": sum(call.attempt > 0 for call in calls),
+    }
+    effects.append(Log("drained", fields))
+
+
 def on_caller_disconnected(
     state: GatewayState,
     call_id: int,
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -13,6 +13,7 @@
 from gentianwall.gateway.effects import GatewayEffect, Log
 from gentianwall.gateway.events import (
     DeadlineExpired,
+    DrainEnded,
     FeedArrived,
     GatewayEvent,
     LoadQueryEnded,
@@ -72,5 +73,8 @@
             partitions.start_checks(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
+            state.stop.end_ms = event.end_ms
             effects.append(Log("draining", {"calls": len(state.calls)}))
+        case DrainEnded():
+            outcomes.on_drain_ended(state, event.at_ms, effects)
     return effects
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -30,6 +30,7 @@
 from gentianwall.gateway.relay_signatures import RelayKeys
 from gentianwall.gateway.rests import Rests
 from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.stopping import Stop
 from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
 
@@ -229,6 +230,7 @@
         feed_received_ms: When the last notice was received.
         poll_due_ms: When the next poll of the feed is due.
         is_draining: Whether the process stops once no request is outstanding.
+        stop: Which requests are still passed on before the process stops.
         crash_reports: Number of crash reports so far.
         unconfirmed_crashes: Crashes that may turn out to be a partition.
         typical_waits: Typical waits of the callers of each route.
@@ -276,6 +278,7 @@
     feed_received_ms: float = float("-inf")
     poll_due_ms: float = 0.0
     is_draining: bool = False
+    stop: Stop = attrs.field(factory=Stop)
     crash_reports: int = 0
     unconfirmed_crashes: list[ServerCrashed] = attrs.field(factory=list)
     typical_waits: TypicalWaits = attrs.field(factory=TypicalWaits)
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -797,6 +797,12 @@
             refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
         self._send_and_close(render_refusal(refusal, ""))
 
+    def refuse_unfinished(self) -> None:
+        """Refuses the request being received, as the process ends."""
+        if self._has_partial_request():
+            self._is_linger_due = True
+            self.refuse(RefusalReason.NOT_READY, None)
+
     def refuse_with_status(
         self, status: int, detail: str, misuse: Misuse = Misuse.MALFORMED
     ) -> None:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -36,6 +36,7 @@
 )
 from gentianwall.gateway.events import (
     DeadlineExpired,
+    DrainEnded,
     FeedArrived,
     GatewayEvent,
 )
@@ -382,13 +383,21 @@
         """Whether no request is open and no caller is connected."""
         return not self.requests.open_requests and not self.site.channels
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, end_ms: float) -> None:
         """Starts draining.
 
         Reports not ready and closes each connection after its next answer.
+        Requests that might not be over by the end are refused.
         """
         self.requests.is_closing = True
-        self.handle(DrainStarted(monotonic_ms()))
+        self.handle(DrainStarted(monotonic_ms(), end_ms))
+
+    def end_drain(self) -> None:
+        """Answers the requests that are open or that are being received."""
+        self.handle(DrainEnded(monotonic_ms()))
+        for site in (self.site, self.peer_site):
+            for channel in list(site.channels):
+                channel.refuse_unfinished()
 
     def stop_listening(self) -> None:
         """Stops accepting connections and closes those without a request."""
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,193 @@
+"""Tests that no request ends without an answer in a planned stop.
+
+Bodies on kept connections are complete at several times after the signal. There
+are no bounds on times: each request is either served or refused as not run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import signal
+import socket
+import time
+
+import pytest
+
+from harness.fleet import (
+    CALLERS_PORT,
+    HOST,
+    FakeServer,
+    Fleet,
+    Node,
+    document,
+    running_server,
+    send_heartbeat_until_acknowledged,
+    wait_until,
+    wait_until_serving,
+)
+
+BLOCK = 201
+GRACE_S = 4.0
+SERVICE_S = 0.9
+BODY = b"order"
+WAIT_MS = 2000
+# Longer than the grace period.
+PATIENT_MS = 20_000
+# Times after the signal at which bodies are complete; None for never.
+LAST_BYTES_S = (0.3, 1.2, 2.0, 2.7, 2.9, 3.1, 3.3, 3.6, 3.8, None)
+ROUTES = ("/orders/x", "/reads/x")
+
+
+def _document():
+    content = document(1)
+    # An attempt at a server that works for longer would count as overdue.
+    content["resources"][0]["spec"]["targetLatencyMs"] = 1000
+    safe = copy.deepcopy(content["resources"][0])
+    safe["metadata"]["name"] = "safe"
+    safe["spec"] |= {
+        "pathPrefix": "/reads/",
+        "routeType": "safe",
+        "timeoutMs": PATIENT_MS,
+    }
+    content["resources"].insert(1, safe)
+    return content
+
+
+@pytest.fixture
+def servers():
+    """Servers that work for a while on each request."""
+    with contextlib.ExitStack() as stack:
+        yield [
+            stack.enter_context(
+                running_server(
+                    FakeServer(
+                        f"i-{number}",
+                        "orders",
+                        f"127.{BLOCK}.3.{number}",
+                        service_s=SERVICE_S,
+                    )
+                )
+            )
+            for number in range(1, 5)
+        ]
+
+
+@pytest.fixture
+def fleet(tmp_path, servers):
+    """One entry that is told to stop, and its control instance."""
+    fleet = Fleet(tmp_path, 1, 1, BLOCK)
+    fleet.entry_settings = [f"grace_s = {GRACE_S}"]
+    try:
+        for node in (*fleet.controls, *fleet.entries):
+            fleet.start(node, is_first_start=True)
+        wait_until(
+            "the configuration is acknowledged",
+            lambda: (
+                fleet.replace_configuration(fleet.controls[0], _document())
+                == 200
+            ),
+        )
+        for server in servers:
+            send_heartbeat_until_acknowledged(fleet, server)
+        wait_until_serving(fleet)
+        yield fleet
+    finally:
+        fleet.kill_all()
+
+
+class _Caller:
+    """A connection whose request lacks the last byte of its body."""
+
+    def __init__(
+        self,
+        entry: Node,
+        path: str,
+        last_byte_s: float | None,
+        wait_ms: int = WAIT_MS,
+    ):
+        self.request_id = f"{path[1:]}-{last_byte_s}"
+        self.last_byte_s = last_byte_s
+        self.received = b""
+        self.sock = socket.create_connection((entry.host, CALLERS_PORT), 15.0)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Gentianwall-Request-Id: {self.request_id}\r\n"
+            f"X-Gentianwall-Deadline-Ms: {wait_ms}\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n"
+        )
+        self.sock.sendall(head.encode() + BODY[:-1])
+
+    def complete(self) -> None:
+        """Sends the last byte; the connection may be closed by then."""
+        with contextlib.suppress(OSError):
+            self.sock.sendall(BODY[-1:])
+
+    def read_to_end(self) -> None:
+        """Reads whatever the entry sends until it closes the connection."""
+        with contextlib.suppress(ConnectionError):
+            while data := self.sock.recv(65536):
+                self.received += data
+        self.sock.close()
+
+    @property
+    def status(self) -> int:
+        """Status of a complete answer; 0 for none."""
+        head, _, body = self.received.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+        is_complete = int(fields.get("content-length", -1)) == len(body)
+        return int(lines[0].split()[1]) if is_complete else 0
+
+
+# Requests that came late in the grace period were passed on, and then cut.
+def test_a_late_request_is_answered_or_refused_as_not_run(fleet, servers):
+    (entry,) = fleet.entries
+    callers = [
+        _Caller(entry, path, last_byte_s)
+        for last_byte_s in LAST_BYTES_S
+        for path in ROUTES
+    ]
+    # The entry has read what was sent once it answers a later request.
+    assert fleet.send_request(entry, "after").status == 200
+    fleet.signal(entry, signal.SIGTERM)
+    stopped_s = time.monotonic()
+    for caller in callers:
+        if caller.last_byte_s is not None:
+            left_s = stopped_s + caller.last_byte_s - time.monotonic()
+            time.sleep(max(0.0, left_s))
+            caller.complete()
+    for caller in callers:
+        caller.read_to_end()
+    assert entry.process.wait(timeout=15.0) == 0
+    executed = [name for server in servers for name in server.executed_ids]
+    outcomes = {
+        caller.request_id: (caller.status, executed.count(caller.request_id))
+        for caller in callers
+    }
+    allowed = {(200, 1), (503, 0)}
+    assert not {
+        name: outcome
+        for name, outcome in outcomes.items()
+        if outcome not in allowed
+    }
+    assert (200, 1) in outcomes.values()
+
+
+# The connection was closed without an answer.
+def test_a_request_that_runs_at_the_end_is_answered(fleet, servers):
+    (entry,) = fleet.entries
+    for server in servers:
+        server.service_s = 2.0 * GRACE_S
+    caller = _Caller(entry, ROUTES[1], 0.0, PATIENT_MS)
+    caller.complete()
+    wait_until(
+        "the request runs",
+        lambda: any(
+            caller.request_id in server.executed_ids for server in servers
+        ),
+    )
+    fleet.signal(entry, signal.SIGTERM)
+    caller.read_to_end()
+    assert caller.status == 504
+    assert entry.process.wait(timeout=15.0) == 0
