Keep an entry running while a peer waits for an answer

What callers saw: a request that a partitioned entry relayed to an entry in its planned stop could end without an answer.

Cause: an entry counted as idle once no request was open and no caller was connected. The connections of peers did not count, so an answer to a peer that was still being written, or a request that was still being received, was cut by the end of the process.

Change: an entry is idle only if no peer is connected either. Idle connections of peers are closed with the listener, as before.

--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -380,8 +380,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is open and no caller is connected."""
-        return not self.requests.open_requests and not self.site.channels
+        """Whether no request is open, and no caller or peer connected."""
+        return not (
+            self.requests.open_requests
+            or self.site.channels
+            or self.peer_site.channels
+        )
 
     def begin_drain(self, end_ms: float) -> None:
         """Starts draining.
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -17,6 +17,7 @@
 from harness.fleet import (
     CALLERS_PORT,
     HOST,
+    PEER_PORT,
     FakeServer,
     Fleet,
     Node,
@@ -105,11 +106,12 @@
         path: str,
         last_byte_s: float | None,
         wait_ms: int = WAIT_MS,
+        port: int = CALLERS_PORT,
     ):
         self.request_id = f"{path[1:]}-{last_byte_s}"
         self.last_byte_s = last_byte_s
         self.received = b""
-        self.sock = socket.create_connection((entry.host, CALLERS_PORT), 15.0)
+        self.sock = socket.create_connection((entry.host, port), 15.0)
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Gentianwall-Request-Id: {self.request_id}\r\n"
@@ -191,3 +193,17 @@
     caller.read_to_end()
     assert caller.status == 504
     assert entry.process.wait(timeout=15.0) == 0
+
+
+# The entry ended as soon as no caller was connected.
+def test_a_connection_of_a_peer_is_answered_before_the_entry_ends(fleet):
+    (entry,) = fleet.entries
+    peer = _Caller(entry, ROUTES[0], 2.5, port=PEER_PORT)
+    assert fleet.send_request(entry, "after").status == 200
+    fleet.signal(entry, signal.SIGTERM)
+    time.sleep(peer.last_byte_s)
+    peer.complete()
+    peer.read_to_end()
+    # Nothing is relayed without the header about it.
+    assert peer.status == 400
+    assert entry.process.wait(timeout=15.0) == 0
