Read what a caller sent before a connection is closed after an answer

What callers saw: a caller that had sent a further request of more than 16 kB on a kept connection, while an earlier one ran at an entry that stops, got only a part of the answer to the earlier one. Found by a search for other ways in which a planned stop cuts an answer.

Cause: with the answer, the connection was closed while received bytes were unread. The kernel then resets it and drops what is not sent yet of the answer. Reading is paused while a request runs and 16 kB more have come, or while the caller is slow to read.

Change: where reading is paused and the entry closes the connection, it ends its own side after the answer, reads and discards what comes for a second, and closes then. Other closes are as before: a longer life of idle connections would only read requests that cannot be answered.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -303,8 +303,8 @@
     Attributes:
         bounds: Limits on the request that is received, or on the next one.
         pipeline: Requests that were received and not yet answered.
-        is_refused: Whether a request was malformed, too large or too slow;
-            whatever the caller sends after it is discarded.
+        is_refused: Whether a request was malformed, too large or too slow, or
+            no further one is read; whatever the caller sends is discarded.
     """
 
     requestFactory = CallerRequest
@@ -565,7 +565,9 @@
             is_last = self._write_and_run()
         finally:
             self._is_advancing = False
-        if is_last:
+        if is_last and self._is_input_unread:
+            self._close_after_discarding()
+        elif is_last:
             self.loseConnection()
         elif self._final_problem is not None and self.is_idle:
             self._write_final_problem()
@@ -876,6 +878,33 @@
             )
         super().loseConnection()
 
+    @property
+    def _is_input_unread(self) -> bool:
+        """Whether a client that did not ask for the close may have sent more.
+
+        That is so if reading is paused.
+        """
+        if not self.pipeline.is_closing or self.pipeline.is_read_finished:
+            return False
+        held_bytes = sum(map(len, self._dataBuffer))
+        return (
+            self._waitingForTransport
+            or held_bytes > self._optimisticEagerReadSize
+        )
+
+    def _close_after_discarding(self) -> None:
+        """Closes the connection once what the client sent has been read.
+
+        A close with unread input resets the connection, and the client may not
+        receive the rest of the last answer.
+        """
+        self.is_refused = True
+        self._dataBuffer.clear()
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._is_linger_due = True
+        self.loseConnection()
+
     def _end_linger(self) -> None:
         self._closing_call = None
         self.loseConnection()
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -207,3 +207,35 @@
     # Nothing is relayed without the header about it.
     assert peer.status == 400
     assert entry.process.wait(timeout=15.0) == 0
+
+
+# The close with an unread request reset the connection, and what the kernel had
+# not sent of the answer was lost.
+def test_an_answer_is_whole_if_a_further_request_was_sent(fleet, servers):
+    (entry,) = fleet.entries
+    for server in servers:
+        server.padding_bytes = 300_000
+    head = (
+        f"GET {ROUTES[0]} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Gentianwall-Request-Id: %s\r\nContent-Length: %d\r\n\r\n"
+    )
+    received = b""
+    with socket.socket() as sock:
+        # Most of the answer is still to be sent when the entry has written it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(15.0)
+        sock.connect((entry.host, CALLERS_PORT))
+        sock.sendall((head % ("first", 0)).encode())
+        wait_until(
+            "the request runs",
+            lambda: any("first" in server.executed_ids for server in servers),
+        )
+        # More than the entry reads while another request runs.
+        sock.sendall((head % ("second", 100_000)).encode() + bytes(100_000))
+        fleet.signal(entry, signal.SIGTERM)
+        time.sleep(2.0 * SERVICE_S)
+        with contextlib.suppress(ConnectionError):
+            while data := sock.recv(4096):
+                received += data
+    received_head, _, body = received.partition(b"\r\n\r\n")
+    assert len(body) > 300_000, received_head
