Answer a request that was turned away with 503 when the process ends

What callers saw: 504 instead of 503 at the end of a planned stop, for a request that a server had turned away and that still waited for another one. Its body said that it had not run, its status did not, so that a caller could not safely send it again.

Cause: whether a request had been sent was told by its number of attempts. Change: it is told by the attempts that run. The others are refused as usual: 503, or 502 if one may have been executed.

Measured: the new test of tests/test_stopping.py fails before and passes after; test_gateway* pass, and tests/test_planned_stops.py in 3 runs.

--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -313,12 +313,12 @@
     state: GatewayState, now_ms: float, effects: list[GatewayEffect]
 ) -> None:
     """Answers all requests that are still open when the process ends."""
-    unsent = len(state.unrouted)
+    unsent, sent = len(state.unrouted), 0
     for call_id in list(state.unrouted):
         dispatching.expire_unrouted(state, call_id, effects)
-    calls = list(state.calls.values())
-    for call in calls:
-        if call.attempt:
+    for call in list(state.calls.values()):
+        if call.running:
+            sent += 1
             on_deadline_expired(state, call.call_id, now_ms, effects)
         else:
             unsent += 1
@@ -328,7 +328,7 @@
     fields = {
         "refused": state.stop.refused,
         "left_unsent": unsent,
-        "left_sent": sum(call.attempt > 0 for call in calls),
+        "left_sent": sent,
     }
     effects.append(Log("drained", fields))
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -146,6 +146,20 @@
     assert not entry.state.calls
 
 
+# It got 504, as if it might have run.
+def test_a_request_that_was_turned_away_is_not_run_at_the_end(entry):
+    entry.now_ms += 1500.0
+    for name in "ab":
+        entry.deliver_load_report(name, IDLE)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, ratio=2.0)
+    entry.deliver_request()
+    entry.now_ms += 100.0
+    effects = entry.deliver_answer(503, is_refusal=True)
+    assert effects_of_type(effects, fx.QueryLoad)
+    _assert_refused(entry.reduce(DrainEnded(entry.now_ms)))
+
+
 def test_requests_without_a_configuration_are_answered_at_the_end():
     entry = Entry()
     assert not effects_of_type(entry.deliver_request(), fx.RefuseRequest)
