Keep a listed entry running while a caller waits for an answer

What callers saw: a call whose body was complete later than 1.5 s after SIGTERM could end without an answer, and a large answer that was still being written could be cut. Found by a search for the cause of the cuts in fleets.

Cause: as with the connections of peers, an entry of a listed cluster counted as idle once no call ran, whether or not callers were still connected.

Change: it is idle only once no caller is connected. Idle connections are closed with the listener, as before, and incomplete calls by their timeouts.

--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -244,8 +244,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no call and no request to the control instances is open."""
-        return not self.calls.open_calls and not self.state.control.pending
+        """Whether no call, control request or caller's connection is open."""
+        return not (
+            self.calls.open_calls
+            or self.state.control.pending
+            or self.site.channels
+        )
 
     def begin_drain(self) -> None:
         """Starts draining: reports not ready but serves connected callers."""
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -14,13 +14,13 @@
 
 import pytest
 
+from harness import cluster as listed
 from harness.fleet import (
     CALLERS_PORT,
     HOST,
     PEER_PORT,
     FakeServer,
     Fleet,
-    Node,
     document,
     running_server,
     send_heartbeat_until_acknowledged,
@@ -102,7 +102,7 @@
 
     def __init__(
         self,
-        entry: Node,
+        host: str,
         path: str,
         last_byte_s: float | None,
         wait_ms: int = WAIT_MS,
@@ -111,7 +111,7 @@
         self.request_id = f"{path[1:]}-{last_byte_s}"
         self.last_byte_s = last_byte_s
         self.received = b""
-        self.sock = socket.create_connection((entry.host, port), 15.0)
+        self.sock = socket.create_connection((host, port), 15.0)
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Gentianwall-Request-Id: {self.request_id}\r\n"
@@ -146,7 +146,7 @@
 def test_a_late_request_is_answered_or_refused_as_not_run(fleet, servers):
     (entry,) = fleet.entries
     callers = [
-        _Caller(entry, path, last_byte_s)
+        _Caller(entry.host, path, last_byte_s)
         for last_byte_s in LAST_BYTES_S
         for path in ROUTES
     ]
@@ -181,7 +181,7 @@
     (entry,) = fleet.entries
     for server in servers:
         server.service_s = 2.0 * GRACE_S
-    caller = _Caller(entry, ROUTES[1], 0.0, PATIENT_MS)
+    caller = _Caller(entry.host, ROUTES[1], 0.0, PATIENT_MS)
     caller.complete()
     wait_until(
         "the request runs",
@@ -198,7 +198,7 @@
 # The entry ended as soon as no caller was connected.
 def test_a_connection_of_a_peer_is_answered_before_the_entry_ends(fleet):
     (entry,) = fleet.entries
-    peer = _Caller(entry, ROUTES[0], 2.5, port=PEER_PORT)
+    peer = _Caller(entry.host, ROUTES[0], 2.5, port=PEER_PORT)
     assert fleet.send_request(entry, "after").status == 200
     fleet.signal(entry, signal.SIGTERM)
     time.sleep(peer.last_byte_s)
@@ -239,3 +239,28 @@
                 received += data
     received_head, _, body = received.partition(b"\r\n\r\n")
     assert len(body) > 300_000, received_head
+
+
+@pytest.fixture
+def listed_entry():
+    """A cluster with an entry at a listed address."""
+    cluster = listed.Cluster(1, 1)
+    try:
+        cluster.start()
+        yield cluster
+    finally:
+        cluster.close()
+
+
+# The entry ended as soon as no call ran.
+def test_a_listed_entry_answers_every_connection_before_it_ends(listed_entry):
+    host, port = listed_entry.address("entry-0").split(":")
+    caller = _Caller(host, "/die-ledger/x", 2.5, port=int(port))
+    assert listed.call(f"{host}:{port}", "GET", "/readyz").status == 200
+    listed_entry.signal("entry-0", signal.SIGTERM)
+    time.sleep(caller.last_byte_s)
+    caller.complete()
+    caller.read_to_end()
+    # There is no server.
+    assert caller.status == 503
+    assert listed_entry.processes["entry-0"].wait(timeout=15.0) == 0
