Count all attempts of a peer that may have run a request

Callers saw nothing of it: a request of a partitioned entry could run on more servers than its route allows (BUDGET). It is overdue at a server, is relayed to a peer, and the peer is lost or cannot tell whether it ran.

Cause: the attempt of a lost peer was taken back, and an unknown outcome counted as one attempt though the peer had all that were left. Until overdue requests stayed at their server, such a request was refused at once; now it goes on, and was relayed again.

Change: both use up all attempts. Only a peer that was not reached, or that had no server, gives its attempt back.

Ruled out: attempt numbers that collide, attempts that stay behind at servers or peers, requests that end twice or never, "not run" for requests that ran.

--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -50,7 +50,7 @@
         )
         return
     if refusal.executed is not Executed.NO:
-        call.is_maybe_executed = True
+        _use_up_attempts(call)
     elif refusal.reason in UNUSABLE_PEER_REASONS:
         _leave_peer(state, call, attempt.peer, event.at_ms)
         _try_other_peer(state, call, refusal.reason, event.at_ms, effects)
@@ -79,7 +79,6 @@
     if ended is None:
         return
     attempt, _ = ended
-    _leave_peer(state, call, attempt.peer, event.at_ms)
     fields = {
         "id": call.request_id,
         "peer": attempt.peer,
@@ -87,10 +86,12 @@
     }
     effects.append(Log("peer_failed", fields))
     if event.kind is FailureKind.NOT_CONNECTED:
+        _leave_peer(state, call, attempt.peer, event.at_ms)
         reason = RefusalReason.NO_SERVER
         _try_other_peer(state, call, reason, event.at_ms, effects)
         return
-    call.is_maybe_executed = True
+    state.peers.pause(attempt.peer, event.at_ms)
+    _use_up_attempts(call)
     if dispatching.is_taken_elsewhere(state, call):
         return
     dispatching.refuse(
@@ -107,6 +108,12 @@
     call.attempt -= 1
 
 
+def _use_up_attempts(call: RoutedCall) -> None:
+    """Counts all attempts that a peer was left, as it may have made them."""
+    call.is_maybe_executed = True
+    call.attempt = call.route.most_attempts
+
+
 def _try_other_peer(
     state: GatewayState,
     call: RoutedCall,
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -426,3 +426,33 @@
     unknown = attrs.evolve(RELAY, organisation="x")
     refusal = single_refusal(_deliver_relayed(peer, unknown))
     assert refusal.executed is Executed.NO
+
+
+# Its attempt was taken back, so that the request was sent to more servers than
+# its route allows.
+@pytest.mark.parametrize("is_lost", [True, False])
+def test_a_peer_that_may_have_run_a_request_uses_up_its_attempts(
+    partitioned, is_lost
+):
+    partitioned.now_ms += 4000.0
+    partitioned.deliver_update(configuration=None)
+    partitioned.state.reachability.is_partitioned = False
+    for name in "abcd":
+        partitioned.deliver_load_report(name, IDLE)
+    assert effects_of_type(partitioned.deliver_request(), fx.SendRequest)
+    call = partitioned.state.calls[1]
+    call.route = attrs.evolve(call.route, most_attempts=3)
+    partitioned.state.reachability.is_partitioned = True
+    partitioned.now_ms += 700.0
+    relayed = _relayed(partitioned.reduce(Tick(partitioned.now_ms)))
+    assert (relayed.attempt, relayed.relay.attempts_left) == (2, 2)
+    if is_lost:
+        event = PeerFailed(partitioned.now_ms, 1, 2, FailureKind.LOST)
+        assert not partitioned.reduce(event)
+    else:
+        refusal = Refusal(RefusalReason.SERVER_LOST, Executed.UNKNOWN)
+        assert not _answer(partitioned, refusal, attempt=2, status=502)
+    partitioned.now_ms += 100.0
+    effects = partitioned.reduce(Tick(partitioned.now_ms))
+    assert not effects_of_type(effects, fx.RelayRequest | fx.SendRequest)
+    assert partitioned.deliver_answer(attempt=1) == [fx.ForwardAnswer(1)]
