Keep an overdue call of a listed cluster at its server until one answers

Callers saw 502 or 503 for repeatable calls whose server was at work: the call was cancelled there as overdue, and the server that it was moved to refused it, could not be connected, or was lost. A request that crashes servers was not seen as such if it was moved before the loss of the connection was read, and crashed a third one.

Cause: the first attempt was cancelled and the call queued again, so that a queue, a refusal or a failure lay between. The same class of fault as in the entries that route requests: what runs is released before what replaces it is certain.

Change: the call is also sent to a server that has room, in the same step; the first answer cancels the other attempt, and the end of one decides nothing while the other runs. Messages and disk hold nothing of it.

--- a/gentianwall/core/attempts.py
+++ b/gentianwall/core/attempts.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from gentianwall.core.effects import CancelAttempt, EntryEffect
 from gentianwall.core.events import AttemptAnswered, FailureKind
-from gentianwall.core.state import Call, CallPhase, Service
+from gentianwall.core.state import Call, CallPhase, RunningAttempt, Service
 from gentianwall.routing.ejection import (
     record_server_failure,
     record_server_success,
@@ -44,31 +45,37 @@
     call.phase = CallPhase.DISPATCHED
     call.attempt += 1
     call.server = server.notice.key.server
-    call.incarnation = server.notice.incarnation
     call.tried_servers += (call.server,)
-    call.dispatched_ms = now_ms
-    call.dispatch_queue_factor = server.queue_factor
-    call.was_maybe_executed = call.is_maybe_executed
-    call.is_maybe_executed = True
+    call.running[call.attempt] = RunningAttempt(
+        server=call.server,
+        incarnation=server.notice.incarnation,
+        started_ms=now_ms,
+        queue_factor=server.queue_factor,
+    )
     server.calls[call.call_id] = now_ms
 
 
-def _remove_from_server(service: Service | None, call: Call) -> Server | None:
+def _remove_from_server(
+    service: Service | None, call: Call, attempt: RunningAttempt
+) -> Server | None:
     """Removes a call from its server and returns the server.
 
     Returns None if the server was removed or has a new incarnation.
     """
     if service is None:
         return None
-    server = service.pool.servers.get(call.server)
-    if server is None or server.notice.incarnation != call.incarnation:
+    server = service.pool.servers.get(attempt.server)
+    if server is None or server.notice.incarnation != attempt.incarnation:
         return None
     server.calls.pop(call.call_id, None)
     return server
 
 
 def record_answer(
-    service: Service | None, call: Call, event: AttemptAnswered
+    service: Service | None,
+    call: Call,
+    attempt: RunningAttempt,
+    event: AttemptAnswered,
 ) -> AnswerAssessment:
     """Updates the statistics of a server after a complete answer.
 
@@ -76,7 +83,7 @@
     by which the server sheds load (503 with Retry-After).
     """
     is_shed = event.status == 503 and event.retry_after_ms is not None
-    server = _remove_from_server(service, call)
+    server = _remove_from_server(service, call, attempt)
     if server is None or service is None:
         return AnswerAssessment(is_shed, False)
     if is_shed:
@@ -90,9 +97,7 @@
             server, service.pool.live_servers(), event.at_ms
         )
         return AnswerAssessment(False, is_ejected)
-    service_time_ms = (
-        event.at_ms - call.dispatched_ms
-    ) / call.dispatch_queue_factor
+    service_time_ms = (event.at_ms - attempt.started_ms) / attempt.queue_factor
     pool = service.pool
     record_server_answer(
         server,
@@ -107,14 +112,18 @@
 
 
 def record_failure(
-    service: Service | None, call: Call, kind: FailureKind, now_ms: float
+    service: Service | None,
+    call: Call,
+    attempt: RunningAttempt,
+    kind: FailureKind,
+    now_ms: float,
 ) -> bool:
     """Records a failed attempt; returns whether this ejected the server.
 
     A silent connection, a mismatched answer or an answer over the size limit
     is not counted against the server.
     """
-    server = _remove_from_server(service, call)
+    server = _remove_from_server(service, call, attempt)
     if server is None or service is None:
         return False
     if kind in UNCOUNTED_FAILURES:
@@ -122,12 +131,23 @@
     return record_server_failure(server, service.pool.live_servers(), now_ms)
 
 
-def record_cancellation(
-    service: Service | None, call: Call, now_ms: float
+def cancel_attempts(
+    service: Service | None,
+    call: Call,
+    now_ms: float,
+    effects: list[EntryEffect],
 ) -> None:
-    """Raises a server's service time to that of a cancelled call, if longer."""
-    server = _remove_from_server(service, call)
-    if server is None:
-        return
-    min_service_ms = (now_ms - call.dispatched_ms) / call.dispatch_queue_factor
-    server.service_ms = max(server.service_ms, min_service_ms)
+    """Cancels all attempts of a call that run.
+
+    Raises the service time of each server to that of its attempt, if longer.
+    """
+    for number, attempt in call.running.items():
+        effects.append(CancelAttempt(call.call_id, number))
+        call.is_maybe_executed = True
+        server = _remove_from_server(service, call, attempt)
+        if server is not None:
+            min_service_ms = (
+                now_ms - attempt.started_ms
+            ) / attempt.queue_factor
+            server.service_ms = max(server.service_ms, min_service_ms)
+    call.running.clear()
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -9,7 +9,6 @@
 from gentianwall.core import attempts, claiming, dispatching, retrying
 from gentianwall.core.effects import (
     AnswerCaller,
-    CancelAttempt,
     CloseConnections,
     EntryEffect,
     RecordEvent,
@@ -22,7 +21,13 @@
     FailureKind,
 )
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
-from gentianwall.core.state import Call, CallPhase, EntryState, Service
+from gentianwall.core.state import (
+    Call,
+    CallPhase,
+    EntryState,
+    RunningAttempt,
+    Service,
+)
 from gentianwall.membership.messages import ServerKey
 from gentianwall.timeline import EventKind
 from gentianwall.utils.uuid7 import uuid7_time_ms
@@ -135,15 +140,16 @@
     state: EntryState, event: AttemptAnswered, effects: list[EntryEffect]
 ) -> None:
     """Forwards a complete answer, or retries where that is safe."""
-    call = _call_of_attempt(state, event.call_id, event.attempt)
-    if call is None:
+    call = state.calls.get(event.call_id)
+    attempt = call and call.running.pop(event.attempt, None)
+    if attempt is None:
         return
     service = state.services.get(call.service)
-    assessment = attempts.record_answer(service, call, event)
+    assessment = attempts.record_answer(service, call, attempt, event)
     if assessment.is_ejected:
-        effects.append(RecordEvent(EventKind.SERVER_EJECTED, call.server))
+        effects.append(RecordEvent(EventKind.SERVER_EJECTED, attempt.server))
+    is_retriable = event.status in RETRIED_STATUSES and call.is_idempotent
     if assessment.is_shed:
-        call.is_maybe_executed = call.was_maybe_executed
         retry_after_ms = event.retry_after_ms or 0.0
         retrying.retry_or_refuse(
             state,
@@ -153,16 +159,15 @@
             effects,
             retry_after_ms,
         )
-    elif (
-        event.status in RETRIED_STATUSES
-        and call.is_idempotent
-        and retrying.reserve_retry(state, call, event.at_ms)
-    ):
+    elif is_retriable and call.running:
+        call.is_maybe_executed = True
+    elif is_retriable and retrying.reserve_retry(state, call, event.at_ms):
+        call.is_maybe_executed = True
         retrying.retry(
             state, call, f"status {event.status}", event.at_ms, effects
         )
     else:
-        _forward_answer(state, call, event, effects)
+        _forward_answer(state, call, attempt, event, effects)
     if service is not None:
         dispatching.dispatch_waiting(state, service, event.at_ms, effects)
 
@@ -170,15 +175,18 @@
 def _forward_answer(
     state: EntryState,
     call: Call,
+    attempt: RunningAttempt,
     event: AttemptAnswered,
     effects: list[EntryEffect],
 ) -> None:
+    service = state.services.get(call.service)
+    attempts.cancel_attempts(service, call, event.at_ms, effects)
     price = call.price if event.status < 500 else 0.0
-    effects.append(AnswerCaller(call.call_id, call.attempt, call.tier, price))
+    effects.append(AnswerCaller(call.call_id, event.attempt, call.tier, price))
     effects.append(
         RecordEvent(
             EventKind.CALL_ANSWERED,
-            call.server,
+            attempt.server,
             f"status {event.status}",
             call.request_id,
         )
@@ -192,39 +200,43 @@
     state: EntryState, event: AttemptFailed, effects: list[EntryEffect]
 ) -> None:
     """Retries a failed attempt where that is safe, or refuses the call."""
-    call = _call_of_attempt(state, event.call_id, event.attempt)
-    if call is None:
+    call = state.calls.get(event.call_id)
+    attempt = call and call.running.pop(event.attempt, None)
+    if attempt is None:
         return
     service = state.services.get(call.service)
-    if attempts.record_failure(service, call, event.kind, event.at_ms):
-        effects.append(RecordEvent(EventKind.SERVER_EJECTED, call.server))
+    if attempts.record_failure(service, call, attempt, event.kind, event.at_ms):
+        effects.append(RecordEvent(EventKind.SERVER_EJECTED, attempt.server))
+    if event.kind is not FailureKind.NOT_CONNECTED:
+        call.is_maybe_executed = True
     match event.kind:
         case FailureKind.NOT_CONNECTED:
-            call.is_maybe_executed = call.was_maybe_executed
             reason = RefusalReason.SERVER_REFUSED
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.LOST | FailureKind.TRUNCATED:
             if event.kind.is_crash_evidence:
-                call.crashed_servers += (call.server,)
+                call.crashed_servers += (attempt.server,)
             reason = RefusalReason.SERVER_LOST
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.SILENT | FailureKind.MISMATCHED:
-            key = ServerKey(call.service, call.server)
+            key = ServerKey(call.service, attempt.server)
             effects.append(CloseConnections(key, event.at_ms))
             effects.append(
                 RecordEvent(
                     EventKind.CONNECTIONS_CLOSED,
-                    call.server,
+                    attempt.server,
                     event.kind.value,
                     call.request_id,
                 )
             )
             # The connection failed, not the server: a retry may use the same
             # server over a new connection.
-            call.tried_servers = call.tried_servers[:-1]
+            call.tried_servers = tuple(
+                name for name in call.tried_servers if name != attempt.server
+            )
             reason = RefusalReason.SERVER_SILENT
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
-        case FailureKind.TOO_LARGE:
+        case FailureKind.TOO_LARGE if not call.running:
             reason = RefusalReason.ANSWER_TOO_LARGE
             dispatching.refuse(
                 state, call, reason, event.at_ms, effects, Executed.YES
@@ -249,13 +261,12 @@
 def _cancel(
     state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
 ) -> None:
-    """Removes a call from the queue, or cancels its attempt."""
+    """Removes a call from the queue, or cancels its attempts."""
     service = state.services.get(call.service)
     if call.phase is CallPhase.QUEUED and service is not None:
         service.waiting.remove(call.start_target_ms, call.call_id)
-    if call.phase is CallPhase.DISPATCHED:
-        attempts.record_cancellation(service, call, now_ms)
-        effects.append(CancelAttempt(call.call_id, call.attempt))
+    if call.running:
+        attempts.cancel_attempts(service, call, now_ms, effects)
         if service is not None:
             dispatching.dispatch_waiting(state, service, now_ms, effects)
 
@@ -274,13 +285,3 @@
             reason = RefusalReason.CLAIM_UNAVAILABLE
         _cancel(state, call, now_ms, effects)
         dispatching.refuse(state, call, reason, now_ms, effects)
-
-
-def _call_of_attempt(
-    state: EntryState, call_id: int, attempt: int
-) -> Call | None:
-    """Returns the call if the attempt is its current one."""
-    call = state.calls.get(call_id)
-    if call is None or call.phase is not CallPhase.DISPATCHED:
-        return None
-    return call if call.attempt == attempt else None
--- a/gentianwall/core/dispatching.py
+++ b/gentianwall/core/dispatching.py
@@ -12,6 +12,7 @@
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.core.state import Call, CallPhase, EntryState, Service
 from gentianwall.routing.policies import NoServer
+from gentianwall.routing.servers import Server
 from gentianwall.timeline import EventKind
 
 
@@ -71,18 +72,29 @@
             refuse(state, call, reason, now_ms, effects)
             continue
         service.waiting.pop()
-        attempts.start_attempt(call, server, now_ms)
-        effects.append(
-            Dispatch(
-                call_id=call.call_id,
-                attempt=call.attempt,
-                notice=server.notice,
-                deadline_ms=call.deadline_ms,
-                silence_ms=service.settings.connection_silence_ms,
-                answer_limit_bytes=service.settings.answer_limit_bytes,
-                is_echo_required=not service.settings.reuse_unnamed_connections,
-            )
+        dispatch(service, call, server, now_ms, effects)
+
+
+def dispatch(
+    service: Service,
+    call: Call,
+    server: Server,
+    now_ms: float,
+    effects: list[EntryEffect],
+) -> None:
+    """Sends a call to a server that has room for it."""
+    attempts.start_attempt(call, server, now_ms)
+    effects.append(
+        Dispatch(
+            call_id=call.call_id,
+            attempt=call.attempt,
+            notice=server.notice,
+            deadline_ms=call.deadline_ms,
+            silence_ms=service.settings.connection_silence_ms,
+            answer_limit_bytes=service.settings.answer_limit_bytes,
+            is_echo_required=not service.settings.reuse_unnamed_connections,
         )
+    )
 
 
 def refuse(
--- a/gentianwall/core/retrying.py
+++ b/gentianwall/core/retrying.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from gentianwall.core import attempts, claiming, dispatching
-from gentianwall.core.effects import CancelAttempt, EntryEffect, RecordEvent
+from gentianwall.core import claiming, dispatching
+from gentianwall.core.effects import EntryEffect, RecordEvent
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.core.state import Call, EntryState, Service
 from gentianwall.routing.policies import NoServer
@@ -21,7 +21,7 @@
 def reassign_overdue(
     state: EntryState, now_ms: float, effects: list[EntryEffect]
 ) -> None:
-    """Reassigns overdue idempotent calls to servers expected to be faster."""
+    """Sends overdue idempotent calls also to servers expected to be faster."""
     for service in state.services.values():
         if not service.pool.is_managed:
             continue
@@ -32,17 +32,24 @@
             for call_id, sent_ms in list(server.calls.items()):
                 if now_ms - sent_ms >= overdue_ms:
                     call = state.calls[call_id]
-                    _reassign(state, service, call, now_ms, effects)
+                    waited_ms = now_ms - sent_ms
+                    _reassign(state, service, call, waited_ms, now_ms, effects)
 
 
 def _reassign(
     state: EntryState,
     service: Service,
     call: Call,
+    waited_ms: float,
     now_ms: float,
     effects: list[EntryEffect],
 ) -> None:
-    if not call.is_idempotent:
+    """Sends a call also to a server that has room and is expected to be faster.
+
+    The first server may still be at work, so its attempt runs on until either
+    one answers.
+    """
+    if not call.is_idempotent or len(call.running) > 1:
         return
     pool = service.pool
     target = pool.pick(call.tried_servers, now_ms, state.rng)
@@ -51,13 +58,12 @@
     expected_ms = target.expected_ms(
         now_ms, pool.average_service_ms, pool.average_foreign_load
     )
-    if expected_ms > MAX_REASSIGN_SHARE * (now_ms - call.dispatched_ms):
+    if expected_ms > MAX_REASSIGN_SHARE * waited_ms:
         return
     if not reserve_retry(state, call, now_ms):
         return
-    attempts.record_cancellation(service, call, now_ms)
-    effects.append(CancelAttempt(call.call_id, call.attempt))
-    retry(state, call, "overdue", now_ms, effects)
+    _record_retry(call, "overdue", effects)
+    dispatching.dispatch(service, call, target, now_ms, effects)
 
 
 def reserve_retry(state: EntryState, call: Call, now_ms: float) -> bool:
@@ -82,7 +88,12 @@
     effects: list[EntryEffect],
     retry_after_ms: float = 0.0,
 ) -> None:
-    """Retries a call where that is safe, or refuses it."""
+    """Retries a call where that is safe, or refuses it.
+
+    The end of one attempt decides nothing while another one runs.
+    """
+    if call.running:
+        return
     if reserve_retry(state, call, now_ms):
         retry(state, call, reason.value, now_ms, effects)
         return
@@ -101,9 +112,13 @@
     effects: list[EntryEffect],
 ) -> None:
     """Records a retry and queues the call again."""
+    _record_retry(call, detail, effects)
+    dispatching.enqueue(state, call, now_ms, effects)
+
+
+def _record_retry(call: Call, detail: str, effects: list[EntryEffect]) -> None:
     effects.append(
         RecordEvent(
             EventKind.CALL_RETRIED, call.server, detail, call.request_id
         )
     )
-    dispatching.enqueue(state, call, now_ms, effects)
--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -26,6 +26,23 @@
     DISPATCHED = "dispatched"
 
 
+@attrs.frozen(kw_only=True)
+class RunningAttempt:
+    """An attempt of a call that has neither been answered nor failed.
+
+    Attributes:
+        server: Name of its server.
+        incarnation: Incarnation of that server.
+        started_ms: When it was sent there.
+        queue_factor: Queue factor of the server at that time.
+    """
+
+    server: str
+    incarnation: int
+    started_ms: float
+    queue_factor: float
+
+
 @attrs.define
 class Call:
     """A call between its arrival and its answer.
@@ -49,12 +66,11 @@
         phase: Current phase.
         attempt: Number of the last attempt; 0 before the first.
         tried_servers: Servers of earlier attempts; retries avoid them.
-        is_maybe_executed: Whether a server may have executed the request.
+        is_maybe_executed: Whether an attempt that has ended may have executed
+            the request.
         server: Server of the last attempt.
-        dispatched_ms: Start of the last attempt.
-        dispatch_queue_factor: Queue factor of the server at that time.
-        incarnation: Incarnation of that server.
-        was_maybe_executed: `is_maybe_executed` before the last attempt.
+        running: Attempts that run, by number. There are two while an overdue
+            call also runs at another server.
         crashed_servers: Servers that this call may have crashed: their
             connection was lost during an attempt.
         wall_offset_ms: Wall clock minus monotonic clock at arrival.
@@ -79,10 +95,7 @@
     tried_servers: tuple[str, ...] = ()
     is_maybe_executed: bool = False
     server: str = ""
-    dispatched_ms: float = 0.0
-    dispatch_queue_factor: float = 1.0
-    incarnation: int = 0
-    was_maybe_executed: bool = False
+    running: dict[int, RunningAttempt] = attrs.field(factory=dict)
     crashed_servers: tuple[str, ...] = ()
     wall_offset_ms: float = 0.0
 
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -60,7 +60,7 @@
     is_idempotent: bool
     has_idempotency_key: bool
     caller: str
-    attempt: Attempt | None = None
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
     answer: ServerAnswer | None = None
 
 
@@ -178,7 +178,7 @@
                 )
             )
 
-        call.attempt = Attempt(
+        attempt = call.attempts[effect.attempt] = Attempt(
             pool,
             request,
             call.request_id,
@@ -187,13 +187,14 @@
             on_answer,
             on_failure,
         )
-        call.attempt.start()
+        attempt.start()
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Closes the connection of the current attempt."""
+        """Closes the connection of an attempt."""
         call = self.open_calls.get(effect.call_id)
-        if call is not None and call.attempt is not None:
-            call.attempt.cancel()
+        attempt = call and call.attempts.pop(effect.attempt, None)
+        if attempt is not None:
+            attempt.cancel()
 
     def answer(self, effect: AnswerCaller) -> None:
         """Sends the server's complete answer to the caller."""
@@ -267,14 +268,14 @@
         """Checks the servers of attempts whose connections are silent."""
         now_ms = monotonic_ms()
         for call in list(self.open_calls.values()):
-            if call.attempt is not None:
-                call.attempt.check_silence(now_ms)
+            for attempt in list(call.attempts.values()):
+                attempt.check_silence(now_ms)
 
     def _remove_call(self, call_id: int) -> OpenCall | None:
         call = self.open_calls.pop(call_id, None)
         if call is not None:
             self._call_id_by_request.pop(id(call.request), None)
-            call.attempt = None  # Breaks the reference cycle with the call.
+            call.attempts.clear()  # Breaks reference cycles with the call.
         return call
 
 
--- /dev/null
+++ b/tests/test_overdue_calls.py
@@ -0,0 +1,149 @@
+"""Tests that overdue calls are answered by whichever server is first."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from gentianwall.config.declaration import (
+    Declaration,
+    ServiceSettings,
+    TierSettings,
+)
+from gentianwall.control.client import ControlClient
+from gentianwall.core import configuration
+from gentianwall.core.effects import (
+    AnswerCaller,
+    CancelAttempt,
+    Dispatch,
+    RefuseCaller,
+)
+from gentianwall.core.entry import reduce_entry
+from gentianwall.core.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    CallArrived,
+    CallerDisconnected,
+    FailureKind,
+    ServerAnnounced,
+    Tick,
+)
+from gentianwall.core.refusals import Executed
+from gentianwall.core.retrying import OVERDUE_FACTOR
+from gentianwall.core.state import EntryState
+from gentianwall.membership.messages import ServerKey, ServerNotice
+
+SERVICE_MS = 10.0
+SENT_MS = 5000.0
+OVERDUE_MS = SENT_MS + OVERDUE_FACTOR * SERVICE_MS
+WAIT_MS = 500.0
+
+
+@pytest.fixture
+def entry():
+    """An entry with three servers, and an overdue call at two of them."""
+    state = EntryState(
+        name="e",
+        failure_domain="",
+        peers=(),
+        boot_id="b",
+        rng=random.Random(1),
+        control=ControlClient(("c",)),
+    )
+    settings = ServiceSettings(
+        expected_service_ms=SERVICE_MS, retry_budget_ratio=1.0
+    )
+    tier = TierSettings(name="only", max_wait_ms=5000.0, price=1.0)
+    declaration = Declaration(tiers=(tier,), services={"s": settings})
+    configuration.apply_declaration(state, declaration, 0.0, [])
+    state.is_config_known = True
+    for name in "abc":
+        notice = ServerNotice(ServerKey("s", name), "h", 1, 1, "", 1, "up")
+        reduce_entry(state, ServerAnnounced(SENT_MS, notice))
+    effects = reduce_entry(
+        state,
+        CallArrived(
+            at_ms=SENT_MS,
+            wall_ms=0,
+            call_id=1,
+            request_id="1",
+            service="s",
+            method="GET",
+            caller="",
+            max_wait_ms=WAIT_MS,
+            idempotency_key="",
+            fingerprint="f",
+            is_nested=False,
+        ),
+    )
+    assert len(_of_type(effects, Dispatch)) == 1
+    effects = reduce_entry(state, Tick(OVERDUE_MS))
+    assert len(_of_type(effects, Dispatch)) == 1
+    return state
+
+
+def _of_type(effects, effect_class):
+    return [effect for effect in effects if isinstance(effect, effect_class)]
+
+
+def _answer(entry, attempt, status=200, retry_after_ms=None):
+    return reduce_entry(
+        entry,
+        AttemptAnswered(
+            OVERDUE_MS, 1, attempt, status, retry_after_ms, None, None
+        ),
+    )
+
+
+def _fail(entry, attempt, kind):
+    return reduce_entry(entry, AttemptFailed(OVERDUE_MS, 1, attempt, kind))
+
+
+def _outstanding(entry):
+    servers = entry.services["s"].pool.servers.values()
+    return sum(server.outstanding for server in servers)
+
+
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_the_answer_of_either_server_cancels_the_other(entry, attempt):
+    effects = _answer(entry, attempt)
+    assert _of_type(effects, CancelAttempt) == [CancelAttempt(1, 3 - attempt)]
+    (answer,) = _of_type(effects, AnswerCaller)
+    assert answer.attempt == attempt
+    assert not _outstanding(entry)
+
+
+# The first server was given up before the other one had answered, and callers
+# got 502 or 503 although it was at work.
+@pytest.mark.parametrize("kind", [*FailureKind, None])
+def test_an_overdue_call_is_not_refused_while_a_server_works(entry, kind):
+    if kind is None:
+        effects = _answer(entry, 2, 503, 100.0)
+    else:
+        effects = _fail(entry, 2, kind)
+    assert not _of_type(effects, RefuseCaller | CancelAttempt | Dispatch)
+    assert _of_type(_answer(entry, 1), AnswerCaller)
+    assert not _outstanding(entry)
+
+
+# The loss of a server that a call had left did not count as a crash.
+def test_an_overdue_call_that_crashes_both_servers_is_quarantined(entry):
+    _fail(entry, 2, FailureKind.LOST)
+    effects = _fail(entry, 1, FailureKind.LOST)
+    assert not _of_type(effects, Dispatch)
+    (refused,) = _of_type(effects, RefuseCaller)
+    assert refused.refusal.executed is Executed.UNKNOWN
+    assert entry.quarantines == {"f"}
+
+
+@pytest.mark.parametrize(
+    "event", [CallerDisconnected(OVERDUE_MS, 1), Tick(SENT_MS + WAIT_MS)]
+)
+def test_both_attempts_end_with_the_wait_of_the_caller(entry, event):
+    effects = reduce_entry(entry, event)
+    numbers = [effect.attempt for effect in _of_type(effects, CancelAttempt)]
+    assert numbers == [1, 2]
+    assert not _outstanding(entry)
+    for refused in _of_type(effects, RefuseCaller):
+        assert refused.refusal.executed is Executed.UNKNOWN
