Forward a server's error answer if no further attempt is answered

Callers got 502, 503 or 504 of our own in place of the answer that a server had made: an error with a status from 500 on leads to a retry, and the retry found no server, was refused or failed, or the deadline came first.

Cause: the answer was dropped before another one was certain. The same class of fault as requests that were taken from a server before another one had them.

Change: the last error answer is kept and forwarded where the request would be refused. A refusal does not replace it. An error that a peer relays is also kept while the first attempt runs at a server, which was cancelled for it before.

Existing test: test_a_refused_retry_after_a_server_error_may_have_been_executed expected our refusal with "unknown" after an error and a refused retry. It now checks that with an error that may not be forwarded; a second test checks that one that may be forwarded is what the caller gets.

Tests: five new cases of tests/test_gateway_overdue.py, one of tests/test_gateway_refusals.py, two of tests/test_gateway_requests.py and the test of random events fail before and pass after. 10,000 further random sequences without a violation.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -562,7 +562,7 @@
     """Refuses a request and states whether a server may have executed it.
 
     A request that still runs at a server is not refused before its deadline: it
-    waits for that answer.
+    waits for that answer. One that a server failed gets the server's answer.
 
     Args:
         state: State of the entry.
@@ -577,6 +577,18 @@
     if call.running:
         _await_running(state, call, reason, now_ms, effects)
         return
+    if call.error_answer is not None:
+        error = call.error_answer
+        forward_answer(
+            state,
+            call,
+            error.attempt,
+            error.server,
+            error.status,
+            now_ms,
+            effects,
+        )
+        return
     state.calls.pop(call.call_id, None)
     quotas.release(state, call)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -27,7 +27,12 @@
     ServerFailed,
 )
 from gentianwall.gateway.servers import RoutedServer
-from gentianwall.gateway.state import GatewayState, Phase, RoutedCall
+from gentianwall.gateway.state import (
+    ErrorAnswer,
+    GatewayState,
+    Phase,
+    RoutedCall,
+)
 
 FIRST_ERROR_STATUS = 500
 # A failure is recorded against the server if a request has taken longer than
@@ -89,6 +94,7 @@
     if event.status >= FIRST_ERROR_STATUS:
         call.is_maybe_executed = True
         _record_failure(server, event.at_ms)
+        call.error_answer = ErrorAnswer(attempt, attempt.server, event.status)
         if dispatching.is_taken_elsewhere(state, call):
             return
         if _reserve_retry(state, call, event.at_ms):
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -11,7 +11,7 @@
 )
 from gentianwall.gateway.effects import GatewayEffect, Log
 from gentianwall.gateway.events import PeerAnswered, PeerFailed
-from gentianwall.gateway.state import GatewayState, RoutedCall
+from gentianwall.gateway.state import ErrorAnswer, GatewayState, RoutedCall
 
 # Refusals after which another peer may still serve the request.
 UNUSABLE_PEER_REASONS = (RefusalReason.NO_SERVER, RefusalReason.NOT_READY)
@@ -39,6 +39,11 @@
                 event.at_ms,
                 effects,
             )
+        if event.status >= outcomes.FIRST_ERROR_STATUS:
+            _use_up_attempts(call)
+            call.error_answer = ErrorAnswer(attempt, event.server, event.status)
+            if dispatching.is_taken_elsewhere(state, call):
+                return
         dispatching.forward_answer(
             state,
             call,
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -78,6 +78,21 @@
     load_factor: float = 1.0
 
 
+@attrs.frozen
+class ErrorAnswer:
+    """An answer by which a server failed a request.
+
+    Attributes:
+        attempt: The attempt that was answered.
+        server: Name of the server, to which a peer may have relayed it.
+        status: HTTP status of the answer.
+    """
+
+    attempt: RunningAttempt
+    server: str
+    status: int
+
+
 @attrs.define
 class RoutedCall:
     """A request between its arrival and its answer.
@@ -110,6 +125,8 @@
         relay: Decisions of the peer that it came from; None if it came from a
             caller.
         is_maybe_executed: Whether a server may have executed the request.
+        error_answer: Last such answer, which the caller gets if no further
+            attempt is answered; None for none.
         others: Names of servers considered beside the home servers.
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
@@ -138,6 +155,7 @@
     queries_left: int = 0
     server: str = ""
     is_maybe_executed: bool = False
+    error_answer: ErrorAnswer | None = None
     others: tuple[str, ...] = ()
     peer: str = ""
     tried_peers: set[str] = attrs.field(factory=set)
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -76,8 +76,8 @@
         arrived_ms: When it arrived.
         is_relayed: Whether a peer sent it for its caller.
         attempts: Attempts that were started, by their numbers.
-        server: Name of the server that sent the answer.
-        answer: Last answer of a server, or of a peer that relays the request.
+        server: Name of the server that sent it.
+        answer: Last answer that may be forwarded; None for none.
     """
 
     call_id: int
@@ -247,8 +247,10 @@
         )
 
         def on_answer(answer: ServerAnswer) -> None:
-            call.answer, call.server = answer, server
-            self._handle(self._answered_event(call, effect.attempt, answer))
+            event = self._answered_event(call, effect.attempt, answer)
+            if event.is_authentic and not event.is_refusal:
+                call.answer, call.server = answer, server
+            self._handle(event)
 
         def on_failure(kind: FailureKind) -> None:
             now_ms = monotonic_ms()
@@ -279,12 +281,13 @@
         attempt = effect.attempt
 
         def on_answer(answer: ServerAnswer) -> None:
-            call.answer = answer
             values = answer.headers.getRawHeaders(RELAY_HEADER) or [b""]
             outcome = decode_outcome(values[0].decode("latin-1"))
             if outcome is None:
                 on_failure(FailureKind.MISMATCHED)
                 return
+            if outcome.refusal is None:
+                call.answer = answer
             self._handle(
                 PeerAnswered(
                     at_ms=monotonic_ms(),
