--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -8,7 +8,6 @@
 from gentianwall.admission.queue import start_target_ms
 from gentianwall.core import attempts, claiming, dispatching, retrying
 from gentianwall.core.effects import (
-    AnswerCaller,
     CloseConnections,
     EntryEffect,
     RecordEvent,
@@ -25,6 +24,7 @@
     Call,
     CallPhase,
     EntryState,
+    ErrorAnswer,
     RunningAttempt,
     Service,
 )
@@ -160,9 +160,9 @@
             retry_after_ms,
         )
     elif is_retriable and call.running:
-        call.is_maybe_executed = True
+        _keep_error_answer(call, attempt, event)
     elif is_retriable and retrying.reserve_retry(state, call, event.at_ms):
-        call.is_maybe_executed = True
+        _keep_error_answer(call, attempt, event)
         retrying.retry(
             state, call, f"status {event.status}", event.at_ms, effects
         )
@@ -172,6 +172,13 @@
         dispatching.dispatch_waiting(state, service, event.at_ms, effects)
 
 
+def _keep_error_answer(
+    call: Call, attempt: RunningAttempt, event: AttemptAnswered
+) -> None:
+    call.is_maybe_executed = True
+    call.error_answer = ErrorAnswer(event.attempt, attempt.server, event.status)
+
+
 def _forward_answer(
     state: EntryState,
     call: Call,
@@ -181,15 +188,8 @@
 ) -> None:
     service = state.services.get(call.service)
     attempts.cancel_attempts(service, call, event.at_ms, effects)
-    price = call.price if event.status < 500 else 0.0
-    effects.append(AnswerCaller(call.call_id, event.attempt, call.tier, price))
-    effects.append(
-        RecordEvent(
-            EventKind.CALL_ANSWERED,
-            attempt.server,
-            f"status {event.status}",
-            call.request_id,
-        )
+    dispatching.send_answer(
+        call, event.attempt, attempt.server, event.status, effects
     )
     if call.claim is not None and event.outcome is not None:
         claiming.record_outcome(state, call, event, effects)
--- a/gentianwall/core/dispatching.py
+++ b/gentianwall/core/dispatching.py
@@ -4,6 +4,7 @@
 
 from gentianwall.core import attempts, claiming
 from gentianwall.core.effects import (
+    AnswerCaller,
     Dispatch,
     EntryEffect,
     RecordEvent,
@@ -106,7 +107,15 @@
     executed: Executed | None = None,
     retry_after_ms: float = 0.0,
 ) -> None:
-    """Ends a call with a refusal; releases its claim if it was not executed."""
+    """Ends a call with a refusal; releases its claim if it was not executed.
+
+    The caller of a call that a server failed gets the server's answer instead.
+    """
+    if call.error_answer is not None:
+        error = call.error_answer
+        send_answer(call, error.attempt, error.server, error.status, effects)
+        state.calls.pop(call.call_id, None)
+        return
     if executed is None:
         executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
     if executed is Executed.NO and call.claim is not None:
@@ -120,6 +129,26 @@
     send_refusal(call.call_id, call.request_id, refusal, effects)
 
 
+def send_answer(
+    call: Call,
+    attempt: int,
+    server: str,
+    status: int,
+    effects: list[EntryEffect],
+) -> None:
+    """Forwards the answer of an attempt and records it in the timeline."""
+    price = call.price if status < 500 else 0.0
+    effects.append(AnswerCaller(call.call_id, attempt, call.tier, price))
+    effects.append(
+        RecordEvent(
+            EventKind.CALL_ANSWERED,
+            server,
+            f"status {status}",
+            call.request_id,
+        )
+    )
+
+
 def send_refusal(
     call_id: int,
     request_id: str,
--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -43,6 +43,21 @@
     queue_factor: float
 
 
+@attrs.frozen
+class ErrorAnswer:
+    """An answer by which a server failed a call.
+
+    Attributes:
+        attempt: Number of the attempt that was answered.
+        server: Name of the server.
+        status: HTTP status of the answer.
+    """
+
+    attempt: int
+    server: str
+    status: int
+
+
 @attrs.define
 class Call:
     """A call between its arrival and its answer.
@@ -71,6 +86,8 @@
         server: Server of the last attempt.
         running: Attempts that run, by number. There are two while an overdue
             call also runs at another server.
+        error_answer: Last such answer, which the caller gets if no further
+            attempt is answered; None for none.
         crashed_servers: Servers that this call may have crashed: their
             connection was lost during an attempt.
         wall_offset_ms: Wall clock minus monotonic clock at arrival.
@@ -96,6 +113,7 @@
     is_maybe_executed: bool = False
     server: str = ""
     running: dict[int, RunningAttempt] = attrs.field(factory=dict)
+    error_answer: ErrorAnswer | None = None
     crashed_servers: tuple[str, ...] = ()
     wall_offset_ms: float = 0.0
 
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -61,7 +61,7 @@
     has_idempotency_key: bool
     caller: str
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
-    answer: ServerAnswer | None = None
+    answers: dict[int, ServerAnswer] = attrs.field(factory=dict)
 
 
 class CallHandler:
@@ -168,7 +168,7 @@
         )
 
         def on_answer(answer: ServerAnswer) -> None:
-            call.answer = answer
+            call.answers[effect.attempt] = answer
             self._handle(_answered_event(call, effect.attempt, answer))
 
         def on_failure(kind: FailureKind) -> None:
@@ -199,9 +199,9 @@
     def answer(self, effect: AnswerCaller) -> None:
         """Sends the server's complete answer to the caller."""
         call = self._remove_call(effect.call_id)
-        if call is None or call.answer is None:
+        if call is None:
             return
-        answer = call.answer
+        answer = call.answers[effect.attempt]
         headers = make_caller_headers(answer.headers, self._instance.encode())
         headers += [
             (b"Gentianwall-Executed", Executed.YES.value.encode()),
--- a/tests/test_overdue_calls.py
+++ b/tests/test_overdue_calls.py
@@ -147,3 +147,23 @@
     assert not _outstanding(entry)
     for refused in _of_type(effects, RefuseCaller):
         assert refused.refusal.executed is Executed.UNKNOWN
+
+
+# The answer was dropped for another attempt, whose end the caller got as 502.
+@pytest.mark.parametrize("first", [1, 2])
+@pytest.mark.parametrize("kind", [FailureKind.LOST, None])
+def test_an_error_of_a_server_is_forwarded_if_the_other_fails(
+    entry, first, kind
+):
+    assert not _answer(entry, first, 502)
+    if kind is None:
+        # The third server gets the call, which is its last attempt.
+        (sent,) = _of_type(_answer(entry, 3 - first, 503, 100.0), Dispatch)
+        effects = _fail(entry, sent.attempt, FailureKind.NOT_CONNECTED)
+    else:
+        (sent,) = _of_type(_fail(entry, 3 - first, kind), Dispatch)
+        effects = reduce_entry(entry, Tick(SENT_MS + WAIT_MS))
+    assert not _of_type(effects, RefuseCaller)
+    (answer,) = _of_type(effects, AnswerCaller)
+    assert answer.attempt == first
+    assert not _outstanding(entry)
