Cancel the attempts of a caller that leaves in listed clusters

Servers worked on for callers that had left: the driver closed the call before the reducer's cancellation, which then found no call and closed no connection. The drivers of entries that route requests pass the event on first; this one now does the same.

Test: tests/test_cancelled_calls.py fails before and passes after (1 run each).

--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -138,9 +138,10 @@
     def on_caller_disconnected(self, request: CallerRequest) -> None:
         """Closes the call of a caller that closed its connection."""
         call_id = self._call_id_by_request.pop(id(request), None)
-        call = self.open_calls.pop(call_id, None) if call_id else None
+        call = self.open_calls.get(call_id) if call_id else None
         if call is not None:
             self._handle(CallerDisconnected(monotonic_ms(), call.call_id))
+            self.open_calls.pop(call.call_id, None)
 
     def dispatch(self, effect: Dispatch) -> None:
         """Starts an attempt: sends the request of a call to a server."""
