Take a retry back from the time at which it was counted

An entry could send one retry more than its part of the limit (BUDGET) for each search that ended without a server: the count was taken from the newest part of the window, where it belonged to a retry that had been sent, and that of the search expired earlier.

Change: the request keeps when its last retry was counted.

--- a/gentianwall/gateway/budget.py
+++ b/gentianwall/gateway/budget.py
@@ -65,14 +65,18 @@
         bucket[2] += 1
         return True
 
-    def refund(self, now_ms: float) -> None:
-        """Takes back a retry that was counted and not made."""
-        bucket = self._bucket(now_ms)
-        bucket[2] = max(0, bucket[2] - 1)
+    def refund(self, counted_ms: float) -> None:
+        """Takes back a retry that was counted at a time and not made."""
+        number = self._number(counted_ms)
+        for bucket in self._buckets:
+            if bucket[0] == number:
+                bucket[2] -= 1
+
+    def _number(self, at_ms: float) -> int:
+        return int(at_ms / (self.limits.window_ms / BUCKETS))
 
     def _bucket(self, now_ms: float) -> list:
-        width_ms = self.limits.window_ms / BUCKETS
-        number = int(now_ms / width_ms)
+        number = self._number(now_ms)
         while self._buckets and self._buckets[0][0] < number - BUCKETS:
             self._buckets.popleft()
         if not self._buckets or self._buckets[-1][0] != number:
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -640,7 +640,7 @@
 ) -> None:
     """Waits for the attempt that runs, as there is no place for another one."""
     if call.phase is Phase.QUERYING:
-        state.service(call.service).retry_window.refund(now_ms)
+        refund_retry(state, call)
     call.phase = Phase.SENT
     call.reassign_due_ms = now_ms + REASSIGN_PAUSE_MS
     fields = {
@@ -707,6 +707,14 @@
     effects.append(Log("answered", fields))
 
 
+def refund_retry(state: GatewayState, call: RoutedCall) -> None:
+    """Takes back the last retry of a request, which was not made."""
+    if call.retry_counted_ms is not None:
+        window = state.service(call.service).retry_window
+        window.refund(call.retry_counted_ms)
+        call.retry_counted_ms = None
+
+
 def is_taken_elsewhere(state: GatewayState, call: RoutedCall) -> bool:
     """Returns whether another attempt of a request runs or is prepared.
 
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -197,8 +197,7 @@
         if server is not None:
             _pause_server(state, server, event.at_ms, effects)
         if dispatching.is_taken_elsewhere(state, call):
-            service = state.service(call.service)
-            service.retry_window.refund(event.at_ms)
+            dispatching.refund_retry(state, call)
             return
         _log_retry(call, "not_connected", effects)
         dispatching.dispatch(state, call, event.at_ms, effects)
@@ -256,7 +255,10 @@
         and state.may_send(server.name, now_ms)
         for server in service.servers.values()
     )
-    return has_untried_server and service.retry_window.spend(now_ms)
+    if not has_untried_server or not service.retry_window.spend(now_ms):
+        return False
+    call.retry_counted_ms = now_ms
+    return True
 
 
 def _log_retry(
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -113,6 +113,8 @@
         running: Attempts that run, by the number that identifies them. There
             are two while an overdue request also runs at another server.
         reassign_due_ms: When another server may be looked for again.
+        retry_counted_ms: When its last retry was counted; None for none, or if
+            that was taken back.
         tried_servers: Servers that it was sent to, or that could not be
             reached.
         unreported: Queried servers that have not reported their load yet.
@@ -149,6 +151,7 @@
     attempt: int = 0
     running: dict[int, RunningAttempt] = attrs.field(factory=dict)
     reassign_due_ms: float = float("-inf")
+    retry_counted_ms: float | None = None
     tried_servers: set[str] = attrs.field(factory=set)
     unreported: set[str] = attrs.field(factory=set)
     queried: set[str] = attrs.field(factory=set)
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -203,3 +203,19 @@
     else:
         effects = entry.reduce(DeadlineExpired(entry.now_ms, 1))
         assert effects == [fx.CancelRequest(1, 2), fx.ForwardAnswer(1)]
+
+
+# The newest count was taken back, so that the one of the search, which expires
+# earlier, allowed one retry too many.
+def test_a_search_takes_back_its_own_count_of_a_retry(entry):
+    name = _send(entry)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, slack=4.0, ratio=0.0)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    started_ms = entry.now_ms
+    entry.now_ms += 600.0
+    assert window.spend(entry.now_ms)
+    assert not window.spend(entry.now_ms)
+    entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
+    assert window.spend(entry.now_ms)
+    assert not window.spend(started_ms + window.limits.window_ms + 500.0)
