Count no retry for a search that ends with its request

Callers got fewer retries than the limit allows: a search for another server that ended because the first one answered, the caller left or the deadline came still counted as a retry, and so did one that met a peer without a server.

Change: the count is taken back there too, as for a search that finds no place.

Test: both cases of test_a_search_that_ends_with_its_request_counts_as_no_retry fail before and pass after (1 run each). 5,000 further random sequences of tests/test_gateway_attempts.py without a retry that is sent and not counted.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -727,7 +727,8 @@
     state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
 ) -> None:
     """Cancels the load queries and all attempts of a request."""
-    state.querying.pop(call.call_id, None)
+    if state.querying.pop(call.call_id, None) is not None:
+        refund_retry(state, call)
     for number in list(call.running):
         effects.append(CancelRequest(call.call_id, number))
         end_attempt(state, call, number)
--- a/gentianwall/gateway/peer_outcomes.py
+++ b/gentianwall/gateway/peer_outcomes.py
@@ -127,6 +127,7 @@
     effects: list[GatewayEffect],
 ) -> None:
     if dispatching.is_taken_elsewhere(state, call):
+        dispatching.refund_retry(state, call)
         return
     if state.reachability.is_partitioned and not relaying.can_relay(
         state, call, now_ms
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -219,3 +219,19 @@
     entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
     assert window.spend(entry.now_ms)
     assert not window.spend(started_ms + window.limits.window_ms + 500.0)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_search_that_ends_with_its_request_counts_as_no_retry(
+    entry, is_answered
+):
+    _send(entry)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, slack=2.0, ratio=0.0)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    assert not window.spend(entry.now_ms)
+    if is_answered:
+        assert entry.deliver_answer() == [fx.ForwardAnswer(1)]
+    else:
+        entry.reduce(CallerDisconnected(entry.now_ms, 1))
+    assert window.spend(entry.now_ms)
