--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -20,13 +20,13 @@
     RouteKind,
     digest_key,
 )
-from gentianwall.control.messages import FeedNotice, FeedPoll
+from gentianwall.control.messages import FeedNotice, FeedPoll, PeerList
 from gentianwall.core.control import ControlState, reduce_control
 from gentianwall.core.events import MessageArrived, Tick
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import dispatching
 from gentianwall.gateway import effects as fx
-from gentianwall.gateway.events import FeedArrived, RecheckDue
+from gentianwall.gateway.events import FeedArrived, ReachChecked, RecheckDue
 from gentianwall.gateway.state import RoutedCall
 from gentianwall.replication.replica import BatchEnded
 from harness.gateway_entry import (
@@ -216,3 +216,23 @@
     assert single_refusal(effects).reason is RefusalReason.OVER_QUOTA
     held = entry.state.limits.held["o"]
     assert held.reserved == 0
+
+
+# The token stayed reserved: it was never spent, and lost with its lease.
+def test_a_request_that_waits_for_servers_counts_when_it_is_relayed(entry):
+    entry.advance(60.0)
+    entry.request()
+    entry.deliver_answer()
+    entry.advance(400.0)
+    held = entry.state.limits.held["o"]
+    spent = held.spent
+    entry.state.service("s").has_load_reports = True
+    entry.state.service("s").health_path = "/h"
+    entry.deliver_request()
+    assert (held.spent, held.reserved) == (spent, 1)
+    peers = PeerList(("10.0.0.7",))
+    entry.reduce(FeedArrived(entry.now_ms, "c1", peers))
+    entry.state.reachability.unanswered = {"a"}
+    effects = entry.reduce(ReachChecked(entry.now_ms, "a", False))
+    assert effects_of_type(effects, fx.RelayRequest)
+    assert (held.spent, held.reserved) == (spent + 1, 0)
