Name the server whose attempt is retried in the log event 'again'

With two attempts, 'again' named the server that got the request last, which is not always the one that is overdue, refused it or was lost, so that the timeline of an incident blames another server.

Test: test_the_log_names_the_server_that_has_the_overdue_request fails before and passes after (1 run each).

--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -80,15 +80,25 @@
     if event.is_refusal:
         if server is not None and not is_kept_by_rest:
             server.record_refusal(event.at_ms)
-        retry_or_refuse(
-            state, call, RefusalReason.SERVER_REFUSED, event.at_ms, effects
+        _retry_or_refuse(
+            state,
+            call,
+            attempt.server,
+            RefusalReason.SERVER_REFUSED,
+            event.at_ms,
+            effects,
         )
         return
     if not event.is_authentic:
         call.is_maybe_executed = True
         _record_failure(server, event.at_ms)
-        retry_or_refuse(
-            state, call, RefusalReason.SERVER_LOST, event.at_ms, effects
+        _retry_or_refuse(
+            state,
+            call,
+            attempt.server,
+            RefusalReason.SERVER_LOST,
+            event.at_ms,
+            effects,
         )
         return
     if event.status >= FIRST_ERROR_STATUS:
@@ -98,7 +108,8 @@
         if dispatching.is_taken_elsewhere(state, call):
             return
         if _reserve_retry(state, call, event.at_ms):
-            _log_retry(call, f"status_{event.status}", effects)
+            reason = f"status_{event.status}"
+            _log_retry(call, attempt.server, reason, effects)
             dispatching.dispatch(state, call, event.at_ms, effects)
             return
     elif server is not None:
@@ -199,7 +210,7 @@
         if dispatching.is_taken_elsewhere(state, call):
             dispatching.refund_retry(state, call)
             return
-        _log_retry(call, "not_connected", effects)
+        _log_retry(call, attempt.server, "not_connected", effects)
         dispatching.dispatch(state, call, event.at_ms, effects)
         return
     call.is_maybe_executed = True
@@ -211,14 +222,20 @@
     )
     if server is not None and is_crash_suspected:
         effects.append(CheckServer(call.call_id, server.record.notice))
-    retry_or_refuse(
-        state, call, REFUSAL_REASONS[event.kind], event.at_ms, effects
+    _retry_or_refuse(
+        state,
+        call,
+        attempt.server,
+        REFUSAL_REASONS[event.kind],
+        event.at_ms,
+        effects,
     )
 
 
-def retry_or_refuse(
+def _retry_or_refuse(
     state: GatewayState,
     call: RoutedCall,
+    server: str,
     reason: RefusalReason,
     now_ms: float,
     effects: list[GatewayEffect],
@@ -227,7 +244,7 @@
     if dispatching.is_taken_elsewhere(state, call):
         return
     if _reserve_retry(state, call, now_ms):
-        _log_retry(call, reason.name.lower(), effects)
+        _log_retry(call, server, reason.name.lower(), effects)
         dispatching.dispatch(state, call, now_ms, effects)
     else:
         dispatching.refuse(state, call, reason, now_ms, effects)
@@ -262,11 +279,11 @@
 
 
 def _log_retry(
-    call: RoutedCall, reason: str, effects: list[GatewayEffect]
+    call: RoutedCall, server: str, reason: str, effects: list[GatewayEffect]
 ) -> None:
     fields = {
         "id": call.request_id,
-        "server": call.server,
+        "server": server,
         "reason": reason,
         "attempt": call.attempt,
     }
@@ -467,7 +484,7 @@
     if not _reserve_retry(state, call, now_ms):
         return
     reason = "overdue" if sent.missing_since_ms is None else "dropped"
-    _log_retry(call, reason, effects)
+    _log_retry(call, server.name, reason, effects)
     call.phase = Phase.QUERYING
     dispatching.dispatch(state, call, now_ms, effects)
 
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -10,6 +10,7 @@
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import DeadlineExpired
 from gentianwall.gateway.overdue import CONFIRM_MS, OVERDUE_FACTOR
+from gentianwall.gateway.reducer import reduce_gateway
 from gentianwall.routing.reports import SpeedReport
 from harness.gateway_entry import IDLE, Entry, effects_of_type, server
 
@@ -235,3 +236,16 @@
     else:
         entry.reduce(CallerDisconnected(entry.now_ms, 1))
     assert window.spend(entry.now_ms)
+
+
+def test_the_log_names_the_server_that_has_the_overdue_request(entry):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    entry.fail_attempt(FailureKind.NOT_CONNECTED, attempt=2)
+    entry.deliver_update(server("c", 3))
+    entry.now_ms += 50.0
+    effects = reduce_gateway(entry.state, Tick(entry.now_ms))
+    lines = effects_of_type(effects, fx.Log)
+    (line,) = (line for line in lines if line.event == "again")
+    assert (line.fields["server"], line.fields["reason"]) == (name, "overdue")
