--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -573,7 +573,7 @@
     """Refuses a request and states whether a server may have executed it.
 
     A request that still runs at a server is not refused before its deadline: it
-    waits for that answer.
+    waits for that answer. One that a server failed gets the server's answer.
 
     Args:
         state: State of the entry.
@@ -588,6 +588,18 @@
     if call.running:
         _await_running(state, call, reason, now_ms, effects)
         return
+    if call.error_answer is not None:
+        error = call.error_answer
+        forward_answer(
+            state,
+            call,
+            error.attempt,
+            error.server,
+            error.status,
+            now_ms,
+            effects,
+        )
+        return
     state.calls.pop(call.call_id, None)
     quotas.release(state, call)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
@@ -641,7 +653,7 @@
 ) -> None:
     """Waits for the attempt that runs, as there is no place for another one."""
     if call.phase is Phase.QUERYING:
-        state.service(call.service).retry_window.refund(now_ms)
+        refund_retry(state, call)
     call.phase = Phase.SENT
     call.reassign_due_ms = now_ms + REASSIGN_PAUSE_MS
     fields = {
@@ -720,6 +732,14 @@
     effects.append(Log("answered", fields))
 
 
+def refund_retry(state: GatewayState, call: RoutedCall) -> None:
+    """Takes back the last retry of a request, which was not made."""
+    if call.retry_counted_ms is not None:
+        window = state.service(call.service).retry_window
+        window.refund(call.retry_counted_ms)
+        call.retry_counted_ms = None
+
+
 def is_taken_elsewhere(state: GatewayState, call: RoutedCall) -> bool:
     """Returns whether another attempt of a request runs or is prepared.
 
@@ -732,7 +752,8 @@
     state: GatewayState, call: RoutedCall, effects: list[GatewayEffect]
 ) -> None:
     """Cancels the load queries and all attempts of a request."""
-    state.querying.pop(call.call_id, None)
+    if state.querying.pop(call.call_id, None) is not None:
+        refund_retry(state, call)
     for number in list(call.running):
         effects.append(CancelRequest(call.call_id, number))
         end_attempt(state, call, number)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -79,6 +79,21 @@
     load_factor: float = 1.0
 
 
+@attrs.frozen
+class ErrorAnswer:
+    """An answer by which a server failed a request.
+
+    Attributes:
+        attempt: The attempt that was answered.
+        server: Name of the server, to which a peer may have relayed it.
+        status: HTTP status of the answer.
+    """
+
+    attempt: RunningAttempt
+    server: str
+    status: int
+
+
 @attrs.define
 class RoutedCall:
     """A request between its arrival and its answer.
@@ -99,6 +114,8 @@
         running: Attempts that run, by the number that identifies them. There
             are two while an overdue request also runs at another server.
         reassign_due_ms: When another server may be looked for again.
+        retry_counted_ms: When its last retry was counted; None for none, or if
+            that was taken back.
         tried_servers: Servers that it was sent to, or that could not be
             reached.
         unreported: Queried servers that have not reported their load yet.
@@ -111,6 +128,8 @@
         relay: Decisions of the peer that it came from; None if it came from a
             caller.
         is_maybe_executed: Whether a server may have executed the request.
+        error_answer: Last such answer, which the caller gets if no further
+            attempt is answered; None for none.
         others: Names of servers considered beside the home servers.
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
@@ -133,12 +152,14 @@
     attempt: int = 0
     running: dict[int, RunningAttempt] = attrs.field(factory=dict)
     reassign_due_ms: float = float("-inf")
+    retry_counted_ms: float | None = None
     tried_servers: set[str] = attrs.field(factory=set)
     unreported: set[str] = attrs.field(factory=set)
     queried: set[str] = attrs.field(factory=set)
     queries_left: int = 0
     server: str = ""
     is_maybe_executed: bool = False
+    error_answer: ErrorAnswer | None = None
     others: tuple[str, ...] = ()
     peer: str = ""
     tried_peers: set[str] = attrs.field(factory=set)
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -10,6 +10,7 @@
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import DeadlineExpired
 from gentianwall.gateway.overdue import CONFIRM_MS, OVERDUE_FACTOR
+from gentianwall.gateway.reducer import reduce_gateway
 from gentianwall.routing.reports import SpeedReport
 from harness.gateway_entry import IDLE, Entry, effects_of_type, server
 
@@ -167,3 +168,84 @@
         for sent in entry.state.server("a").own_requests.values()
     ]
     assert sum(missing) == 1
+
+
+# The answer was dropped for another attempt, whose end the caller got as 502.
+@pytest.mark.parametrize("first", [1, 2])
+def test_an_error_of_a_server_is_forwarded_if_the_other_fails(entry, first):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    assert not entry.deliver_answer(500, attempt=first)
+    effects = entry.fail_attempt(FailureKind.LOST, attempt=3 - first)
+    assert effects_of_type(effects, fx.ForwardAnswer) == [fx.ForwardAnswer(1)]
+    assert not effects_of_type(effects, fx.RefuseRequest)
+
+
+def test_an_error_of_a_server_is_forwarded_if_no_other_has_room(entry):
+    name = _send(entry)
+    _tick(entry, 50.0)
+    assert not effects_of_type(entry.deliver_answer(500), fx.ForwardAnswer)
+    effects = entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
+    assert effects == [fx.ForwardAnswer(1)]
+
+
+@pytest.mark.parametrize("is_refusal", [True, False])
+def test_an_error_of_a_server_is_forwarded_after_the_retry_fails(
+    entry, is_refusal
+):
+    name = _send(entry)
+    _tick(entry, 50.0)
+    entry.deliver_answer(500)
+    entry.deliver_load_report(_other(name), IDLE)
+    if is_refusal:
+        effects = entry.deliver_answer(503, is_refusal=True, attempt=2)
+        assert effects == [fx.ForwardAnswer(1)]
+    else:
+        effects = entry.reduce(DeadlineExpired(entry.now_ms, 1))
+        assert effects == [fx.CancelRequest(1, 2), fx.ForwardAnswer(1)]
+
+
+# The newest count was taken back, so that the one of the search, which expires
+# earlier, allowed one retry too many.
+def test_a_search_takes_back_its_own_count_of_a_retry(entry):
+    name = _send(entry)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, slack=4.0, ratio=0.0)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    started_ms = entry.now_ms
+    entry.now_ms += 600.0
+    assert window.spend(entry.now_ms)
+    assert not window.spend(entry.now_ms)
+    entry.deliver_load_report(_other(name), SpeedReport(2, 9, 2))
+    assert window.spend(entry.now_ms)
+    assert not window.spend(started_ms + window.limits.window_ms + 500.0)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_search_that_ends_with_its_request_counts_as_no_retry(
+    entry, is_answered
+):
+    _send(entry)
+    window = entry.state.service("s").retry_window
+    window.limits = attrs.evolve(window.limits, slack=2.0, ratio=0.0)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    assert not window.spend(entry.now_ms)
+    if is_answered:
+        assert entry.deliver_answer() == [fx.ForwardAnswer(1)]
+    else:
+        entry.reduce(CallerDisconnected(entry.now_ms, 1))
+    assert window.spend(entry.now_ms)
+
+
+def test_the_log_names_the_server_that_has_the_overdue_request(entry):
+    name = _send(entry)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS + 1)
+    entry.deliver_load_report(_other(name), IDLE)
+    entry.fail_attempt(FailureKind.NOT_CONNECTED, attempt=2)
+    entry.deliver_update(server("c", 3))
+    entry.now_ms += 50.0
+    effects = reduce_gateway(entry.state, Tick(entry.now_ms))
+    lines = effects_of_type(effects, fx.Log)
+    (line,) = (line for line in lines if line.event == "again")
+    assert (line.fields["server"], line.fields["reason"]) == (name, "overdue")
