Answer the requests that a control instance has read before it ends

What callers saw: a change or a heartbeat that was sent shortly before the stop of a control instance ended without an answer, so that nobody knew whether it held. Found by a search for the cause of the cuts at entries.

Cause: a control instance ended 0.3 s after SIGTERM whatever it was working on. An announcement may wait 0.95 s for a majority, a large configuration 3 s.

Change: it closes the listener and the idle connections, and ends once nobody is connected, after 0.3 s at least and within the grace period, which the settings of control instances name too. Entries and control instances share how they wait for that. A second signal changes nothing.

--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -7,7 +7,12 @@
 
 from twisted.internet import reactor
 
-from gentianwall.commands.signals import on_stop_signal
+from gentianwall.commands.signals import (
+    EXIT_BEFORE_KILL_MS,
+    call_when,
+    grace_left_ms,
+    on_stop_signal,
+)
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.core.feed import count_withheld
 from gentianwall.http.channel import (
@@ -23,6 +28,7 @@
     fleet_link_setup,
     listen,
     listen_metrics,
+    stop_listening,
 )
 from gentianwall.runtime.control import (
     ControlRuntime,
@@ -35,12 +41,13 @@
 )
 from gentianwall.runtime.process_limits import make_budget
 from gentianwall.storage.journal import Journal, JournalNotEmpty
-from gentianwall.timers import TimerService
+from gentianwall.timers import TimerService, monotonic_ms
 
 log = get_logger("fleet")
 
-# Time between closing the listener and stopping, to answer pending requests.
-CONTROL_STOP_DELAY_MS = 300.0
+# Least time between closing the listener and stopping, so that requests which
+# other instances have passed on to this one are answered.
+MIN_STOP_MS = 300.0
 # Longer than three syncs of a slow disk (25 x 5 = 125 ms each).
 ELECTION_TIMEOUT_MS = 400.0
 HEARTBEAT_MS = 80.0
@@ -99,8 +106,8 @@
             ),
         )
         site.bounds = CallerBounds(body_bytes=MAX_DOCUMENT_BYTES)
-        port = listen(reactor, settings.control_address, site)
-        on_stop_signal(lambda: _stop_control(port))
+        ports = [listen(reactor, settings.control_address, site)]
+        on_stop_signal(lambda: _stop_control(settings, ports, site, timers))
         if settings.metrics_port:
             listen_metrics(
                 reactor,
@@ -181,6 +188,20 @@
     runtime.links.close_unused()
 
 
-def _stop_control(port) -> None:
-    port.stopListening()
-    reactor.callLater(CONTROL_STOP_DELAY_MS / 1000.0, reactor.stop)
+def _stop_control(
+    settings: FleetSettings,
+    ports: list,
+    site: CallerSite,
+    timers: TimerService,
+) -> None:
+    """Closes the listener, answers the requests that were read, then stops."""
+    if not ports:
+        return
+    stop_listening(ports, site)
+    now_ms = monotonic_ms()
+    limit_ms = now_ms + grace_left_ms(settings.grace_s, EXIT_BEFORE_KILL_MS)
+
+    def is_over() -> bool:
+        return not site.channels and monotonic_ms() >= now_ms + MIN_STOP_MS
+
+    call_when(timers, is_over, limit_ms, reactor.stop)
--- a/gentianwall/config/fleet.py
+++ b/gentianwall/config/fleet.py
@@ -105,8 +105,8 @@
         "Time in ms between heartbeats of a server.", 1500, minimum=10
     )
     grace_s: float = option(
-        "Time in s between the termination signal and the kill; an entry "
-        "drains within it.",
+        "Time in s between the termination signal and the kill; requests are "
+        "answered within it.",
         6.0,
         minimum=0.1,
     )
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -10,6 +10,7 @@
 import copy
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -22,6 +23,7 @@
     FakeServer,
     Fleet,
     document,
+    replace_configuration_until_acknowledged,
     running_server,
     send_heartbeat_until_acknowledged,
     wait_until,
@@ -264,3 +266,35 @@
     # There is no server.
     assert caller.status == 503
     assert listed_entry.processes["entry-0"].wait(timeout=15.0) == 0
+
+
+@pytest.fixture
+def controls(tmp_path):
+    """Three control instances, of which only the first one still runs."""
+    fleet = Fleet(tmp_path, 3, 0, BLOCK + 1)
+    fleet.control_settings = [f"grace_s = {GRACE_S}"]
+    try:
+        for node in fleet.controls:
+            fleet.start(node, is_first_start=True)
+        replace_configuration_until_acknowledged(fleet, 1)
+        for node in fleet.controls[1:]:
+            fleet.kill(node)
+        yield fleet
+    finally:
+        fleet.kill_all()
+
+
+# The connection was closed 0.3 s after the signal.
+def test_a_change_that_waits_for_a_majority_is_answered(controls):
+    node = controls.controls[0]
+    server = FakeServer("i-1", "orders", f"127.{BLOCK + 1}.3.1")
+    statuses = []
+    thread = threading.Thread(
+        target=lambda: statuses.append(controls.send_heartbeat(node, server))
+    )
+    thread.start()
+    time.sleep(0.2)
+    controls.signal(node, signal.SIGTERM)
+    thread.join()
+    assert statuses == [503]
+    assert node.process.wait(timeout=15.0) == 0
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,6 +5,8 @@
 import attrs
 import pytest
 
+from gentianwall.commands.fleet_entry import REFUSE_BEFORE_KILL_MS
+from gentianwall.commands.signals import EXIT_BEFORE_KILL_MS, grace_left_ms
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.events import DrainStarted, FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
@@ -176,3 +178,10 @@
         entry.deliver_load_report(name, FULL)
     refusal = single_refusal(entry.deliver_request(wait_ms=500.0))
     assert refusal.reason is RefusalReason.OVERLOADED
+
+
+@pytest.mark.parametrize("grace_s", [0.1, 1.0, 6.0])
+def test_there_is_time_to_write_the_last_answers(grace_s):
+    end_ms = grace_left_ms(grace_s, REFUSE_BEFORE_KILL_MS)
+    exit_ms = grace_left_ms(grace_s, EXIT_BEFORE_KILL_MS)
+    assert 0.0 < end_ms < exit_ms < 1000.0 * grace_s
