Show that bodies which grow side by side exceed the memory of a process

What callers saw: a process that ended, because it ran out of memory, while clients sent many bodies in small pieces that stopped short of their end. Change: tests with 500 clients at memory_mb = 296, on the callers' port and on the control address. Clients of one flood may send several shapes.

--- a/harness/misbehaving.py
+++ b/harness/misbehaving.py
@@ -7,7 +7,7 @@
 import selectors
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
@@ -40,14 +40,16 @@
     return Shape(head=head, data=bytes(body_bytes - 1), part_bytes=part_bytes)
 
 
-def chunked(chunks: int, chunk_bytes: int) -> Shape:
+def chunked(
+    chunks: int, chunk_bytes: int, part_bytes: int = PART_BYTES
+) -> Shape:
     """Returns a body in chunks without the last one."""
     head = (
         b"POST %b HTTP/1.1\r\nHost: shop.example\r\n"
         b"Transfer-Encoding: chunked\r\n\r\n"
     )
     chunk = b"%x\r\n" % chunk_bytes + bytes(chunk_bytes) + b"\r\n"
-    return Shape(head=head, data=chunk * chunks)
+    return Shape(head=head, data=chunk * chunks, part_bytes=part_bytes)
 
 
 def pipelined(requests: int) -> Shape:
@@ -110,17 +112,26 @@
         host: IP address of the process.
         port: Port of the process.
         path: Path of the requests.
-        shape: What each client sends.
+        shapes: What the clients send; each shape is sent by every nth client.
         clients: Number of clients.
     """
 
     def __init__(
-        self, host: str, port: int, path: bytes, shape: Shape, clients: int
+        self,
+        host: str,
+        port: int,
+        path: bytes,
+        shapes: Sequence[Shape],
+        clients: int,
     ):
-        data = memoryview(shape.head.replace(b"%b", path) + shape.data)
+        sent = [
+            memoryview(shape.head.replace(b"%b", path) + shape.data)
+            for shape in shapes
+        ]
         self._selector = selectors.DefaultSelector()
         self._clients: list[_Client] = []
-        for _ in range(clients):
+        for number in range(clients):
+            shape_number = number % len(shapes)
             sock = socket.socket()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # What is not read stays with the process, not in the kernel.
@@ -128,7 +139,9 @@
             sock.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 sock.connect((host, port))
-            client = _Client(sock, data, shape.part_bytes)
+            client = _Client(
+                sock, sent[shape_number], shapes[shape_number].part_bytes
+            )
             self._clients.append(client)
             self._selector.register(sock, selectors.EVENT_WRITE, client)
 
@@ -168,10 +181,10 @@
 
 @contextlib.contextmanager
 def flooding(
-    host: str, port: int, path: bytes, shape: Shape, clients: int
+    host: str, port: int, path: bytes, shapes: Sequence[Shape], clients: int
 ) -> Iterator[Flood]:
     """Opens the connections of a flood while the context lasts."""
-    flood = Flood(host, port, path, shape, clients)
+    flood = Flood(host, port, path, shapes, clients)
     try:
         yield flood
     finally:
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import json
 
@@ -41,12 +42,16 @@
 # tests check. A process takes 43 MB and 40 descriptors without clients.
 MEMORY_MB = 112
 DESCRIPTORS = 400
-SETTINGS = [f"memory_mb = {MEMORY_MB}", f"descriptors = {DESCRIPTORS}"]
 FLOOD_S = 5.0
+# Limits and duration of a crowd of which a part fills the budget.
+CROWD_MEMORY_MB = 296
+CROWD_DESCRIPTORS = 1535
+CROWD_S = 12.0
 ROUTE = b"/orders/x"
 # Requests of this route run beside each other on one connection.
 SAFE_ROUTE = b"/reads/x"
 NO_ROUTE = b"/nobody/x"
+CONFIGURATION_PATH = b"/rpc?call=config.replace"
 MIB = 1024 * 1024
 # Shapes with the number of clients that send them.
 SHAPES = {
@@ -60,6 +65,21 @@
     "unread answers": (shapes.pipelined(2), 24),
     "slow heads": (shapes.SLOW_HEAD, 600),
 }
+# Bodies that grow side by side and stop just short of their end, with the
+# number of clients that send them.
+CROWDS = {
+    "pieces": ([shapes.upload(2 * MIB, part_bytes=512)], 500),
+    "chunks": ([shapes.chunked(4095, 512, part_bytes=519)], 500),
+    "mixed": (
+        [
+            shapes.upload(300 * 1024, part_bytes=1024),
+            shapes.upload(MIB, part_bytes=4096),
+            shapes.upload(2 * MIB, part_bytes=512),
+            shapes.chunked(4095, 512, part_bytes=519),
+        ],
+        500,
+    ),
+}
 
 
 @pytest.fixture(autouse=True)
@@ -85,11 +105,13 @@
     return content
 
 
-@pytest.fixture
-def fleet(tmp_path, server):
-    """One control instance and one entry with a server."""
-    fleet = Fleet(tmp_path, 1, 1, BLOCK)
-    fleet.entry_settings = fleet.control_settings = SETTINGS
+@contextlib.contextmanager
+def _running_fleet(folder, server, memory_mb, descriptors):
+    fleet = Fleet(folder, 1, 1, BLOCK)
+    fleet.entry_settings = fleet.control_settings = [
+        f"memory_mb = {memory_mb}",
+        f"descriptors = {descriptors}",
+    ]
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
@@ -106,19 +128,41 @@
         fleet.kill_all()
 
 
+@pytest.fixture
+def fleet(tmp_path, server):
+    """One control instance and one entry with a server."""
+    limits = (MEMORY_MB, DESCRIPTORS)
+    with _running_fleet(tmp_path, server, *limits) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def crowded_fleet(tmp_path, server):
+    """The same with the limits for crowds."""
+    limits = (CROWD_MEMORY_MB, CROWD_DESCRIPTORS)
+    with _running_fleet(tmp_path, server, *limits) as fleet:
+        yield fleet
+
+
 def _flood(pid, address, path, shape_name, is_served):
     """Checks a process under a flood; returns what it used."""
     shape, clients = SHAPES[shape_name]
-    usage = Usage()
     host, _, port = address.partition(":")
-    with flooding(host, int(port), path, shape, clients) as flood:
-        flood.run(FLOOD_S, lambda: usage.sample(pid))
-        wait_until("an ordinary request is answered", is_served, 20.0)
-        usage.sample(pid)
+    with flooding(host, int(port), path, [shape], clients) as flood:
+        return _check_usage(
+            flood, pid, is_served, FLOOD_S, MEMORY_MB, DESCRIPTORS
+        )
+
+
+def _check_usage(flood, pid, is_served, duration_s, memory_mb, descriptors):
+    usage = Usage()
+    flood.run(duration_s, lambda: usage.sample(pid))
+    wait_until("an ordinary request is answered", is_served, 20.0)
+    usage.sample(pid)
     print(usage)
     assert usage.is_alive
-    assert usage.peak_mb < MEMORY_MB, usage
-    assert usage.descriptors < DESCRIPTORS, usage
+    assert usage.peak_mb < memory_mb, usage
+    assert usage.descriptors < descriptors, usage
     return usage
 
 
@@ -159,6 +203,28 @@
     )
 
 
+@pytest.mark.parametrize("crowd", CROWDS)
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_bodies_that_grow_side_by_side_stay_within_the_memory(
+    crowded_fleet, role, crowd
+):
+    fleet = crowded_fleet
+    is_entry = role == "entry"
+    node = fleet.entries[0] if is_entry else fleet.controls[0]
+    port = CALLERS_PORT if is_entry else CONTROL_PORT
+    path = ROUTE if is_entry else CONFIGURATION_PATH
+    is_serving = _is_entry_serving if is_entry else _is_control_serving
+    with flooding(node.host, port, path, *CROWDS[crowd]) as flood:
+        _check_usage(
+            flood,
+            node.process.pid,
+            lambda: is_serving(fleet),
+            CROWD_S,
+            CROWD_MEMORY_MB,
+            CROWD_DESCRIPTORS,
+        )
+
+
 @pytest.mark.parametrize("port", [READINESS_PORT, PEER_PORT, METRICS_PORT])
 @pytest.mark.parametrize("shape", ["upload", "slow heads"])
 def test_the_other_ports_of_a_fleets_entry(fleet, shape, port):
@@ -180,7 +246,7 @@
     _flood(
         control.process.pid,
         f"{control.host}:{CONTROL_PORT}",
-        b"/rpc?call=config.replace",
+        CONFIGURATION_PATH,
         shape,
         lambda: _is_control_serving(fleet),
     )
