Show that clients which send ahead and do not read stop a process

What callers saw: no answer beside 60 clients that send requests ahead and do not read the answers, at the control address and at a path without a route. Change: the shape "sent ahead", 20,000 requests a client, on the callers' ports and the control address.

--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -62,6 +62,7 @@
     "terabyte": (shapes.ANNOUNCED_TERABYTE, 24),
     "short fields": (shapes.SHORT_FIELDS, 60),
     "pipelined": (shapes.pipelined(400), 48),
+    "sent ahead": (shapes.pipelined(20_000), 60),
     "unread answers": (shapes.pipelined(2), 24),
     "slow heads": (shapes.SLOW_HEAD, 600),
 }
@@ -186,6 +187,8 @@
         ("upload", NO_ROUTE),
         ("pieces", NO_ROUTE),
         ("pipelined", NO_ROUTE),
+        ("sent ahead", SAFE_ROUTE),
+        ("sent ahead", NO_ROUTE),
     ],
 )
 def test_the_callers_port_of_a_fleets_entry(fleet, server, shape, path):
@@ -239,7 +242,8 @@
 
 
 @pytest.mark.parametrize(
-    "shape", ["upload", "pieces", "chunks", "pipelined", "slow heads"]
+    "shape",
+    ["upload", "pieces", "chunks", "pipelined", "sent ahead", "slow heads"],
 )
 def test_the_control_address(fleet, shape):
     control = fleet.controls[0]
@@ -286,6 +290,7 @@
         ("upload", b"/nobody/x"),
         ("pieces", b"/die-ledger/x"),
         ("pipelined", b"/livez"),
+        ("sent ahead", b"/livez"),
         ("slow heads", b"/livez"),
     ],
 )
