Release requests that ran beside others once they are answered

What callers saw: processes ran out of memory beside clients that send requests ahead on one connection. Cause: the server library counts a request as queued if its connection has others that are not answered, and then does not clean it up when it ends. The connection kept such requests, and what was charged for them and their answers, for as long as it was open. Change: requests are declared as never queued. Pipelining decides when they run.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -16,6 +16,8 @@
 import attrs
 from twisted.internet import protocol
 from twisted.web import http
+from twisted.web.iweb import INonQueuedRequestFactory
+from zope.interface import provider
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.http.body_buffer import BodyBuffer
@@ -106,6 +108,9 @@
     idle_timeout_s: float = 75.0
 
 
+# Otherwise a request that is received beside others counts as queued, and its
+# connection keeps it after its answer.
+@provider(INonQueuedRequestFactory)
 class CallerRequest(http.Request):
     """One request of a caller, with its body in memory.
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -548,3 +548,17 @@
         channel.dataReceived(b"1\r\nz\r\n" * 1000)
     assert transport.value().startswith(b"HTTP/1.1 400 ")
     assert process.received == []
+
+
+# Requests that ran beside an earlier one were kept until the connection ended.
+def test_answered_requests_of_a_connection_are_not_kept():
+    process = Process()
+    channel, _ = process.connect()
+    held_bytes = process.budget.used_bytes
+    for _ in range(3):
+        channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 4)
+        for request in reversed(process.received):
+            request.answer(200, [], bytes(5000))
+        process.received.clear()
+    assert channel.requests == []
+    assert process.budget.used_bytes == held_bytes
