Do not read from clients that do not read their answers

What callers saw: processes ran out of memory beside clients that send requests ahead and do not read the answers. Cause: when the client does not read, the server library pauses reading only if no request is being handled, and stops pausing for what is read ahead. Behind requests that run, everything that the client sent was read and kept up to the budget, and copied again for each request of it. Change: reading always pauses until the client has read on. Then it goes on, also behind requests that run, unless enough is held already.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -656,6 +656,8 @@
     def pauseProducing(self) -> None:
         """Stops to write and to read until the client has read answers."""
         super().pauseProducing()
+        # The base class reads on while a request is handled.
+        self._networkProducer.pauseProducing()
         if self._unread_call is None and not self._is_lost:
             self.account.is_blocked_by_client = True
             self.account.progress_ms = monotonic_ms()
@@ -669,9 +671,17 @@
         super().resumeProducing()
         if self.account.is_waiting:
             self._networkProducer.pauseProducing()
+        elif self._handlingRequest and not self._is_read_ahead_full:
+            self._networkProducer.resumeProducing()
         self._end_unread()
         self._advance()
 
+    @property
+    def _is_read_ahead_full(self) -> bool:
+        """Whether enough is held of requests that may not be parsed yet."""
+        held_bytes = sum(map(len, self._dataBuffer))
+        return held_bytes > self._optimisticEagerReadSize
+
     def _end_unread(self) -> None:
         if self._unread_call is None:
             return
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -562,3 +562,17 @@
         process.received.clear()
     assert channel.requests == []
     assert process.budget.used_bytes == held_bytes
+
+
+# Requests were read without limit while their answers were not.
+def test_a_client_that_does_not_read_is_not_read_either():
+    process = Process()
+    channel, transport = process.connect()
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    channel.dataReceived(get * (MAX_OPEN_REQUESTS + 1))
+    channel.pauseProducing()
+    assert transport.producerState == "paused"
+    for request in process.received:
+        request.answer(200, [], b"")
+    channel.resumeProducing()
+    assert transport.producerState == "producing"
