--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -11,14 +11,16 @@
 
 import contextlib
 import enum
-import io
 from collections.abc import Callable
 
 import attrs
 from twisted.internet import protocol
 from twisted.web import http
+from twisted.web.iweb import INonQueuedRequestFactory
+from zope.interface import provider
 
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
+from gentianwall.http.body_buffer import BodyBuffer
 from gentianwall.http.client_budget import (
     SMALL_BYTES,
     BudgetLimits,
@@ -57,6 +59,9 @@
 # Chunk sizes and extensions may be as long as the body itself and this many
 # bytes more; 50,000 chunks of one byte stay below it.
 MAX_FRAMING_BYTES = 256 * 1024
+# Requests of one connection that are received before other connections are
+# served. A single read has 1,400 of the shortest requests.
+MAX_REQUESTS_PER_TURN = 16
 
 
 class Misuse(enum.Enum):
@@ -106,6 +111,9 @@
     idle_timeout_s: float = 75.0
 
 
+# Otherwise a request that is received beside others counts as queued, and its
+# connection keeps it after its answer.
+@provider(INonQueuedRequestFactory)
 class CallerRequest(http.Request):
     """One request of a caller, with its body in memory.
 
@@ -131,7 +139,7 @@
     body_bytes = 0
     uncharged_bytes = 0
     wire_bytes = 0
-    _content: io.BytesIO | None = None
+    _content: BodyBuffer | None = None
     _ready_answer: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
 
     def gotLength(self, length) -> None:
@@ -157,14 +165,14 @@
             if self.channel.is_refused:
                 return
         if self._content is None:
-            # Grows without copies and without an object for each piece, which
-            # takes more memory than a short piece itself.
-            self._content = io.BytesIO()
+            self._content = BodyBuffer()
         self._content.write(data)
 
     def discard(self) -> None:
         """Drops the body of a request that is not going to run."""
-        self._content = None
+        if self._content is not None:
+            self._content.close()
+            self._content = None
         self.body = b""
 
     def requestReceived(self, command, path, version) -> None:
@@ -185,7 +193,7 @@
             if self.channel.is_refused:
                 return
         if self._content is not None:
-            self.body = self._content.getvalue()
+            self.body = self._content.take()
             self._content = None
         self.set_target(command, path, version)
         self.process()
@@ -331,6 +339,8 @@
         self._unread_call = None
         self._memory_call = None
         self._closing_call = None
+        self._turn_call = None
+        self._turn_requests = 0
         self._is_linger_due = False
         self._is_lost = False
         self._resources = contextlib.ExitStack()
@@ -368,6 +378,8 @@
         """Parses received bytes and limits the time to receive a request."""
         if self.is_refused:
             return
+        if not self._busyReceiving:
+            self._turn_requests = 0
         was_body = not self.line_mode and not self._handlingRequest
         super().dataReceived(data)
         if not self.line_mode and not self._handlingRequest:
@@ -523,6 +535,7 @@
 
     def on_received(self, request: CallerRequest) -> None:
         """Queues a complete request and runs it once it may run."""
+        self._turn_requests += 1
         if self.account.is_waiting:
             self.budget.stop_waiting(self.account)
             self._on_memory_free()
@@ -653,6 +666,8 @@
     def pauseProducing(self) -> None:
         """Stops to write and to read until the client has read answers."""
         super().pauseProducing()
+        # The base class reads on while a request is handled.
+        self._networkProducer.pauseProducing()
         if self._unread_call is None and not self._is_lost:
             self.account.is_blocked_by_client = True
             self.account.progress_ms = monotonic_ms()
@@ -666,9 +681,17 @@
         super().resumeProducing()
         if self.account.is_waiting:
             self._networkProducer.pauseProducing()
+        elif self._handlingRequest and not self._is_read_ahead_full:
+            self._networkProducer.resumeProducing()
         self._end_unread()
         self._advance()
 
+    @property
+    def _is_read_ahead_full(self) -> bool:
+        """Whether enough is held of requests that may not be parsed yet."""
+        held_bytes = sum(map(len, self._dataBuffer))
+        return held_bytes > self._optimisticEagerReadSize
+
     def _end_unread(self) -> None:
         if self._unread_call is None:
             return
@@ -698,11 +721,24 @@
             and self._outgoing is None
             and self.pipeline.can_read
         ):
+            if self._turn_requests >= MAX_REQUESTS_PER_TURN:
+                if self._turn_call is None:
+                    self._turn_call = self.callLater(0, self._start_turn)
+                return
             self._handlingRequest = False
             data = b"".join(self._dataBuffer)
             self._dataBuffer.clear()
             self.setLineMode(data)
 
+    def _start_turn(self) -> None:
+        """Reads on after other connections were served."""
+        self._turn_call = None
+        self._turn_requests = 0
+        if not self._waitingForTransport and not self.account.is_waiting:
+            # Reading paused if much was received meanwhile.
+            self._networkProducer.resumeProducing()
+        self._advance()
+
     def _update_receive_timeout(self) -> None:
         is_receiving = not self._handlingRequest and self._has_partial_request()
         if is_receiving == self._is_receiving:
@@ -917,11 +953,13 @@
     def connectionLost(self, reason) -> None:
         """Cancels the receive timeout and removes the connection."""
         self._is_lost = True
+        self._discard_partial_request()
         self._end_unread()
         for name in (
             "_receive_timeout_call",
             "_memory_call",
             "_closing_call",
+            "_turn_call",
         ):
             call = getattr(self, name)
             setattr(self, name, None)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -15,6 +15,7 @@
 
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.http.channel import (
+    MAX_REQUESTS_PER_TURN,
     CallerBounds,
     CallerSite,
     Misuse,
@@ -548,3 +549,58 @@
         channel.dataReceived(b"1\r\nz\r\n" * 1000)
     assert transport.value().startswith(b"HTTP/1.1 400 ")
     assert process.received == []
+
+
+# Requests that ran beside an earlier one were kept until the connection ended.
+def test_answered_requests_of_a_connection_are_not_kept():
+    process = Process()
+    channel, _ = process.connect()
+    held_bytes = process.budget.used_bytes
+    for _ in range(3):
+        channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 4)
+        for request in reversed(process.received):
+            request.answer(200, [], bytes(5000))
+        process.received.clear()
+    assert channel.requests == []
+    assert process.budget.used_bytes == held_bytes
+
+
+# Requests were read without limit while their answers were not.
+def test_a_client_that_does_not_read_is_not_read_either():
+    process = Process()
+    channel, transport = process.connect()
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    channel.dataReceived(get * (MAX_OPEN_REQUESTS + 1))
+    channel.pauseProducing()
+    assert transport.producerState == "paused"
+    for request in process.received:
+        request.answer(200, [], b"")
+    channel.resumeProducing()
+    assert transport.producerState == "producing"
+
+
+# One read with 1,400 short requests kept all other connections waiting.
+def test_requests_of_one_read_leave_other_connections_a_turn():
+    process = Process()
+    channel, transport = process.connect()
+    process.site.handle = lambda request: request.answer(200, [], b"")
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 50)
+    assert transport.value().count(b"HTTP/1.1 200 ") == MAX_REQUESTS_PER_TURN
+    process.clock.advance(0.0)
+    assert transport.value().count(b"HTTP/1.1 200 ") == 50
+
+
+# Reading had paused for the turn and did not go on.
+def test_a_body_behind_many_requests_is_received():
+    process = Process()
+    channel, transport = process.connect()
+    process.site.handle = lambda request: request.answer(200, [], b"")
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    channel.dataReceived(get * MAX_REQUESTS_PER_TURN + HEAD % (b"y", 60_000))
+    channel.dataReceived(bytes(20_000))
+    assert transport.producerState == "paused"
+    process.clock.advance(0.0)
+    assert transport.producerState == "producing"
+    channel.dataReceived(bytes(40_000))
+    answers = transport.value().count(b"HTTP/1.1 200 ")
+    assert answers == MAX_REQUESTS_PER_TURN + 1
