Write the last answers also if the end of a drain is late

What callers saw: an entry that was suspended, or too busy, until the end of its grace period closed the connections without the answers that it had just made.

Cause: when the requests were refused after the time at which the process was to end, it ended in the same turn of the event loop, and nothing was written.

--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -8,6 +8,7 @@
 from twisted.internet import reactor
 
 from gentianwall.commands.signals import (
+    CHECK_INTERVAL_MS,
     EXIT_BEFORE_KILL_MS,
     call_when,
     grace_left_ms,
@@ -60,6 +61,8 @@
 
     def end_drain() -> None:
         runtime.end_drain()
-        call_when(timers, lambda: runtime.is_idle, exit_ms, reactor.stop)
+        # The process may have been suspended until after the end.
+        limit_ms = max(exit_ms, monotonic_ms() + CHECK_INTERVAL_MS)
+        call_when(timers, lambda: runtime.is_idle, limit_ms, reactor.stop)
 
     timers.start("stop", close_ms, close_listener)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -298,3 +298,26 @@
     thread.join()
     assert statuses == [503]
     assert node.process.wait(timeout=15.0) == 0
+
+
+# The entry ended before the last answers were written.
+def test_an_entry_that_was_suspended_until_the_end_answers(fleet):
+    (entry,) = fleet.entries
+    callers = [
+        _Caller(entry.host, path, last_byte_s)
+        for last_byte_s in (GRACE_S, None)
+        for path in ROUTES
+    ]
+    assert fleet.send_request(entry, "after").status == 200
+    fleet.signal(entry, signal.SIGTERM)
+    time.sleep(GRACE_S / 2.0)
+    fleet.signal(entry, signal.SIGSTOP)
+    time.sleep(GRACE_S / 2.0)
+    for caller in callers:
+        if caller.last_byte_s is not None:
+            caller.complete()
+    fleet.signal(entry, signal.SIGCONT)
+    for caller in callers:
+        caller.read_to_end()
+    assert [caller.status for caller in callers] == [503] * len(callers)
+    assert entry.process.wait(timeout=15.0) == 0
