--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -7,7 +7,13 @@
 
 from twisted.internet import reactor
 
-from gentianwall.commands.signals import on_stop_signal
+from gentianwall.commands.signals import (
+    CHECK_INTERVAL_MS,
+    EXIT_BEFORE_KILL_MS,
+    call_when,
+    grace_left_ms,
+    on_stop_signal,
+)
 from gentianwall.config.fleet import FleetSettings
 from gentianwall.http.dialect import Dialect
 from gentianwall.logs import EventLog
@@ -17,10 +23,8 @@
 # Readiness is checked every second, and two failed checks take an entry out of
 # use; it accepts new connections until then.
 UNREADY_BEFORE_CLOSE_MS = 2600.0
-# The platform kills the process after the grace period; connections are closed
-# this long before.
-STOP_BEFORE_KILL_MS = 500.0
-DRAIN_CHECK_INTERVAL_MS = 20.0
+# Requests without an answer are refused this long before the kill.
+REFUSE_BEFORE_KILL_MS = 150.0
 
 
 @contextlib.contextmanager
@@ -45,21 +49,20 @@
     if runtime.state.is_draining:
         return
     now_ms = monotonic_ms()
-    grace_ms = runtime.settings.grace_s * 1000.0
-    limit_ms = now_ms + grace_ms - STOP_BEFORE_KILL_MS
-    close_ms = now_ms + min(UNREADY_BEFORE_CLOSE_MS, grace_ms / 2)
-    runtime.begin_drain()
+    grace_s = runtime.settings.grace_s
+    end_ms = now_ms + grace_left_ms(grace_s, REFUSE_BEFORE_KILL_MS)
+    exit_ms = now_ms + grace_left_ms(grace_s, EXIT_BEFORE_KILL_MS)
+    close_ms = now_ms + min(UNREADY_BEFORE_CLOSE_MS, 1000.0 * grace_s / 2)
+    runtime.begin_drain(end_ms)
 
     def close_listener() -> None:
         runtime.stop_listening()
-        check_idle()
+        call_when(timers, lambda: runtime.is_idle, end_ms, end_drain)
 
-    def check_idle() -> None:
-        if runtime.is_idle or monotonic_ms() > limit_ms:
-            reactor.callLater(DRAIN_CHECK_INTERVAL_MS / 1000.0, reactor.stop)
-            return
-        timers.start(
-            "drain", monotonic_ms() + DRAIN_CHECK_INTERVAL_MS, check_idle
-        )
+    def end_drain() -> None:
+        runtime.end_drain()
+        # The process may have been suspended until after the end.
+        limit_ms = max(exit_ms, monotonic_ms() + CHECK_INTERVAL_MS)
+        call_when(timers, lambda: runtime.is_idle, limit_ms, reactor.stop)
 
-    timers.start("drain", close_ms, close_listener)
+    timers.start("stop", close_ms, close_listener)
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -60,8 +60,8 @@
     is_idempotent: bool
     has_idempotency_key: bool
     caller: str
-    attempt: Attempt | None = None
-    answer: ServerAnswer | None = None
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    answers: dict[int, ServerAnswer] = attrs.field(factory=dict)
 
 
 class CallHandler:
@@ -138,9 +138,10 @@
     def on_caller_disconnected(self, request: CallerRequest) -> None:
         """Closes the call of a caller that closed its connection."""
         call_id = self._call_id_by_request.pop(id(request), None)
-        call = self.open_calls.pop(call_id, None) if call_id else None
+        call = self.open_calls.get(call_id) if call_id else None
         if call is not None:
             self._handle(CallerDisconnected(monotonic_ms(), call.call_id))
+            self.open_calls.pop(call.call_id, None)
 
     def dispatch(self, effect: Dispatch) -> None:
         """Starts an attempt: sends the request of a call to a server."""
@@ -168,7 +169,7 @@
         )
 
         def on_answer(answer: ServerAnswer) -> None:
-            call.answer = answer
+            call.answers[effect.attempt] = answer
             self._handle(_answered_event(call, effect.attempt, answer))
 
         def on_failure(kind: FailureKind) -> None:
@@ -178,7 +179,7 @@
                 )
             )
 
-        call.attempt = Attempt(
+        attempt = call.attempts[effect.attempt] = Attempt(
             pool,
             request,
             call.request_id,
@@ -187,20 +188,21 @@
             on_answer,
             on_failure,
         )
-        call.attempt.start()
+        attempt.start()
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Closes the connection of the current attempt."""
+        """Closes the connection of an attempt."""
         call = self.open_calls.get(effect.call_id)
-        if call is not None and call.attempt is not None:
-            call.attempt.cancel()
+        attempt = call and call.attempts.pop(effect.attempt, None)
+        if attempt is not None:
+            attempt.cancel()
 
     def answer(self, effect: AnswerCaller) -> None:
         """Sends the server's complete answer to the caller."""
         call = self._remove_call(effect.call_id)
-        if call is None or call.answer is None:
+        if call is None:
             return
-        answer = call.answer
+        answer = call.answers[effect.attempt]
         headers = make_caller_headers(answer.headers, self._instance.encode())
         headers += [
             (b"Gentianwall-Executed", Executed.YES.value.encode()),
@@ -267,14 +269,14 @@
         """Checks the servers of attempts whose connections are silent."""
         now_ms = monotonic_ms()
         for call in list(self.open_calls.values()):
-            if call.attempt is not None:
-                call.attempt.check_silence(now_ms)
+            for attempt in list(call.attempts.values()):
+                attempt.check_silence(now_ms)
 
     def _remove_call(self, call_id: int) -> OpenCall | None:
         call = self.open_calls.pop(call_id, None)
         if call is not None:
             self._call_id_by_request.pop(id(call.request), None)
-            call.attempt = None  # Breaks the reference cycle with the call.
+            call.attempts.clear()  # Breaks reference cycles with the call.
         return call
 
 
