Receive at most 16 requests of a connection before others are served

What callers saw: no answer beside 60 clients that send requests ahead, at the control address and for paths that an entry answers itself. Cause: all requests of one read were answered in one turn of the reactor. A read of 64 KiB has 1,400 short requests, so that 60 clients kept the process for minutes before it accepted the next connection. Change: after 16 requests a connection reads on in the next turn. Open: on a safe route, where the server itself is full, ordinary requests are refused with 503, not executed.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -59,6 +59,9 @@
 # Chunk sizes and extensions may be as long as the body itself and this many
 # bytes more; 50,000 chunks of one byte stay below it.
 MAX_FRAMING_BYTES = 256 * 1024
+# Requests of one connection that are received before other connections are
+# served. A single read has 1,400 of the shortest requests.
+MAX_REQUESTS_PER_TURN = 16
 
 
 class Misuse(enum.Enum):
@@ -336,6 +339,8 @@
         self._unread_call = None
         self._memory_call = None
         self._closing_call = None
+        self._turn_call = None
+        self._turn_requests = 0
         self._is_linger_due = False
         self._is_lost = False
         self._resources = contextlib.ExitStack()
@@ -373,6 +378,8 @@
         """Parses received bytes and limits the time to receive a request."""
         if self.is_refused:
             return
+        if not self._busyReceiving:
+            self._turn_requests = 0
         was_body = not self.line_mode and not self._handlingRequest
         super().dataReceived(data)
         if not self.line_mode and not self._handlingRequest:
@@ -528,6 +535,7 @@
 
     def on_received(self, request: CallerRequest) -> None:
         """Queues a complete request and runs it once it may run."""
+        self._turn_requests += 1
         if self.account.is_waiting:
             self.budget.stop_waiting(self.account)
             self._on_memory_free()
@@ -711,11 +719,24 @@
             and self._outgoing is None
             and self.pipeline.can_read
         ):
+            if self._turn_requests >= MAX_REQUESTS_PER_TURN:
+                if self._turn_call is None:
+                    self._turn_call = self.callLater(0, self._start_turn)
+                return
             self._handlingRequest = False
             data = b"".join(self._dataBuffer)
             self._dataBuffer.clear()
             self.setLineMode(data)
 
+    def _start_turn(self) -> None:
+        """Reads on after other connections were served."""
+        self._turn_call = None
+        self._turn_requests = 0
+        if not self._waitingForTransport and not self.account.is_waiting:
+            # Reading paused if much was received meanwhile.
+            self._networkProducer.resumeProducing()
+        self._advance()
+
     def _update_receive_timeout(self) -> None:
         is_receiving = not self._handlingRequest and self._has_partial_request()
         if is_receiving == self._is_receiving:
@@ -903,6 +924,7 @@
             "_receive_timeout_call",
             "_memory_call",
             "_closing_call",
+            "_turn_call",
         ):
             call = getattr(self, name)
             setattr(self, name, None)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -15,6 +15,7 @@
 
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.http.channel import (
+    MAX_REQUESTS_PER_TURN,
     CallerBounds,
     CallerSite,
     Misuse,
@@ -576,3 +577,30 @@
         request.answer(200, [], b"")
     channel.resumeProducing()
     assert transport.producerState == "producing"
+
+
+# One read with 1,400 short requests kept all other connections waiting.
+def test_requests_of_one_read_leave_other_connections_a_turn():
+    process = Process()
+    channel, transport = process.connect()
+    process.site.handle = lambda request: request.answer(200, [], b"")
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 50)
+    assert transport.value().count(b"HTTP/1.1 200 ") == MAX_REQUESTS_PER_TURN
+    process.clock.advance(0.0)
+    assert transport.value().count(b"HTTP/1.1 200 ") == 50
+
+
+# Reading had paused for the turn and did not go on.
+def test_a_body_behind_many_requests_is_received():
+    process = Process()
+    channel, transport = process.connect()
+    process.site.handle = lambda request: request.answer(200, [], b"")
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    channel.dataReceived(get * MAX_REQUESTS_PER_TURN + HEAD % (b"y", 60_000))
+    channel.dataReceived(bytes(20_000))
+    assert transport.producerState == "paused"
+    process.clock.advance(0.0)
+    assert transport.producerState == "producing"
+    channel.dataReceived(bytes(40_000))
+    answers = transport.value().count(b"HTTP/1.1 200 ")
+    assert answers == MAX_REQUESTS_PER_TURN + 1
