Join small pieces of requests that are read ahead

What callers saw: processes ran out of memory beside clients that send in very small pieces. Cause: what is received behind a request that runs was kept as one object for each piece, and its bytes alone were charged. All pieces were counted again with each one. Change: the pieces are joined once there are more than 64. No process was seen to exceed its memory by this alone.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -59,6 +59,9 @@
 # Chunk sizes and extensions may be as long as the body itself and this many
 # bytes more; 50,000 chunks of one byte stay below it.
 MAX_FRAMING_BYTES = 256 * 1024
+# Pieces of requests that are read ahead, after which they are joined: an object
+# for each piece takes more memory than a short piece itself.
+MAX_READ_AHEAD_PIECES = 64
 # Requests of one connection that are received before other connections are
 # served. A single read has 1,400 of the shortest requests.
 MAX_REQUESTS_PER_TURN = 16
@@ -395,8 +398,11 @@
 
     def rawDataReceived(self, data) -> None:
         """Discards what follows a refused head."""
-        if not self.is_refused:
-            super().rawDataReceived(data)
+        if self.is_refused:
+            return
+        super().rawDataReceived(data)
+        if len(self._dataBuffer) > MAX_READ_AHEAD_PIECES:
+            self._dataBuffer[:] = [b"".join(self._dataBuffer)]
 
     def _check_body(self, received_bytes: int) -> None:
         """Charges what was received of a body, and limits its framing."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 
 import attrs
 import pytest
@@ -604,3 +605,20 @@
     channel.dataReceived(bytes(40_000))
     answers = transport.value().count(b"HTTP/1.1 200 ")
     assert answers == MAX_REQUESTS_PER_TURN + 1
+
+
+# Each piece was an object, which took 17 times what was charged for it.
+def test_requests_read_ahead_in_small_pieces_take_what_is_charged():
+    process = Process()
+    channel, _ = process.connect()
+    post = HEAD % (b"x", 1) + b"z"
+    channel.dataReceived(post)
+    for _ in range(100):
+        for position in range(0, len(post), 2):
+            channel.dataReceived(post[position : position + 2])
+    kept_bytes = sum(map(sys.getsizeof, channel._dataBuffer))
+    charged_bytes = process.budget.used_bytes
+    assert len(process.received) == 1
+    assert kept_bytes < charged_bytes
+    process.received[0].answer(200, [], b"")
+    assert process.received[1].body == b"z"
