--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -13,9 +13,8 @@
 - Above the bound for all, connections are given up at once.
 
 Connections are given up in an order that costs ordinary clients least: first
-those whose request is not complete or whose client does not read, and before
-others those for which no request runs; among them those without progress; then
-by what their address holds.
+those whose request is not complete or whose client does not read, among them
+those without progress; then by what their address holds.
 """
 
 from __future__ import annotations
@@ -360,7 +359,6 @@
         def cost(account: Account) -> tuple:
             return (
                 account.is_blocked_by_client,
-                not account.is_serving,
                 self._is_stalled(account, now_ms),
                 self._held_by_address[account.address],
                 account.held_bytes,
