--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -86,8 +86,8 @@
         server: Server of the last attempt.
         running: Attempts that run, by number. There are two while an overdue
             call also runs at another server.
-        error_answer: Last such answer, which the caller gets if no further
-            attempt is answered; None for none.
+        error_answer: Last answer by which a server failed it. The caller gets
+            that if no further attempt is answered; None for none.
         crashed_servers: Servers that this call may have crashed: their
             connection was lost during an attempt.
         wall_offset_ms: Wall clock minus monotonic clock at arrival.
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -128,8 +128,8 @@
         relay: Decisions of the peer that it came from; None if it came from a
             caller.
         is_maybe_executed: Whether a server may have executed the request.
-        error_answer: Last such answer, which the caller gets if no further
-            attempt is answered; None for none.
+        error_answer: Last answer by which a server failed it. The caller gets
+            that if no further attempt is answered; None for none.
         others: Names of servers considered beside the home servers.
         organisation: Name of the organisation that sent it; empty for none.
         priority: Priority of the organisation, or else of the route; 0 is the
