State the time in notices to a quarter of a second

Callers saw: a server that was warm again still got as few requests as a cold one, for up to a second.

Cause: entries compute how long a server is still cold from the leader's time in the notice, which was rounded down to a whole second. Logs show the remainder of the second in left_ms: 5,231 to 5,995 ms for a warm-up of 5,000 ms.

Ruled out: a starved machine.

Change: the time is rounded down to 250 ms, so notices are encoded anew four times a second at most.

The new test of the notices failed before.

--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -363,9 +363,9 @@
         limits: Lease of the receiver; None if its poll named no session.
         finished_domains: Pairs of a failure domain and the time at which its
             evacuation ended; None if unchanged.
-        wall_ms: Wall-clock time of the leader at most 1 s before it sent the
-            notice. Times in `servers` and `finished_domains` compare to it. 0
-            for builds from before this field.
+        wall_ms: Wall-clock time of the leader at most 250 ms before it sent
+            the notice. Times in `servers` and `finished_domains` compare to it.
+            0 for builds from before this field.
     """
 
     term: int
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -57,8 +57,9 @@
 # later.
 ENTRY_COUNT_MAX_AGE_MS = 100.0
 # Cached notices are made anew after this time, since entries compute from them
-# for how long servers are still cold.
-NOTICE_MAX_AGE_MS = 1000.0
+# for how long servers are still cold: a server that is warm is spared for up to
+# this long.
+NOTICE_MAX_AGE_MS = 250.0
 
 
 @attrs.frozen
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -233,12 +233,27 @@
     leader.register = register
     control = ControlState(leader, ())
     for later_ms in (0, 50):
-        poll = MessageArrived(
-            10_000.0 + later_ms, AT_MS + later_ms, "e", "b", 0.0,
-            FeedPoll(-1, 0, 0, True),
-        )  # fmt: skip
-        (effect,) = reduce_control(control, poll)
-        assert effect.message.wall_ms == AT_MS
+        assert _poll(control, later_ms).wall_ms == AT_MS
+
+
+def test_a_notice_that_is_sent_later_states_a_later_time(register):
+    """Guards against warm servers that still get as little as cold ones."""
+    leader = leading_replica(10_000.0)
+    leader.register = register
+    control = ControlState(leader, ())
+    for later_ms in range(0, 300, 50):
+        stated_ms = _poll(control, later_ms).wall_ms
+        assert AT_MS + later_ms - 250 < stated_ms <= AT_MS + later_ms
+
+
+def _poll(control, later_ms):
+    """Returns the notice that answers an entry without a configuration."""
+    poll = MessageArrived(
+        10_000.0 + later_ms, AT_MS + later_ms, f"e{later_ms}", "b", 0.0,
+        FeedPoll(-1, 0, 0, True),
+    )  # fmt: skip
+    (effect,) = reduce_control(control, poll)
+    return effect.message
 
 
 # The entry.
