--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -358,13 +358,20 @@
     now_ms: float,
     effects: list[ReplicationEffect],
 ) -> None:
-    """Installs the leader's snapshot if it is ahead of this replica."""
+    """Installs the leader's snapshot if it is ahead of this replica's log.
+
+    A log with the last entry of the snapshot holds all that it covers. It is
+    kept, since later entries may have been acknowledged to the leader.
+    """
     if not _accept_leader(state, sender, request, now_ms, effects):
         return
-    if request.snapshot.index > state.commit_index:
-        install_snapshot(state, request.snapshot)
-        effects.append(StoreSnapshot(request.snapshot))
-    match_index = max(request.snapshot.index, state.commit_index)
+    snapshot = request.snapshot
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        _commit_to(state, snapshot.index, effects)
+    elif snapshot.index > state.commit_index:
+        install_snapshot(state, snapshot)
+        effects.append(StoreSnapshot(snapshot))
+    match_index = max(snapshot.index, state.commit_index)
     _reply(state, sender, True, match_index, request.sent_ms, effects)
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -18,14 +18,30 @@
 )
 
 from gentianwall.claims.commands import Noop, ReportCrash
+from gentianwall.claims.register import RegisterState
+from gentianwall.claims.snapshot_codec import encode_register
 from gentianwall.replication import election, joining
-from gentianwall.replication.messages import AppendReply, LogEntry
+from gentianwall.replication.effects import SendToReplica
+from gentianwall.replication.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Member,
+    Snapshot,
+    SnapshotRequest,
+)
 from gentianwall.replication.replica import (
     Proposed,
     ReplicaMessageArrived,
+    SnapshotTaken,
     reduce_replica,
 )
-from gentianwall.replication.state import ReplicaState, Role
+from gentianwall.replication.restore import (
+    PersistentState,
+    persistent_state_of,
+    restore_replica,
+)
+from gentianwall.replication.state import Progress, ReplicaState, Role, Timing
 from harness import replicas
 from harness.replicas import InvariantError, ReplicaSimulation, run_schedule
 
@@ -286,6 +302,54 @@
     assert leader.commit_index == old_entry.index + 1
 
 
+def _make_replica(name, entries):
+    """Returns one of three replicas in term 1 that has stored some entries."""
+    members = tuple(Member(n, f"d-{n}") for n in "abc")
+    first = Snapshot(1, 1, members, encode_register(RegisterState()))
+    stored = [LogEntry(1 + index, 1, Noop()) for index in range(1, entries + 1)]
+    state = PersistentState(f"d-{name}", 1, "a", first, stored)
+    peers = tuple(n for n in "abc" if n != name)
+    return restore_replica(state, name, peers, Timing(), 1, 0.0)
+
+
+def _send(receiver, sender, message):
+    """Delivers a message; returns the messages that answer the sender."""
+    event = ReplicaMessageArrived(10.0, sender, message)
+    return [
+        effect.message
+        for effect in reduce_replica(receiver, event)
+        if isinstance(effect, SendToReplica) and effect.replica == sender
+    ]
+
+
+# A snapshot that was sent for a late refusal removed entries that a follower
+# had acknowledged since, and that were committed with its acknowledgement.
+def test_a_snapshot_removes_no_entries_that_were_acknowledged():
+    leader, follower = _make_replica("a", 4), _make_replica("b", 0)
+    leader.role, leader.leader = Role.LEADER, "a"
+    leader.progress = {n: Progress(f"d-{n}", 6) for n in "bc"}
+    # The request with the entries was lost; two later ones are refused.
+    refusals = [
+        _send(follower, "a", AppendRequest(1, 5, 1, (), 1, sent_ms))
+        for sent_ms in (1.0, 2.0)
+    ]
+    (resent,) = _send(leader, "b", refusals[0][0])
+    (acknowledged,) = _send(follower, "a", resent)
+    # The other follower has stored all but the last entry.
+    _send(leader, "c", AppendReply(1, True, 4, "d-c", 3.0))
+    snapshot = Snapshot(4, 1, leader.members, encode_register(RegisterState()))
+    reduce_replica(leader, SnapshotTaken(4.0, snapshot))
+    (late,) = _send(leader, "b", refusals[1][0])
+    assert isinstance(late, SnapshotRequest)
+    _send(leader, "b", acknowledged)
+    assert leader.commit_index == 5
+    (reply,) = _send(follower, "a", late)
+    assert reply.is_success
+    stored = [entry.index for entry in persistent_state_of(follower).entries]
+    assert stored[-1:] == [5]
+    assert follower.commit_index == 4
+
+
 class RefusingSimulation(ReplicaSimulation):
     """Followers cannot read messages with a certain entry."""
 
