--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -128,7 +128,14 @@
         return stat.f_bavail * stat.f_frsize > reserve_bytes
 
     def recover(self) -> PersistentState | JournalDamaged:
-        """Reads the stored state, or assigns a disk id to an empty folder."""
+        """Reads the stored state, or assigns a disk id to an empty folder.
+
+        What was read is synced, since the process may have been killed before
+        it had synced it, and others will rely on it.
+
+        Raises:
+            OSError: The disk is full or failing.
+        """
         self._folder.mkdir(parents=True, exist_ok=True)
         files = self._list_journal_files()
         for temporary in self._folder.glob("*.new"):
@@ -138,7 +145,9 @@
             self._write_new_file(persistent_state)
             return persistent_state
         self._file_number, path = files[-1]
-        return self._read_journal(path)
+        persistent_state = self._read_journal(path)
+        self._sync_folder()
+        return persistent_state
 
     def rename_damaged_files(self) -> None:
         """Prefixes all files with `damaged-`, so the folder counts as empty."""
@@ -315,7 +324,7 @@
         self._fd = os.open(path, os.O_WRONLY)
         if end < len(data):
             os.ftruncate(self._fd, end)
-            os.fsync(self._fd)
+        os.fsync(self._fd)
         self.size_bytes = end
         return persistent_state
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -237,6 +237,40 @@
     assert len(_reopen(tmp_path).entries) == 3
 
 
+# A process that was killed before a sync left a frame in memory only. After its
+# restart it acknowledged the frame, which a loss of power then removed.
+@pytest.mark.parametrize(
+    ("owner", "operation"), [(os, "fsync"), (Journal, "_sync_folder")]
+)
+def test_what_a_killed_process_wrote_is_synced_before_it_is_used(
+    owner, operation, journal, tmp_path, monkeypatch
+):
+    _write_entries(journal, 2)
+    snapshot = Snapshot(2, 1, (), encode_register(RegisterState()))
+    entry = _make_entry(3)
+    synced = set()
+
+    def kill(*args):
+        raise KeyboardInterrupt
+
+    def record_sync(fd):
+        synced.add(os.fstat(fd).st_ino)
+
+    if owner is os:
+        effects = [StoreEntries((entry,))]
+    else:
+        journal.write_snapshot(snapshot)
+        effects = [StoreSnapshot(snapshot)]
+    with monkeypatch.context() as killed, pytest.raises(KeyboardInterrupt):
+        killed.setattr(owner, operation, kill)
+        journal.store(effects, PersistentState("d", 1, "", snapshot, [entry]))
+    monkeypatch.setattr(os, "fsync", record_sync)
+    assert _reopen(tmp_path).entries[-1] == entry
+    folder = tmp_path / "data"
+    newest = max(folder.glob("journal-*"))
+    assert {folder.stat().st_ino, newest.stat().st_ino} <= synced
+
+
 # Each refused attempt left a file behind: they used up the disk for good.
 @pytest.mark.parametrize(
     ("owner", "operation"),
