Count a connection as idle only once its last answer is sent

What callers saw: an answer over a slow link could end early, one second after the idle timeout of callers' connections. A change that lowers the idle timeout makes it likelier.

Cause: the idle time of a connection began when its last answer was handed to the transport. If the transport still had more of it than it wants to buffer, the timeout closed the connection a while later and aborted it after a second more, which drops what is not sent. Class of fault: a known answer is dropped.

The idle time now begins when the transport has written the answer. Clients that do not read are closed by the limit on unread answers, as before.

What remains: up to 64 KiB that the transport buffers without a pause count as sent.

Test: test_an_answer_that_is_being_sent_is_not_cut_as_idle, with the timeout in force before and lowered meanwhile; both cases failed before (1 run) and pass now, as do the rest of tests/test_channel.py and tests/test_client_budget.py.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -717,7 +717,8 @@
     def _resume_reading(self) -> None:
         if self._outgoing is None and self.pipeline.is_empty:
             self.account.is_serving = False
-            if self._savedTimeOut:
+            # While the last answer is being sent, the connection is not idle.
+            if self._savedTimeOut and not self._waitingForTransport:
                 self.setTimeout(self.bounds.idle_timeout_s)
             if self._is_continue_due:
                 self._is_continue_due = False
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -566,6 +566,40 @@
     assert process.budget.used_bytes == held_bytes
 
 
+def _answer_over_a_slow_link(process):
+    """Returns channel and transport while an answer is being sent."""
+    channel, transport = process.connect()
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+    transport.write = lambda data: (
+        StringTransport.write(transport, data),
+        len(data) > 65536 and channel.pauseProducing(),
+    )
+    process.received[-1].answer(200, [], bytes(100_000))
+    assert len(transport.value()) > 100_000
+    assert transport.producerState == "paused"
+    return channel, transport
+
+
+# Connections with an answer on a slow link counted as idle: the rest was cut.
+@pytest.mark.parametrize("is_timeout_lowered", [False, True])
+def test_an_answer_that_is_being_sent_is_not_cut_as_idle(is_timeout_lowered):
+    process = Process()
+    short = attrs.evolve(BOUNDS, idle_timeout_s=5.0)
+    if not is_timeout_lowered:
+        process.site.bounds = short
+    channel, transport = _answer_over_a_slow_link(process)
+    process.site.bounds = short
+    process.clock.advance(5.0)
+    process.clock.advance(2.0)
+    assert not transport.disconnecting
+    assert not transport.disconnected
+    channel.resumeProducing()
+    process.clock.advance(4.0)
+    assert not transport.disconnecting
+    process.clock.advance(5.0)
+    assert transport.disconnecting
+
+
 # Requests were read without limit while their answers were not.
 def test_a_client_that_does_not_read_is_not_read_either():
     process = Process()
