Relay waiting requests at a partition only if they are over before a stop

A request that waits for load reports at an entry that stops, and that loses its path to all servers meanwhile, was passed on to a peer however little time was left, and cut at the end of the grace period.

Cause: the begin of a partition relays the waiting requests by itself, without what dispatch checks before. Class of fault: work is admitted without regard to a known end.

It now calls dispatch for each request that a peer could take, which checks the stop, relays and spends the token. A request that also runs at a server waits for it there, as with any other refusal.

--- a/gentianwall/gateway/partitions.py
+++ b/gentianwall/gateway/partitions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianwall.gateway import crash_reports, quotas, relaying
+from gentianwall.gateway import crash_reports, dispatching, relaying
 from gentianwall.gateway.effects import CheckReach, GatewayEffect, Log
 from gentianwall.gateway.events import ReachChecked
 from gentianwall.gateway.state import GatewayState
@@ -67,8 +67,8 @@
     state.peers.requested_ms = float("-inf")
     if is_partitioned:
         for call in list(state.querying.values()):
-            if relaying.send_to_peer(state, call, event.at_ms, effects):
-                quotas.commit(state, call, event.at_ms)
+            if relaying.can_relay(state, call, event.at_ms):
+                dispatching.dispatch(state, call, event.at_ms, effects)
     else:
         for service in state.services.values():
             for server in service.servers.values():
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -8,10 +8,16 @@
 from gentianwall.commands.fleet_entry import REFUSE_BEFORE_KILL_MS
 from gentianwall.commands.signals import EXIT_BEFORE_KILL_MS, grace_left_ms
 from gentianwall.config.routes import RouteKind
+from gentianwall.control.messages import PeerList
 from gentianwall.core.events import DrainStarted, FailureKind
 from gentianwall.core.refusals import Executed, RefusalReason
 from gentianwall.gateway import effects as fx
-from gentianwall.gateway.events import DrainEnded, RecheckDue
+from gentianwall.gateway.events import (
+    DrainEnded,
+    FeedArrived,
+    ReachChecked,
+    RecheckDue,
+)
 from gentianwall.gateway.stopping import LIKELY_FACTOR, RETRY_AFTER_MS
 from harness.gateway_entry import (
     CONFIGURATION,
@@ -162,6 +168,28 @@
     _assert_refused(entry.reduce(DrainEnded(entry.now_ms)))
 
 
+# A request that waited for load reports was relayed although it might be cut.
+@pytest.mark.parametrize(
+    ("at_ms", "is_relayed"), [(0.0, True), (GRACE_MS - LIKELY_MS + 1.0, False)]
+)
+def test_a_waiting_request_is_relayed_only_if_it_is_over_in_time(
+    entry, at_ms, is_relayed
+):
+    entry.reduce(FeedArrived(entry.now_ms, "c1", PeerList(("10.0.0.7",))))
+    entry.state.service("s").has_load_reports = True
+    effects = entry.deliver_request(wait_ms=LONG_WAIT_MS)
+    assert effects_of_type(effects, fx.QueryLoad)
+    entry.now_ms = 1000.0 + at_ms
+    entry.state.reachability.unanswered = {"a"}
+    effects = entry.reduce(ReachChecked(entry.now_ms, "a", False))
+    relayed = effects_of_type(effects, fx.RelayRequest)
+    assert bool(relayed) is is_relayed
+    if not is_relayed:
+        assert single_refusal(effects).reason is RefusalReason.NOT_READY
+        assert single_refusal(effects).executed is Executed.NO
+    assert not entry.state.querying
+
+
 def test_requests_without_a_configuration_are_answered_at_the_end():
     entry = Entry()
     assert not effects_of_type(entry.deliver_request(), fx.RefuseRequest)
