Do not reset connections whose last answer is still being sent

A caller that had sent a further request while a large answer was on its way could get only a part of that answer, if the entry closed its listener just then.

Cause: made a connection that is closed after an answer read what the caller sent. The close of connections without a request, 2.6 s after SIGTERM, did not: a connection whose answer has been handed to the transport has no request any more, reading is paused while the transport sends it, and the close with unread input resets the connection. Class of fault: a known answer is dropped.

Both closes now take the same way. Connections without anything to send are closed at once, as before.

Test: test_an_answer_that_is_being_sent_is_not_cut_by_a_shutdown failed before (the connection was closed without reading, 1 run) and passes now, as do test_channel, test_client_budget and, with real processes, test_planned_stops (1 run each).

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -584,10 +584,8 @@
             is_last = self._write_and_run()
         finally:
             self._is_advancing = False
-        if is_last and self._is_input_unread:
-            self._close_after_discarding()
-        elif is_last:
-            self.loseConnection()
+        if is_last:
+            self._close_after_answers()
         elif self._final_problem is not None and self.is_idle:
             self._write_final_problem()
         else:
@@ -931,12 +929,15 @@
             return False
         return self._waitingForTransport or self._is_read_ahead_full
 
-    def _close_after_discarding(self) -> None:
-        """Closes the connection once what the client sent has been read.
+    def _close_after_answers(self) -> None:
+        """Closes the connection, after discarding what the client sent.
 
         A close with unread input resets the connection, and the client may not
         receive the rest of the last answer.
         """
+        if not self._is_input_unread:
+            self.loseConnection()
+            return
         self.is_refused = True
         self._dataBuffer.clear()
         self._networkProducer.unregisterProducer()
@@ -983,7 +984,7 @@
         """
         self.pipeline.is_closing = True
         if self.is_idle and not self._has_partial_request():
-            self.loseConnection()
+            self._close_after_answers()
 
 
 HeadCheck = Callable[[CallerRequest], RefusalReason | None]
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -16,6 +16,7 @@
 
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.http.channel import (
+    LINGER_S,
     MAX_REQUESTS_PER_TURN,
     CallerBounds,
     CallerSite,
@@ -600,6 +601,25 @@
     assert transport.disconnecting
 
 
+# The close with unread input reset the connection in the middle of the answer.
+def test_an_answer_that_is_being_sent_is_not_cut_by_a_shutdown():
+    process = Process()
+    channel, transport = _answer_over_a_slow_link(process)
+    closed = []
+    transport.loseWriteConnection = lambda: closed.append("write")
+    # A real transport accepts a second call.
+    transport.unregisterProducer = lambda: None
+    channel.close_when_idle()
+    # What the client sends is read until it closes its side.
+    assert closed == ["write"]
+    assert transport.producerState == "producing"
+    assert not transport.disconnecting
+    channel.dataReceived(b"GET /y HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert len(process.received) == 1
+    process.clock.advance(LINGER_S)
+    assert transport.disconnecting
+
+
 # Requests were read without limit while their answers were not.
 def test_a_client_that_does_not_read_is_not_read_either():
     process = Process()
