Tell a peer that a request that was not received has not run

A request that a partitioned entry relays while its peer runs out of memory or ends got 502 with "executed unknown", though the peer had refused it as not run and another one could have served it.

Cause: a connection answers a request that it has not received completely by itself, without the header by which peers state the outcome of a relayed request. The first entry took the answer for a mismatched one, and all attempts for used up. In the product's own dialect the refusal also had an empty request id, which makes it the answer to another request. Class of fault: a known answer is dropped.

The port for peers now adds the outcome to refusals with 503, after which the first entry asks another peer or refuses the request as not run. Other refusals depend on the limits of the peer and stay failures of the relay.

Test: test_a_peer_learns_that_a_request_that_was_not_received_has_not_run, with real processes, failed before (no outcome, 1 run) and passes now, as does the other test of a peer in that file. test_channel, test_relaying, test_relay_signatures, test_gateway_requests and test_client_budget pass.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -838,7 +838,9 @@
         refusal = Refusal(reason, Executed.NO)
         if refusal.status == 503:
             refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
-        self._send_and_close(render_refusal(refusal, ""))
+        problem = render_refusal(refusal, "")
+        headers = (*problem.headers, *self.site.refusal_headers(refusal))
+        self._send_and_close(attrs.evolve(problem, headers=headers))
 
     def refuse_unfinished(self) -> None:
         """Refuses the request being received, as the process ends."""
@@ -988,6 +990,7 @@
 
 
 HeadCheck = Callable[[CallerRequest], RefusalReason | None]
+RefusalHeaders = Callable[[Refusal], tuple[tuple[bytes, bytes], ...]]
 MisuseReport = Callable[[Misuse, str, int], None]
 
 
@@ -1002,6 +1005,11 @@
     request.answer_problem(render_refusal(refusal, ""))
 
 
+def _add_no_headers(refusal: Refusal) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns no headers."""
+    return ()
+
+
 def _report_nothing(misuse: Misuse, address: str, held_bytes: int) -> None:
     """Reports nothing."""
 
@@ -1049,6 +1057,8 @@
             for every request when it would start.
         refuse_request: Answers a request that is refused by its head, or for
             which too many requests run.
+        refusal_headers: Returns further headers of the refusal of a request
+            that was not received completely.
 
     Attributes:
         channels: Open connections, closed at a graceful shutdown.
@@ -1066,6 +1076,7 @@
         check_head: HeadCheck | None = None,
         refuse_request: Callable[[CallerRequest, RefusalReason], None]
         | None = None,
+        refusal_headers: RefusalHeaders = _add_no_headers,
     ):
         self.handle = handle
         self.handle_disconnect = handle_disconnect
@@ -1073,6 +1084,7 @@
         self.limits = limits or SiteLimits()
         self.check_head = check_head or _accept_head
         self.refuse_request = refuse_request or _refuse_request
+        self.refusal_headers = refusal_headers
         self._bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
--- a/gentianwall/http/problems.py
+++ b/gentianwall/http/problems.py
@@ -22,7 +22,12 @@
 
 
 def render_refusal(refusal: Refusal, request_id: str) -> Problem:
-    """Renders a refusal for a caller."""
+    """Renders a refusal for a caller.
+
+    Args:
+        refusal: The refusal.
+        request_id: Id of the request; empty if it is unknown.
+    """
     content = {
         "type": f"urn:gentianwall:refusal:{refusal.reason.name.lower()}",
         "title": refusal.reason.value,
@@ -30,10 +35,9 @@
         "executed": refusal.executed.value,
         "request_id": request_id,
     }
-    headers = [
-        (b"Gentianwall-Executed", refusal.executed.value.encode()),
-        (b"Gentianwall-Request-Id", request_id.encode()),
-    ]
+    headers = [(b"Gentianwall-Executed", refusal.executed.value.encode())]
+    if request_id:
+        headers.append((b"Gentianwall-Request-Id", request_id.encode()))
     if refusal.detail:
         content["detail"] = refusal.detail
     if refusal.retry_after_ms > 0:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -71,6 +71,7 @@
 )
 from gentianwall.runtime.process_limits import make_budget
 from gentianwall.runtime.relay_authentication import RelayAuthenticator
+from gentianwall.runtime.relay_headers import refusal_headers
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import ServerPools
 from gentianwall.timeline import Timeline
@@ -149,6 +150,7 @@
             self.requests.on_caller_disconnected,
             limits=self._server_site_limits("peers"),
             refuse_request=self.requests.refuse_arriving_relayed,
+            refusal_headers=refusal_headers,
         )
         self.site = CallerSite(
             self.requests.on_request_arrived,
--- a/gentianwall/runtime/relay_headers.py
+++ b/gentianwall/runtime/relay_headers.py
@@ -41,6 +41,17 @@
     return _converter.dumps(value).encode()
 
 
+def refusal_headers(refusal: Refusal) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns the header for the refusal of a request that was not received.
+
+    Only refusals that another peer may lift have one. Others depend on the
+    limits of this entry, and the caller has kept those of the first entry.
+    """
+    if refusal.status != 503:
+        return ()
+    return ((RELAY_HEADER, encode(RelayOutcome("", refusal))),)
+
+
 def add_signature(relay: bytes, signature: str) -> bytes:
     """Returns the value of the header with the signature of the request."""
     text = relay.decode().removesuffix("}")
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -15,6 +15,8 @@
 
 import pytest
 
+from gentianwall.core.refusals import Executed, RefusalReason
+from gentianwall.runtime.relay_headers import RELAY_HEADER, decode_outcome
 from harness import cluster as listed
 from harness.fleet import (
     CALLERS_PORT,
@@ -211,6 +213,24 @@
     assert entry.process.wait(timeout=15.0) == 0
 
 
+# The refusal did not name the outcome, so the peer took the request for lost.
+def test_a_peer_learns_that_a_request_that_was_not_received_has_not_run(fleet):
+    (entry,) = fleet.entries
+    peer = _Caller(entry.host, ROUTES[0], None, port=PEER_PORT)
+    assert fleet.send_request(entry, "after").status == 200
+    fleet.signal(entry, signal.SIGTERM)
+    peer.read_to_end()
+    assert peer.status == 503
+    head = peer.received.partition(b"\r\n\r\n")[0].decode()
+    headers = dict(line.split(": ", 1) for line in head.split("\r\n")[1:])
+    outcome = decode_outcome(headers.get(RELAY_HEADER.decode(), ""))
+    assert outcome is not None
+    assert outcome.refusal.executed is Executed.NO
+    assert outcome.refusal.reason is RefusalReason.NOT_READY
+    # An empty id would make it the answer to another request.
+    assert "Gentianwall-Request-Id" not in headers
+
+
 # The close with an unread request reset the connection, and what the kernel had
 # not sent of the answer was lost.
 def test_an_answer_is_whole_if_a_further_request_was_sent(fleet, servers):
