Reassign overdue requests also from servers that were removed

A request that may be repeated waited for its deadline, and got 504, if its server had dropped it and was deregistered, replaced or removed before the request was overdue. Other servers had room all the time.

Cause: overdue requests were looked for among the requests of known servers. With its server a request left that list, though its attempt runs on. Servers that deregister first and end later do so within the time of a request.

A request whose server is not known any more, or has been replaced by another process of that name, is now found by its attempt. As no load report can show that such a server dropped it, only the multiple of its expected time counts. The attempt runs on until either server answers, as with any reassignment.

--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -26,7 +26,7 @@
     ServerCrashed,
     ServerFailed,
 )
-from gentianwall.gateway.servers import RoutedServer
+from gentianwall.gateway.servers import RoutedServer, SentRequest
 from gentianwall.gateway.state import (
     ErrorAnswer,
     GatewayState,
@@ -441,12 +441,14 @@
         for call in state.calls.values()
         for attempt in call.running.values()
     }
+    _reassign_from_removed(state, now_ms, effects)
     for name in sorted(occupied):
         server = state.server(name)
         if server is None:
             continue
         for call_id in list(overdue.find_lost(server, now_ms)):
-            _reassign(state, state.calls[call_id], server, now_ms, effects)
+            sent = server.own_requests[call_id]
+            _reassign(state, state.calls[call_id], name, sent, now_ms, effects)
         service = state.services[state.service_by_server[name]]
         if (
             service.has_load_reports
@@ -481,10 +483,29 @@
                 effects.append(CheckOverdue(notice, service.health_path))
 
 
+def _reassign_from_removed(
+    state: GatewayState, now_ms: float, effects: list[GatewayEffect]
+) -> None:
+    """Reassigns overdue requests at servers that were removed meanwhile.
+
+    Such a server may still answer, but it is not asked for its load any more.
+    """
+    for call in list(state.calls.values()):
+        for attempt in list(call.running.values()):
+            server = state.server(attempt.server)
+            is_known = server and call.call_id in server.own_requests
+            if attempt.peer or is_known:
+                continue
+            sent = SentRequest(attempt.sent_ms, max(1.0, attempt.expected_ms))
+            if overdue.is_overdue(sent, now_ms):
+                _reassign(state, call, attempt.server, sent, now_ms, effects)
+
+
 def _reassign(
     state: GatewayState,
     call: RoutedCall,
-    server: RoutedServer,
+    server: str,
+    sent: SentRequest,
     now_ms: float,
     effects: list[GatewayEffect],
 ) -> None:
@@ -497,7 +518,6 @@
         return
     if call.phase is Phase.QUERYING or len(call.running) > 1:
         return
-    sent = server.own_requests[call.call_id]
     if relaying.can_relay(state, call, now_ms):
         expected_ms = state.service(call.service).service_ms_for(call.route)
     else:
@@ -510,7 +530,7 @@
     if not _reserve_retry(state, call, now_ms):
         return
     reason = "overdue" if sent.missing_since_ms is None else "dropped"
-    _log_retry(call, server.name, reason, effects)
+    _log_retry(call, server, reason, effects)
     call.phase = Phase.QUERYING
     dispatching.dispatch(state, call, now_ms, effects)
 
--- a/gentianwall/gateway/overdue.py
+++ b/gentianwall/gateway/overdue.py
@@ -75,10 +75,15 @@
             sent.missing_since_ms is not None
             and now_ms - sent.missing_since_ms >= CONFIRM_MS
         )
-        if is_dropped or sent.lag_ratio(now_ms) >= OVERDUE_FACTOR:
+        if is_dropped or is_overdue(sent, now_ms):
             yield call_id
 
 
+def is_overdue(sent: SentRequest, now_ms: float) -> bool:
+    """Returns whether a request is reassigned without a load report."""
+    return sent.lag_ratio(now_ms) >= OVERDUE_FACTOR
+
+
 def is_reassign_worthwhile(
     sent: SentRequest, expected_ms: float, now_ms: float
 ) -> bool:
--- a/tests/test_gateway_overdue.py
+++ b/tests/test_gateway_overdue.py
@@ -91,6 +91,22 @@
     assert effects == [fx.CancelRequest(1, 1), fx.ForwardAnswer(1)]
 
 
+# It was not looked at any more, and waited for its deadline.
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_an_overdue_request_at_a_server_that_left_is_reassigned(
+    entry, is_replaced
+):
+    name = _send(entry)
+    left = server(name, 3, incarnation=2, state="up" if is_replaced else "left")
+    entry.deliver_update(left)
+    assert not effects_of_type(_tick(entry, 50.0), fx.QueryLoad)
+    _tick(entry, OVERDUE_FACTOR * EXPECTED_MS)
+    entry.deliver_load_report(_other(name), IDLE)
+    assert entry.state.calls[1].server == _other(name)
+    effects = entry.deliver_answer(attempt=1)
+    assert effects == [fx.CancelRequest(1, 2), fx.ForwardAnswer(1)]
+
+
 # It was given up before another server had taken it, and its caller got 502
 # although the answer was on its way.
 def test_an_overdue_request_is_not_refused_while_its_server_works(entry):
