--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -584,10 +584,8 @@
             is_last = self._write_and_run()
         finally:
             self._is_advancing = False
-        if is_last and self._is_input_unread:
-            self._close_after_discarding()
-        elif is_last:
-            self.loseConnection()
+        if is_last:
+            self._close_after_answers()
         elif self._final_problem is not None and self.is_idle:
             self._write_final_problem()
         else:
@@ -717,7 +715,8 @@
     def _resume_reading(self) -> None:
         if self._outgoing is None and self.pipeline.is_empty:
             self.account.is_serving = False
-            if self._savedTimeOut:
+            # While the last answer is being sent, the connection is not idle.
+            if self._savedTimeOut and not self._waitingForTransport:
                 self.setTimeout(self.bounds.idle_timeout_s)
             if self._is_continue_due:
                 self._is_continue_due = False
@@ -839,7 +838,9 @@
         refusal = Refusal(reason, Executed.NO)
         if refusal.status == 503:
             refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
-        self._send_and_close(render_refusal(refusal, ""))
+        problem = render_refusal(refusal, "")
+        headers = (*problem.headers, *self.site.refusal_headers(refusal))
+        self._send_and_close(attrs.evolve(problem, headers=headers))
 
     def refuse_unfinished(self) -> None:
         """Refuses the request being received, as the process ends."""
@@ -930,12 +931,15 @@
             return False
         return self._waitingForTransport or self._is_read_ahead_full
 
-    def _close_after_discarding(self) -> None:
-        """Closes the connection once what the client sent has been read.
+    def _close_after_answers(self) -> None:
+        """Closes the connection, after discarding what the client sent.
 
         A close with unread input resets the connection, and the client may not
         receive the rest of the last answer.
         """
+        if not self._is_input_unread:
+            self.loseConnection()
+            return
         self.is_refused = True
         self._dataBuffer.clear()
         self._networkProducer.unregisterProducer()
@@ -982,10 +986,11 @@
         """
         self.pipeline.is_closing = True
         if self.is_idle and not self._has_partial_request():
-            self.loseConnection()
+            self._close_after_answers()
 
 
 HeadCheck = Callable[[CallerRequest], RefusalReason | None]
+RefusalHeaders = Callable[[Refusal], tuple[tuple[bytes, bytes], ...]]
 MisuseReport = Callable[[Misuse, str, int], None]
 
 
@@ -1000,6 +1005,11 @@
     request.answer_problem(render_refusal(refusal, ""))
 
 
+def _add_no_headers(refusal: Refusal) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns no headers."""
+    return ()
+
+
 def _report_nothing(misuse: Misuse, address: str, held_bytes: int) -> None:
     """Reports nothing."""
 
@@ -1047,6 +1057,8 @@
             for every request when it would start.
         refuse_request: Answers a request that is refused by its head, or for
             which too many requests run.
+        refusal_headers: Returns further headers of the refusal of a request
+            that was not received completely.
 
     Attributes:
         channels: Open connections, closed at a graceful shutdown.
@@ -1064,6 +1076,7 @@
         check_head: HeadCheck | None = None,
         refuse_request: Callable[[CallerRequest, RefusalReason], None]
         | None = None,
+        refusal_headers: RefusalHeaders = _add_no_headers,
     ):
         self.handle = handle
         self.handle_disconnect = handle_disconnect
@@ -1071,6 +1084,7 @@
         self.limits = limits or SiteLimits()
         self.check_head = check_head or _accept_head
         self.refuse_request = refuse_request or _refuse_request
+        self.refusal_headers = refusal_headers
         self._bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
