--- a/gentianwall/core/control.py
+++ b/gentianwall/core/control.py
@@ -47,6 +47,7 @@
     Proposed,
     ReplicaMessageArrived,
     ReplicaTick,
+    SnapshotRefused,
     SnapshotTaken,
     reduce_replica,
 )
@@ -58,7 +59,9 @@
 # yet, so that clients that send again cannot fill the memory.
 MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 
-ControlEvent = MessageArrived | Tick | BatchEnded | SnapshotTaken
+ControlEvent = (
+    MessageArrived | Tick | BatchEnded | SnapshotTaken | SnapshotRefused
+)
 ControlEffect = StorageEffect | TakeSnapshot | SendMessage | RecordEvent
 
 
@@ -135,7 +138,7 @@
             )
             for command in commands:
                 _propose(state, command, event, effects)
-        case BatchEnded() | SnapshotTaken():
+        case BatchEnded() | SnapshotTaken() | SnapshotRefused():
             replica_effects = reduce_replica(state.replica, event)
             _apply_replica_effects(state, replica_effects, event, effects)
             feed.push_changes(state.feed, state.replica, event.at_ms, effects)
--- a/gentianwall/replication/appending.py
+++ b/gentianwall/replication/appending.py
@@ -292,8 +292,7 @@
     state.commit_index = max(state.commit_index, index)
     while state.applied_index < state.commit_index:
         _apply_next(state, effects)
-    if _is_snapshot_due(state) and not state.is_snapshot_pending:
-        _take_snapshot(state, effects)
+    _take_due_snapshot(state, effects)
 
 
 def _apply_next(state: ReplicaState, effects: list[ReplicationEffect]) -> None:
@@ -324,9 +323,11 @@
     ) or state.applied_bytes >= max(timing.snapshot_bytes, snapshot_bytes)
 
 
-def _take_snapshot(
+def _take_due_snapshot(
     state: ReplicaState, effects: list[ReplicationEffect]
 ) -> None:
+    if state.is_snapshot_pending or not _is_snapshot_due(state):
+        return
     index = state.applied_index
     term = state.log.term_at(index)
     assert term is not None
@@ -351,6 +352,18 @@
     effects.append(StoreSnapshot(snapshot))
 
 
+def on_snapshot_refused(
+    state: ReplicaState, effects: list[ReplicationEffect]
+) -> None:
+    """Takes a snapshot of the present state in place of a refused one.
+
+    Entries committed since then need not be copied behind it, so the disk needs
+    no room for a second copy of them.
+    """
+    state.is_snapshot_pending = False
+    _take_due_snapshot(state, effects)
+
+
 def on_snapshot_request(
     state: ReplicaState,
     sender: str,
--- a/gentianwall/replication/effects.py
+++ b/gentianwall/replication/effects.py
@@ -43,7 +43,7 @@
 class TakeSnapshot:
     """Encodes a copy of the register outside of the event loop.
 
-    The driver reports the result as a `SnapshotTaken` event.
+    The driver reports a `SnapshotTaken` or `SnapshotRefused` event.
 
     Attributes:
         index: Index of the last entry that the copy includes.
--- a/gentianwall/replication/replica.py
+++ b/gentianwall/replication/replica.py
@@ -66,8 +66,23 @@
     snapshot: Snapshot
 
 
+@attrs.frozen
+class SnapshotRefused:
+    """Reports that the disk refused the snapshot of a `TakeSnapshot` effect.
+
+    The driver reports it when it is time to try again.
+    """
+
+    at_ms: float
+
+
 ReplicaEvent = (
-    ReplicaMessageArrived | ReplicaTick | Proposed | BatchEnded | SnapshotTaken
+    ReplicaMessageArrived
+    | ReplicaTick
+    | Proposed
+    | BatchEnded
+    | SnapshotTaken
+    | SnapshotRefused
 )
 
 
@@ -96,6 +111,8 @@
             _send_appended(state, event.at_ms, effects)
         case SnapshotTaken():
             appending.on_snapshot_taken(state, event.snapshot, effects)
+        case SnapshotRefused():
+            appending.on_snapshot_refused(state, effects)
     return effects
 
 
--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -42,7 +42,11 @@
     TakeSnapshot,
 )
 from gentianwall.replication.messages import Snapshot
-from gentianwall.replication.replica import BatchEnded, SnapshotTaken
+from gentianwall.replication.replica import (
+    BatchEnded,
+    SnapshotRefused,
+    SnapshotTaken,
+)
 from gentianwall.replication.restore import persistent_state_of, restore_replica
 from gentianwall.replication.state import Role, Timing
 from gentianwall.runtime.common import (
@@ -114,7 +118,8 @@
         fault: Unhandled exception that stops the process; empty if none.
         unstored_effects: Effects whose write to disk failed. Until they are
             written, messages and ticks are dropped and no effect is performed.
-        unreported_snapshot: A snapshot that was written in the meantime.
+        unreported_snapshot: Report of a snapshot that was written or refused in
+            the meantime.
     """
 
     def __init__(self, setup: ControlSetup, reactor, timers: TimerService):
@@ -128,7 +133,7 @@
         self.receive_reply: Callable[[Message], None] = _drop_message
         self.fault = ""
         self.unstored_effects: list[ControlEffect] = []
-        self.unreported_snapshot: Snapshot | None = None
+        self.unreported_snapshot: SnapshotTaken | SnapshotRefused | None = None
 
     def recover(self) -> None:
         """Reads the journal and rebuilds the replica.
@@ -270,9 +275,9 @@
         if self.unstored_effects:
             return
         log.info("Journal written after a retry. Messages are handled again.")
-        snapshot, self.unreported_snapshot = self.unreported_snapshot, None
-        if snapshot is not None:
-            self._report_snapshot(snapshot)
+        report, self.unreported_snapshot = self.unreported_snapshot, None
+        if report is not None:
+            self._report_snapshot(report)
 
     def _write_snapshot(self, effect: TakeSnapshot) -> None:
         """Encodes the register and writes a snapshot file; runs in a thread."""
@@ -285,26 +290,28 @@
         try:
             self.journal.write_snapshot(snapshot)
         except OSError as error:
-            log.error("Snapshot not written: %s. The write is retried.", error)
+            log.error("Snapshot not written: %s. Another is written.", error)
             self.reactor.callFromThread(
                 self.timers.start,
                 f"{self.setup.name}.snapshot",
                 monotonic_ms() + SNAPSHOT_RETRY_MS,
-                lambda: self.reactor.callInThread(self._write_snapshot, effect),
+                lambda: self._report_snapshot(SnapshotRefused(monotonic_ms())),
             )
             return
-        self.reactor.callFromThread(self._report_snapshot, snapshot)
+        self.reactor.callFromThread(
+            self._report_snapshot, SnapshotTaken(monotonic_ms(), snapshot)
+        )
 
-    def _report_snapshot(self, snapshot: Snapshot) -> None:
-        """Reports a written snapshot once no effects are unstored.
+    def _report_snapshot(self, report: SnapshotTaken | SnapshotRefused) -> None:
+        """Reports the end of a snapshot once no effects are unstored.
 
         The report must not be lost: it is not sent again, and the replica takes
         no other snapshot before it.
         """
         if self.unstored_effects:
-            self.unreported_snapshot = snapshot
+            self.unreported_snapshot = report
             return
-        self._handle([SnapshotTaken(monotonic_ms(), snapshot)])
+        self._handle([report])
 
     def _store(self, effects: list[ControlEffect]) -> bool:
         """Writes and syncs storage effects; returns whether that succeeded.
--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -212,7 +212,13 @@
             OSError: The disk is full or failing.
         """
         payload = codec.pack(snapshot, Snapshot)
-        os.close(self._write_file(self._snapshot_path(snapshot.index), payload))
+        path = self._snapshot_path(snapshot.index)
+        try:
+            os.close(self._write_file(path, payload))
+        except OSError:
+            # It may have its name already, and the next one has another.
+            path.unlink(missing_ok=True)
+            raise
         self._snapshot_crcs[snapshot.index] = zlib.crc32(payload)
 
     def _snapshot_path(self, index: int) -> pathlib.Path:
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -50,6 +50,23 @@
     assert all([cluster.change() for _ in range(changes)])
 
 
+# The refused snapshot was written again as it was. By then, the entries behind
+# it took more than half of the disk, which had no room to copy them.
+@pytest.mark.parametrize("refused", ["create", "rename"])
+@pytest.mark.parametrize("is_leader", [True, False])
+def test_an_instance_whose_disk_refuses_new_files_compacts_its_journal_later(
+    is_leader, refused, cluster
+):
+    leader = cluster.leader()
+    others = [name for name in cluster.names if name != leader]
+    disk = cluster.disks[leader if is_leader else others[0]]
+    disk.fill(refused, 2.5)
+    for _ in range(50):
+        cluster.change(0.05)
+    assert disk.refusals
+    cluster.check_recovered()
+
+
 def test_a_configuration_refused_by_the_disk_is_not_acknowledged(
     tmp_path, monkeypatch
 ):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -275,6 +275,25 @@
     assert [e.index for e in recovered.entries] == [9, 10]
 
 
+# A snapshot that is refused is followed by one of a later state, so that its
+# file would be left behind under another name.
+def test_a_snapshot_whose_name_is_not_synced_is_removed(
+    journal, tmp_path, monkeypatch
+):
+    _write_entries(journal, 9)
+    files = sorted((tmp_path / "data").iterdir())
+
+    def refuse(*args):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(Journal, "_sync_folder", refuse)
+    with pytest.raises(OSError):
+        journal.write_snapshot(
+            Snapshot(8, 1, (), encode_register(RegisterState()))
+        )
+    assert sorted((tmp_path / "data").iterdir()) == files
+
+
 def test_a_cluster_is_bootstrapped_only_once(tmp_path):
     folder = str(tmp_path / "data")
     assert not isinstance(Journal(folder).bootstrap("r"), JournalNotEmpty)
