Do not cut requests that run at servers when memory is short

What callers saw: nothing on record; found by the review of the lost requests. When memory ran out, a connection was closed without an answer while its request ran at a server (LOST).

Cause: the order in which connections are given up did not know which requests run. Five ways led to it: - nobody held a part of a request: the address that holds most lost a connection, whatever had asked for the memory; - a part of a request was received behind one that runs: the connection was closed with both, where only the part had to be refused; - an answer was charged beyond the limit: the largest other request was cut; - a wait for memory ended, or a new connection was accepted: as in the first; - a request whose body was complete did not fit: closed without the 503 that one with a part of it gets. It had not run.

Change: clients that hold a part of a request or do not read are given up as before, but what was received behind a request that runs is refused (503, not executed) after its answer. If there are none, what grows yields: the request being received is refused, an answer without room is replaced by 502, and a new connection is not accepted, unless an idle one can be closed for it. Idle connections are not closed for anything else, as they hold almost nothing. The body of a request that was refused is released with its charge at once. An operator's connection is set up before it is charged, as it may yield now.

Remains: a client that does not read an earlier answer loses the requests behind it if nothing else can be released.

Evidence: of the new tests, 8 cases fail before (on the code before, with the attribute that they set added) and pass after; the case of the ended wait passed before too. Found with them: a connection that yielded for its own body counted as blocked afterwards, and was closed as its request was answered.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -182,8 +182,6 @@
         """Processes the complete request if it has exactly one `Host`."""
         if self.channel.is_refused:
             return
-        self.is_received = True
-        self.received_ms = monotonic_ms()
         hosts = self.requestHeaders.getRawHeaders(b"Host") or []
         if len(hosts) > 1 or (not hosts and version == b"HTTP/1.1"):
             # RFC 9112, 3.2: a request must have exactly one Host header.
@@ -195,6 +193,8 @@
             self.channel.charge_body(self)
             if self.channel.is_refused:
                 return
+        self.is_received = True
+        self.received_ms = monotonic_ms()
         if self._content is not None:
             self.body = self._content.take()
             self._content = None
@@ -252,6 +252,18 @@
         self._ready_answer = (status, headers, body)
         self.channel.on_answer_ready(self, len(body), is_closing)
 
+    def replace_answer(self) -> int:
+        """Replaces the answer that is ready where there is no memory for it.
+
+        Returns:
+            Size of the body of the answer that is sent in its place.
+        """
+        refusal = Refusal(RefusalReason.OVERLOADED, Executed.UNKNOWN)
+        problem = render_refusal(refusal, "")
+        headers = [(b"Content-Type", CONTENT_TYPE), *problem.headers]
+        self._ready_answer = (problem.status, headers, problem.body)
+        return len(problem.body)
+
     def start_answer(self, is_last: bool) -> bytes:
         """Sets the head of the answer that is ready; returns its body.
 
@@ -336,7 +348,6 @@
         self._is_receiving = False
         self._outgoing: _Outgoing | None = None
         self._unparsed_bytes = 0
-        self._running_requests = 0
         self._window_start_bytes = 0
         self._body_time_s = 0.0
         self._unread_call = None
@@ -354,7 +365,12 @@
         self.budget = budget
         self.account = self._resources.enter_context(
             budget.account(
-                address, monotonic_ms(), self._give_up, self._on_memory_free
+                address,
+                monotonic_ms(),
+                self._give_up,
+                self._on_memory_free,
+                self._refusable_bytes,
+                self._refuse_for_memory,
             )
         )
 
@@ -533,6 +549,34 @@
         self.is_refused = True
         self.transport.abortConnection()
 
+    def _refusable_bytes(self) -> int:
+        """Returns what is charged for requests that are not complete."""
+        if self.is_refused:
+            return 0
+        request = self.requests[-1] if self.requests else None
+        is_partial = request is not None and not request.is_received
+        return self._unparsed_bytes + (request.charged_bytes * is_partial)
+
+    def _refuse_for_memory(self) -> None:
+        """Refuses what is not complete, after the answers to what is.
+
+        Called by the budget, from whatever charged bytes.
+        """
+        self.report(Misuse.MEMORY)
+        self.budget.stop_waiting(self.account)
+        self._is_linger_due = True
+        self.refuse(RefusalReason.OVERLOADED, None)
+
+    def _release_partial_request(self) -> None:
+        """Discards what was received of a refused request, with its charge."""
+        self._discard_partial_request()
+        for request in self.requests:
+            if not request.is_received:
+                self._charge_request(request, -request.charged_bytes)
+                request.uncharged_bytes = 0
+        self._charge_unparsed()
+        self._update_receive_timeout()
+
     def _discard_partial_request(self) -> None:
         for request in self.requests:
             if not request.is_received:
@@ -551,6 +595,7 @@
         account = self.account
         account.progress_ms = request.received_ms
         account.is_serving = True
+        account.is_blocked_by_client = self._unread_call is not None
         if not account.is_proven:
             self.budget.prove(account)
         self._advance()
@@ -561,15 +606,26 @@
         """Writes the answer to a request after those to earlier ones."""
         if is_closing:
             self.pipeline.is_closing = True
-        self.pipeline.record_answer(request, answer_bytes)
         if request.is_running:
             request.is_running = False
-            self._running_requests -= 1
+            self.account.running_requests -= 1
             self.budget.running_requests -= 1
         if answer_bytes > SMALL_ANSWER_BYTES:
-            self._charge_request(request, answer_bytes)
+            answer_bytes = self._charge_answer(request, answer_bytes)
+        if self.account.is_given_up:
+            return
+        self.pipeline.record_answer(request, answer_bytes)
         self._advance()
 
+    def _charge_answer(self, request: CallerRequest, answer_bytes: int) -> int:
+        """Charges an answer, or replaces it; returns the size that is sent."""
+        account, now_ms = self.account, monotonic_ms()
+        if self.budget.charge_answer(account, answer_bytes, now_ms):
+            request.charged_bytes += answer_bytes
+            return answer_bytes
+        self.report(Misuse.MEMORY)
+        return request.replace_answer()
+
     @property
     def is_idle(self) -> bool:
         """Whether every received request was answered completely."""
@@ -599,7 +655,7 @@
             is_due = self._outgoing is not None or self.pipeline.is_answer_due
             if is_due and self._write_answers():
                 return True
-            if self._running_requests and self.budget.is_nearly_full:
+            if self.account.running_requests and self.budget.is_nearly_full:
                 # One request at a time for each connection.
                 return False
             request = self.pipeline.start_next()
@@ -656,7 +712,7 @@
             request.charged_bytes += size_bytes
         if limits.has_servers:
             request.is_running = True
-            self._running_requests += 1
+            self.account.running_requests += 1
             budget.running_requests += 1
         site.handle(request)
 
@@ -746,12 +802,18 @@
         self._advance()
 
     def _update_receive_timeout(self) -> None:
-        is_receiving = not self._handlingRequest and self._has_partial_request()
+        is_receiving = (
+            not self.is_refused
+            and not self._handlingRequest
+            and self._has_partial_request()
+        )
+        self.account.is_blocked_by_client = (
+            is_receiving or self._unread_call is not None
+        )
         if is_receiving == self._is_receiving:
             return
         self._is_receiving = is_receiving
         self._body_time_s = 0.0
-        self.account.is_blocked_by_client = is_receiving
         if self._receive_timeout_call is not None:
             self._receive_timeout_call.cancel()
             self._receive_timeout_call = None
@@ -876,7 +938,7 @@
         if self.is_refused:
             return
         self.is_refused = True
-        self._discard_partial_request()
+        self._release_partial_request()
         self._final_problem = problem
         self._advance()
 
@@ -970,8 +1032,8 @@
         self.site.channels.discard(self)
         super().connectionLost(reason)
         self._outgoing = None
-        self.budget.running_requests -= self._running_requests
-        self._running_requests = 0
+        self.budget.running_requests -= self.account.running_requests
+        self.account.running_requests = 0
         self._resources.close()
 
     def close_when_idle(self) -> None:
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -12,9 +12,13 @@
   `SMALL_BYTES` have to wait. What is left is for ordinary small requests.
 - Above the bound for all, connections are given up at once.
 
-Connections are given up in an order that costs ordinary clients least: first
-those whose request is not complete or whose client does not read, among them
-those without progress; then by what their address holds.
+Given up are connections whose request is not complete or whose client does not
+read, first those without progress, then by what their address holds. If there
+are none, the connection that takes more gives up what it takes. A request that
+runs at a server is not cut: what was received behind it is refused after its
+answer. The exception is a client that does not read an earlier answer, if
+nothing else is left. Idle connections are not closed, as they hold almost
+nothing.
 """
 
 from __future__ import annotations
@@ -72,6 +76,15 @@
         return self.memory_bytes - reserve
 
 
+def _nothing_refusable() -> int:
+    """Returns no bytes."""
+    return 0
+
+
+def _refuse_nothing() -> None:
+    """Refuses nothing."""
+
+
 @attrs.define(eq=False, kw_only=True)
 class Account:
     """What one connection holds.
@@ -82,11 +95,15 @@
             the client from then on. The argument tells whether memory is
             short; otherwise another connection needs the descriptor.
         resume: Continues to read after the connection had to wait.
+        refusable_bytes: Returns the bytes that `refuse_unfinished` releases.
+        refuse_unfinished: Refuses and releases what was received of requests
+            that are not complete, after the answers to those that are.
         held_bytes: Bytes that are charged.
         progress_ms: When the client last sent or read something.
         is_blocked_by_client: Whether a request is incomplete or an answer is
             not read.
         is_serving: Whether a complete request is not answered yet.
+        running_requests: Requests of the connection that run at servers.
         is_proven: Whether the connection had a complete request.
         is_waiting: Whether the connection waits for memory.
         is_given_up: Whether `give_up` was called.
@@ -96,10 +113,13 @@
     address: str
     give_up: Callable[[bool], None]
     resume: Callable[[], None]
+    refusable_bytes: Callable[[], int] = _nothing_refusable
+    refuse_unfinished: Callable[[], None] = _refuse_nothing
     held_bytes: int = 0
     progress_ms: float = 0.0
     is_blocked_by_client: bool = False
     is_serving: bool = False
+    running_requests: int = 0
     is_proven: bool = False
     is_waiting: bool = False
     is_given_up: bool = False
@@ -175,10 +195,17 @@
         now_ms: float,
         give_up: Callable[[bool], None],
         resume: Callable[[], None],
+        refusable_bytes: Callable[[], int] = _nothing_refusable,
+        refuse_unfinished: Callable[[], None] = _refuse_nothing,
     ) -> Iterator[Account]:
         """Holds the account of a connection for as long as it is open."""
         account = Account(
-            address=address, give_up=give_up, resume=resume, progress_ms=now_ms
+            address=address,
+            give_up=give_up,
+            resume=resume,
+            refusable_bytes=refusable_bytes,
+            refuse_unfinished=refuse_unfinished,
+            progress_ms=now_ms,
         )
         self._accounts.add(account)
         self._unproven[account] = now_ms
@@ -207,7 +234,9 @@
             Whether the new connection may be accepted.
         """
         limit = self.limits.connections
-        if len(self._accounts) - self._closing_connections < limit:
+        self.reclaim_from_blocked(now_ms, CONNECTION_BYTES)
+        open_connections = len(self._accounts) - self._closing_connections
+        if open_connections < limit and self._has_room(CONNECTION_BYTES):
             return True
         if len(self._accounts) >= limit + MAX_EXCESS_CONNECTIONS:
             return False
@@ -215,7 +244,10 @@
         if victim is None:
             return False
         self._give_up(victim, is_memory_short=False)
-        return True
+        return self._has_room(CONNECTION_BYTES)
+
+    def _has_room(self, size_bytes: int) -> bool:
+        return self.used_bytes + size_bytes <= self.limits.memory_bytes
 
     def _find_connection_to_close(self, now_ms: float) -> Account | None:
         oldest_ms = next(iter(self._unproven.values()), now_ms)
@@ -256,7 +288,8 @@
     def charge(self, account: Account, size_bytes: int) -> None:
         """Charges bytes to a connection, or releases them if negative.
 
-        Connections are given up if the budget is exceeded, perhaps this one.
+        If the budget is exceeded, clients that block a connection are given
+        up, or else what this connection takes.
         Nothing is charged to a connection that was given up or is lost: it
         keeps nothing.
         """
@@ -267,36 +300,49 @@
         self._held_by_address[account.address] += size_bytes
         if size_bytes > 0:
             if self.is_exceeded:
-                self._give_up_over_limit(account.progress_ms)
+                self._give_up_over_limit(account)
         elif self._waiting and not self.is_short:
             self._resume_all()
 
+    def charge_answer(
+        self, account: Account, size_bytes: int, now_ms: float
+    ) -> bool:
+        """Charges bytes of an answer if there is room, and returns whether.
+
+        Clients that block a connection are given up for it.
+        """
+        self.reclaim_from_blocked(now_ms, size_bytes)
+        if not self._has_room(size_bytes):
+            return False
+        self.charge(account, size_bytes)
+        return True
+
     def reserve(self, account: Account, size_bytes: int, now_ms: float) -> bool:
         """Charges bytes if there is room, and returns whether there was.
 
         Only clients that make no progress are given up for it.
         """
         self.reclaim(size_bytes, now_ms)
-        if self.used_bytes + size_bytes > self.limits.memory_bytes:
+        if not self._has_room(size_bytes):
             return False
         self.charge(account, size_bytes)
         return True
 
     def reclaim(self, size_bytes: int, now_ms: float) -> None:
         """Makes room by giving up clients that make no progress."""
-        while self.used_bytes + size_bytes > self.limits.memory_bytes:
+        while not self._has_room(size_bytes):
             victim = self._find_victim(now_ms)
             if victim is None or not self._is_stalled(victim, now_ms):
                 return
-            self._give_up(victim)
+            self._release(victim)
 
-    def reclaim_from_blocked(self, now_ms: float) -> None:
+    def reclaim_from_blocked(self, now_ms: float, size_bytes: int = 0) -> None:
         """Gives up clients that hold a part of a request or do not read."""
-        while self.is_exceeded:
+        while not self._has_room(size_bytes):
             victim = self._find_victim(now_ms)
-            if victim is None or not victim.is_blocked_by_client:
+            if victim is None:
                 return
-            self._give_up(victim)
+            self._release(victim)
 
     @staticmethod
     def _is_stalled(account: Account, now_ms: float) -> bool:
@@ -332,7 +378,7 @@
             return
         victim = self._find_victim(now_ms)
         if victim is not None:
-            self._give_up(victim)
+            self._release(victim)
 
     def _resume_all(self) -> None:
         waiting = list(self._waiting)
@@ -341,21 +387,24 @@
             account.is_waiting = False
             account.resume()
 
-    def _give_up_over_limit(self, now_ms: float) -> None:
+    def _give_up_over_limit(self, account: Account) -> None:
         if self._is_giving_up:
             # Refusing a connection may charge bytes to it.
             return
         self._is_giving_up = True
         try:
-            while self.is_exceeded:
-                victim = self._find_victim(now_ms)
-                if victim is None:
-                    return
-                self._give_up(victim)
+            self.reclaim_from_blocked(account.progress_ms)
+            while self.is_exceeded and not account.is_given_up:
+                self._release(account)
         finally:
             self._is_giving_up = False
 
     def _find_victim(self, now_ms: float) -> Account | None:
+        """Returns the client whose bytes are released first, if any.
+
+        No request that runs at a server is cut for it.
+        """
+
         def cost(account: Account) -> tuple:
             return (
                 account.is_blocked_by_client,
@@ -364,9 +413,26 @@
                 account.held_bytes,
             )
 
-        candidates = [a for a in self._accounts if not a.is_given_up]
+        candidates = [a for a in self._accounts if self._is_candidate(a)]
         return max(candidates, key=cost, default=None)
 
+    @staticmethod
+    def _is_candidate(account: Account) -> bool:
+        if account.is_given_up:
+            return False
+        if account.is_blocked_by_client and not account.running_requests:
+            return True
+        return (
+            account.is_serving and account.refusable_bytes() >= CONNECTION_BYTES
+        )
+
+    def _release(self, account: Account) -> None:
+        """Refuses what was not received completely, or gives up the client."""
+        if account.is_serving and account.refusable_bytes() > 0:
+            account.refuse_unfinished()
+        else:
+            self._give_up(account)
+
     def _give_up(self, account: Account, is_memory_short: bool = True) -> None:
         self.stop_waiting(account)
         self.charge(account, -account.held_bytes)
--- a/gentianwall/http/operators.py
+++ b/gentianwall/http/operators.py
@@ -111,12 +111,13 @@
             )
         )
         self._address = address
-        self.factory.budget.charge(self._account, MAX_MEMORY_BODY_BYTES)
-        self._account.is_blocked_by_client = True
         self._timeout_call = self.factory.call_later(
             CONNECTION_TIMEOUT_S, self._on_timeout
         )
         super().makeConnection(transport)
+        self._account.is_blocked_by_client = True
+        # This connection may be given up for it, so that it must be complete.
+        self.factory.budget.charge(self._account, MAX_MEMORY_BODY_BYTES)
 
     def _give_up(self, is_memory_short: bool) -> None:
         misuse = Misuse.MEMORY if is_memory_short else Misuse.CONNECTIONS
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -485,6 +485,101 @@
     assert process.reports == []
 
 
+GET = b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+# A request that ran was cut with the one that was received behind it.
+@pytest.mark.parametrize(
+    ("is_stalled", "size"), [(False, 350_000), (True, 250_000)]
+)
+def test_a_body_is_refused_after_the_answer_to_a_request_that_runs(
+    is_stalled, size
+):
+    process = Process(has_servers=True)
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"a" + HEAD % (b"b", 900_000) + bytes(700_000))
+    channel.account.progress_ms -= 5000.0 * is_stalled
+    other, _ = process.connect()
+    other.dataReceived(HEAD % (b"c", size) + bytes(size))
+    assert not transport.disconnected and transport.value() == b""
+    assert _paths((None, None, None, process.received)) == [b"a", b"c"]
+    channel.dataReceived(bytes(200_000))
+    process.received[0].answer(200, [], b"answer-a")
+    first, _, last = transport.value().partition(b"answer-a")
+    assert first.startswith(b"HTTP/1.1 200 ")
+    assert last.startswith(b"HTTP/1.1 503 ") and b'"executed": "no"' in last
+    process.clock.advance(1.1)
+    assert transport.disconnecting
+    assert process.reports == [Misuse.MEMORY]
+
+
+# The request that held most was cut for the answer to another one.
+def test_an_answer_without_room_is_replaced_and_cuts_no_request_that_runs():
+    process = Process(has_servers=True)
+    holder, holder_transport = process.connect()
+    holder.dataReceived(HEAD % (b"a", 300_000) + bytes(300_000))
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"b")
+    process.received[1].answer(200, [], bytes(500_000))
+    assert not holder_transport.disconnected and not transport.disconnected
+    assert transport.value().startswith(b"HTTP/1.1 502 ")
+    assert b'"executed": "unknown"' in transport.value()
+    process.received[0].answer(200, [], b"answer-a")
+    assert b"answer-a" in holder_transport.value()
+    assert process.reports == [Misuse.MEMORY]
+
+
+# A request that was complete and had not run was cut without an answer.
+def test_a_complete_request_without_room_is_refused():
+    process = Process(has_servers=True)
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"a", 10_000) + bytes(5000))
+    process.budget.answer_bytes = MIB - process.budget.held_bytes
+    channel.dataReceived(bytes(5000))
+    assert process.received == []
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b'"executed": "no"' in transport.value()
+    assert not transport.disconnected
+    process.budget.answer_bytes = 0
+
+
+# Requests that run must not be cut, whatever else is received and answered.
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 5), st.booleans()),
+        max_size=40,
+    )
+)
+def test_no_request_that_runs_is_cut_for_memory(steps):
+    process = Process(has_servers=True)
+    process.connect()
+    for connection, step, is_small in steps:
+        size = 2000 if is_small else 300_000
+        is_new = connection >= len(process.channels)
+        if is_new and process.budget.make_room(0.0):
+            process.connect()
+        channel = process.channels[connection % len(process.channels)]
+        if not channel.transport.disconnecting:
+            if step == 0:
+                channel.dataReceived(HEAD % (b"x", size) + bytes(size // 2))
+            elif step == 1:
+                channel.dataReceived(bytes(size // 2))
+            elif step == 2:
+                channel.dataReceived(GET % b"y")
+            elif step == 3:
+                channel.dataReceived(HEAD % (b"x", size) + bytes(size))
+        if step == 4 and process.received:
+            process.received.pop(0).answer(200, [], bytes(size))
+        elif step == 5:
+            process.clock.advance(2.5)
+        assert process.budget.used_bytes <= BUDGET_LIMITS.memory_bytes
+        for other in process.channels:
+            if other.transport.disconnected:
+                assert not any(r.is_running for r in other.requests)
+    process.close()
+    assert process.budget.used_bytes == process.budget.running_requests == 0
+
+
 # An upload on a slow link must not be taken for one that only stays open.
 def test_a_slow_upload_succeeds_and_a_slower_one_is_refused():
     process = Process()
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -4,6 +4,7 @@
 
 import contextlib
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -115,6 +116,51 @@
     assert connections.given_up == [1]
 
 
+def _serve(account):
+    account.is_serving = True
+    account.running_requests = 1
+
+
+# Requests that ran at servers were cut for what another connection sent.
+def test_what_grows_is_given_up_before_a_request_that_runs():
+    connections = Connections()
+    for _ in range(3):
+        account = connections.open("10.0.0.1", 5 * MIB, is_blocked=False)
+        connections.budget.prove(account)
+        _serve(account)
+    for _ in range(4):
+        idle = connections.open("10.0.0.2", is_blocked=False)
+        connections.budget.prove(idle)
+    connections.open("10.0.0.3", 2 * MIB, is_blocked=False)
+    assert connections.given_up == [7]
+
+
+# A wait for memory must not end a request that runs.
+def test_a_wait_ends_without_a_request_that_runs_being_cut():
+    connections = Connections()
+    _serve(connections.open("10.0.0.1", 13 * MIB, is_blocked=False))
+    waiting = connections.open("10.0.0.2", 2 * MIB)
+    connections.budget.start_waiting(waiting)
+    connections.budget.end_wait(3000.0)
+    assert connections.given_up == [1]
+
+
+# Opening a connection must not cut a request that runs, nor raise.
+@pytest.mark.parametrize("has_idle", [False, True])
+def test_no_connection_is_accepted_while_requests_that_run_hold_all(has_idle):
+    connections = Connections()
+    budget = connections.budget
+    if has_idle:
+        idle = connections.open("10.0.0.2", is_blocked=False)
+        budget.prove(idle)
+    serving = connections.open("10.0.0.1", is_blocked=False)
+    budget.prove(serving)
+    _serve(serving)
+    budget.charge(serving, LIMITS.memory_bytes - budget.used_bytes)
+    assert budget.make_room(connections.now_ms) == has_idle
+    assert connections.given_up == [0] * has_idle
+
+
 # What is left above the bound for large requests is for small ones.
 def test_large_requests_wait_and_small_ones_do_not():
     connections = Connections()
