Send the last answer of a connection that is closed for a new one

What callers saw: nothing on record; found by the audit of places that close connections. At the limit of connections, an idle connection is closed for a new one. If its last answer was still being sent, the caller got a part of it or nothing, though a server had run the request (LOST). A connection whose request took long is among the first to be closed, as its last progress is the receipt of that request.

Cause: idle connections were aborted, which discards what is not sent yet.

Change: an idle connection is closed once its last answer is sent, within 1 s. Nothing more is read from it. Connections with a part of a request are closed as before; none of their requests runs.

Ruled out: connections whose requests run. They are neither idle nor without a complete request, so they are not considered.

Evidence: the new test fails before (the connection was aborted) and passes after; tests/test_client_budget.py and tests/test_channel.py pass.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -545,8 +545,16 @@
             self._is_linger_due = True
             self.refuse(RefusalReason.OVERLOADED, None)
             return
+        is_unused = self.is_idle and not self._has_partial_request()
         self._discard_partial_request()
         self.is_refused = True
+        if is_unused and not is_memory_short and self._closing_call is None:
+            # The last answer may not be sent yet; an abort would discard it.
+            self._closing_call = self.callLater(
+                LINGER_S, self._on_closing_timeout
+            )
+            self.loseConnection()
+            return
         self.transport.abortConnection()
 
     def _refusable_bytes(self) -> int:
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -48,7 +48,8 @@
 # A connection without a complete request may be closed for a new one after
 # this time, before idle ones are.
 HEAD_GRACE_MS = 1000.0
-# Connections that were given up are closed in the next turn of the reactor.
+# Connections that were given up are closed in the next turn of the reactor, or
+# when their last answer has been sent.
 # This many may be accepted in one turn beyond the limit.
 MAX_EXCESS_CONNECTIONS = 32
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -635,6 +635,24 @@
     assert len(process.received) > 4
 
 
+# An answer that was not sent yet was discarded with its idle connection.
+def test_a_connection_closed_for_a_new_one_sends_its_last_answer():
+    process = Process(has_servers=True)
+    transports = []
+    for _ in range(BUDGET_LIMITS.connections):
+        channel, transport = process.connect()
+        transports.append(transport)
+        channel.dataReceived(GET % b"a")
+        process.received.pop().answer(200, [], b"answer-a")
+    process.connect()
+    (closed,) = [t for t in transports if t.disconnecting]
+    assert not closed.disconnected
+    process.channels[transports.index(closed)].dataReceived(GET % b"b")
+    assert process.received == []
+    process.clock.advance(1.1)
+    assert closed.disconnected
+
+
 def test_chunks_of_one_byte_are_refused_beyond_a_limit():
     process = Process()
     channel, transport = process.connect()
