Refuse a body before an answer that is read slowly is cut

What callers saw: nothing on record; found by the audit of places that close connections. When memory was short, a caller on a slow link could lose an answer that a server had given, though a body that could still be refused was held for a caller at the same address.

Cause: of one address, the connection that holds most was given up, whatever for.

Change: of one address, a request that is not complete is refused first (503, not executed). Clients without progress still go first, and the address that holds most before others, so that one address cannot keep others out by reading slowly.

Ruled out: refusing bodies first whatever their address. Many clients that read a little could then keep all uploads out.

Evidence: the new test fails before (the reader was closed) and passes after; tests/test_client_budget.py and tests/test_channel.py pass.

--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -13,7 +13,8 @@
 - Above the bound for all, connections are given up at once.
 
 Given up are connections whose request is not complete or whose client does not
-read, first those without progress, then by what their address holds. If there
+read, first those without progress, then by what their address holds; of one
+address, those that can be refused before those that receive an answer. If there
 are none, the connection that takes more gives up what it takes. A request that
 runs at a server is not cut: what was received behind it is refused after its
 answer. The exception is a client that does not read an earlier answer, if
@@ -411,6 +412,7 @@
                 account.is_blocked_by_client,
                 self._is_stalled(account, now_ms),
                 self._held_by_address[account.address],
+                not account.is_serving,
                 account.held_bytes,
             )
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -635,6 +635,25 @@
     assert len(process.received) > 4
 
 
+# A request that had run lost its answer to one that could be refused.
+def test_a_body_is_refused_before_an_answer_that_is_read_slowly():
+    process = Process(has_servers=True)
+    reader, reader_transport = process.connect()
+    reader.dataReceived(GET % b"a")
+    process.received[0].answer(200, [], bytes(100_000))
+    reader.dataReceived(GET % b"b")
+    reader.pauseProducing()
+    process.received[1].answer(200, [], bytes(500_000))
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"c", 400_000) + bytes(300_000))
+    other, _ = process.connect()
+    other.dataReceived(HEAD % (b"d", 200_000) + bytes(200_000))
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert not reader_transport.disconnected
+    reader.resumeProducing()
+    assert len(reader_transport.value()) > 600_000
+
+
 # An answer that was not sent yet was discarded with its idle connection.
 def test_a_connection_closed_for_a_new_one_sends_its_last_answer():
     process = Process(has_servers=True)
