Let an answer be sent that takes longer than the idle timeout

What callers saw: nothing on record; found by the audit of places that close connections. Where a configuration sets a short idle timeout, a caller on a slow link lost the end of an answer: the time starts when the last 128 KiB are handed to the transport, and 1 s after it was over the connection was aborted (LOST).

Cause: an idle connection was closed by the abort timeout of the base class, which does not know that an answer is still being sent.

Change: after the idle timeout the connection is closed once its answer is sent, within the time limit for that (60 s), as after any last answer. Nothing more is read meanwhile.

Ruled out: starting the idle time when the client has read the answer. The transport does not report that for answers below 64 KiB.

Evidence: the new test fails before (the connection was aborted) and passes after; tests/test_channel.py and tests/test_client_budget.py pass.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -332,7 +332,9 @@
 
     requestFactory = CallerRequest
     maxHeaders = MAX_HEADERS
-    abortTimeout = 1
+    # The base class would abort an idle connection 1 s after its timeout, while
+    # an answer may still be sent. `loseConnection` limits the time for that.
+    abortTimeout = None
 
     def __init__(self, bounds: CallerBounds):
         super().__init__()
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -618,6 +618,25 @@
     assert process.reports == [Misuse.ANSWER_UNREAD]
 
 
+# A short idle timeout cut an answer that was being sent over a slow link.
+def test_an_idle_timeout_does_not_cut_an_answer_that_is_being_sent():
+    process = Process()
+    process.site.bounds = attrs.evolve(BOUNDS, idle_timeout_s=1.0)
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"a")
+    transport.write = lambda data: (
+        StringTransport.write(transport, data),
+        len(transport.value()) > 65536 and channel.pauseProducing(),
+    )
+    process.received[0].answer(200, [], bytes(100_000))
+    assert len(transport.value()) > 100_000
+    process.clock.advance(1.1)
+    process.clock.advance(BOUNDS.body_timeout_s / 2)
+    assert transport.disconnecting and not transport.disconnected
+    process.clock.advance(BOUNDS.body_timeout_s)
+    assert transport.disconnected
+
+
 # Pipelined requests opened a connection to a server each: 1,028 descriptors.
 def test_connections_run_one_request_at_a_time_when_many_run():
     process = Process(has_servers=True)
