--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -486,6 +486,101 @@
     assert process.reports == []
 
 
+GET = b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+# A request that ran was cut with the one that was received behind it.
+@pytest.mark.parametrize(
+    ("is_stalled", "size"), [(False, 350_000), (True, 250_000)]
+)
+def test_a_body_is_refused_after_the_answer_to_a_request_that_runs(
+    is_stalled, size
+):
+    process = Process(has_servers=True)
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"a" + HEAD % (b"b", 900_000) + bytes(700_000))
+    channel.account.progress_ms -= 5000.0 * is_stalled
+    other, _ = process.connect()
+    other.dataReceived(HEAD % (b"c", size) + bytes(size))
+    assert not transport.disconnected and transport.value() == b""
+    assert _paths((None, None, None, process.received)) == [b"a", b"c"]
+    channel.dataReceived(bytes(200_000))
+    process.received[0].answer(200, [], b"answer-a")
+    first, _, last = transport.value().partition(b"answer-a")
+    assert first.startswith(b"HTTP/1.1 200 ")
+    assert last.startswith(b"HTTP/1.1 503 ") and b'"executed": "no"' in last
+    process.clock.advance(1.1)
+    assert transport.disconnecting
+    assert process.reports == [Misuse.MEMORY]
+
+
+# The request that held most was cut for the answer to another one.
+def test_an_answer_without_room_is_replaced_and_cuts_no_request_that_runs():
+    process = Process(has_servers=True)
+    holder, holder_transport = process.connect()
+    holder.dataReceived(HEAD % (b"a", 300_000) + bytes(300_000))
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"b")
+    process.received[1].answer(200, [], bytes(500_000))
+    assert not holder_transport.disconnected and not transport.disconnected
+    assert transport.value().startswith(b"HTTP/1.1 502 ")
+    assert b'"executed": "unknown"' in transport.value()
+    process.received[0].answer(200, [], b"answer-a")
+    assert b"answer-a" in holder_transport.value()
+    assert process.reports == [Misuse.MEMORY]
+
+
+# A request that was complete and had not run was cut without an answer.
+def test_a_complete_request_without_room_is_refused():
+    process = Process(has_servers=True)
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"a", 10_000) + bytes(5000))
+    process.budget.answer_bytes = MIB - process.budget.held_bytes
+    channel.dataReceived(bytes(5000))
+    assert process.received == []
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b'"executed": "no"' in transport.value()
+    assert not transport.disconnected
+    process.budget.answer_bytes = 0
+
+
+# Requests that run must not be cut, whatever else is received and answered.
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 5), st.booleans()),
+        max_size=40,
+    )
+)
+def test_no_request_that_runs_is_cut_for_memory(steps):
+    process = Process(has_servers=True)
+    process.connect()
+    for connection, step, is_small in steps:
+        size = 2000 if is_small else 300_000
+        is_new = connection >= len(process.channels)
+        if is_new and process.budget.make_room(0.0):
+            process.connect()
+        channel = process.channels[connection % len(process.channels)]
+        if not channel.transport.disconnecting:
+            if step == 0:
+                channel.dataReceived(HEAD % (b"x", size) + bytes(size // 2))
+            elif step == 1:
+                channel.dataReceived(bytes(size // 2))
+            elif step == 2:
+                channel.dataReceived(GET % b"y")
+            elif step == 3:
+                channel.dataReceived(HEAD % (b"x", size) + bytes(size))
+        if step == 4 and process.received:
+            process.received.pop(0).answer(200, [], bytes(size))
+        elif step == 5:
+            process.clock.advance(2.5)
+        assert process.budget.used_bytes <= BUDGET_LIMITS.memory_bytes
+        for other in process.channels:
+            if other.transport.disconnected:
+                assert not any(r.is_running for r in other.requests)
+    process.close()
+    assert process.budget.used_bytes == process.budget.running_requests == 0
+
+
 # An upload on a slow link must not be taken for one that only stays open.
 def test_a_slow_upload_succeeds_and_a_slower_one_is_refused():
     process = Process()
@@ -524,6 +619,25 @@
     assert process.reports == [Misuse.ANSWER_UNREAD]
 
 
+# A short idle timeout cut an answer that was being sent over a slow link.
+def test_an_idle_timeout_does_not_cut_an_answer_that_is_being_sent():
+    process = Process()
+    process.site.bounds = attrs.evolve(BOUNDS, idle_timeout_s=1.0)
+    channel, transport = process.connect()
+    channel.dataReceived(GET % b"a")
+    transport.write = lambda data: (
+        StringTransport.write(transport, data),
+        len(transport.value()) > 65536 and channel.pauseProducing(),
+    )
+    process.received[0].answer(200, [], bytes(100_000))
+    assert len(transport.value()) > 100_000
+    process.clock.advance(1.1)
+    process.clock.advance(BOUNDS.body_timeout_s / 2)
+    assert transport.disconnecting and not transport.disconnected
+    process.clock.advance(BOUNDS.body_timeout_s)
+    assert transport.disconnected
+
+
 # Pipelined requests opened a connection to a server each: 1,028 descriptors.
 def test_connections_run_one_request_at_a_time_when_many_run():
     process = Process(has_servers=True)
@@ -541,6 +655,43 @@
     assert len(process.received) > 4
 
 
+# A request that had run lost its answer to one that could be refused.
+def test_a_body_is_refused_before_an_answer_that_is_read_slowly():
+    process = Process(has_servers=True)
+    reader, reader_transport = process.connect()
+    reader.dataReceived(GET % b"a")
+    process.received[0].answer(200, [], bytes(100_000))
+    reader.dataReceived(GET % b"b")
+    reader.pauseProducing()
+    process.received[1].answer(200, [], bytes(500_000))
+    channel, transport = process.connect()
+    channel.dataReceived(HEAD % (b"c", 400_000) + bytes(300_000))
+    other, _ = process.connect()
+    other.dataReceived(HEAD % (b"d", 200_000) + bytes(200_000))
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert not reader_transport.disconnected
+    reader.resumeProducing()
+    assert len(reader_transport.value()) > 600_000
+
+
+# An answer that was not sent yet was discarded with its idle connection.
+def test_a_connection_closed_for_a_new_one_sends_its_last_answer():
+    process = Process(has_servers=True)
+    transports = []
+    for _ in range(BUDGET_LIMITS.connections):
+        channel, transport = process.connect()
+        transports.append(transport)
+        channel.dataReceived(GET % b"a")
+        process.received.pop().answer(200, [], b"answer-a")
+    process.connect()
+    (closed,) = [t for t in transports if t.disconnecting]
+    assert not closed.disconnected
+    process.channels[transports.index(closed)].dataReceived(GET % b"b")
+    assert process.received == []
+    process.clock.advance(1.1)
+    assert closed.disconnected
+
+
 def test_chunks_of_one_byte_are_refused_beyond_a_limit():
     process = Process()
     channel, transport = process.connect()
