Check in the soak that planned work cuts no request

The soak could not see it: its callers send bodies at once, it stops entries among faults of all kinds, and it counts a request without an answer as nothing.

Callers keep connections until the entry closes them; most send bodies in parts that are complete up to 7 s later. After the run it is checked that a request that was passed on, or that was read and waited for over 0.2 s, has a complete answer, and that after SIGTERM no answer of the entry replaces that of a server at work. Exempt is what the rule exempts: a time limit that was reached, counted from the last byte of the request; requests sent up to 3 s after SIGTERM that run in the last sixth of the grace period; a cut that is apart from planned work of its entry; and, beside a configuration alone, cuts after seven tenths of the time or not three times as frequent as otherwise.

Not checked: that a machine in touch closes more than three such connections apart from any planned work.

--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,12 @@
 SEED ?= 1
 SEEDS ?= 1
 SECONDS_LIMIT ?= 20
+# --calm for planned work only.
+SOAK_OPTIONS ?=
 
 soak: $(READY)
 	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) \
-		--seconds-limit $(SECONDS_LIMIT)
+		--seconds-limit $(SECONDS_LIMIT) $(SOAK_OPTIONS)
 
 docs: $(READY)
 	$(BIN)/mkdocs build --strict
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -103,6 +103,7 @@
         checked_at_s: Time of each health check.
         executed_ids: The ids of all requests whose execution began, in order.
         executed_at_s: When the execution of each of them began.
+        finished_ids: The ids of all requests whose execution has ended.
         expected_instances: The expected instance that each of them names.
         body_digests: SHA-256 of the body of each of them, by id.
     """
@@ -122,6 +123,7 @@
     checked_at_s: list[float] = attrs.field(factory=list)
     executed_ids: list[str] = attrs.field(factory=list)
     executed_at_s: list[float] = attrs.field(factory=list)
+    finished_ids: list[str] = attrs.field(factory=list)
     expected_instances: list[str | None] = attrs.field(factory=list)
     body_digests: dict[str, str] = attrs.field(factory=dict)
     _started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
@@ -182,6 +184,7 @@
                 )
                 time.sleep(fake_server.service_s)
                 fake_server._running_requests -= 1
+                fake_server.finished_ids.append(request_id)
                 stamp_headers = {
                     "X-Gentianwall-Request-Id": request_id,
                     "X-Gentianwall-Server-Stamp": f"stamp-{request_id}",
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,12 @@
         float,
         cyclopts.Parameter(help="Seconds of fault injection for each seed."),
     ] = 20.0,
+    calm: Annotated[
+        bool,
+        cyclopts.Parameter(
+            help="Only planned work: stops of entries, SIGHUP and changes."
+        ),
+    ] = False,
     verbose: Annotated[
         bool, cyclopts.Parameter(help="Print the faults of each seed.")
     ] = False,
@@ -31,7 +37,7 @@
 
     failed = 0
     for number in range(seed, seed + seeds):
-        run = run_seed(number, seconds_limit)
+        run = run_seed(number, seconds_limit, calm)
         violations = run.observations.violations
         failed += bool(violations)
         verdict = "BROKEN" if violations else "kept"
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,7 +28,9 @@
     running_server,
     wait_until,
 )
+from soak import planned
 from soak.checks import RECOVERY_S, Observations
+from soak.lost import Change, LostRequests
 from soak.proxy import Partition, Proxy, ProxyFault
 
 ENTRIES = 3
@@ -70,6 +72,11 @@
         last_version: Version of the last configuration that was sent.
         last_disk_loss_s: Monotonic time of the last wiped disk.
         request_statuses: Status of each request in order; 0 without an answer.
+        seed: Determines all random choices.
+        is_calm: Whether there is only planned work: no faults.
+        lost: Requests and planned work of a calm run.
+        starting_nodes: Folder names of the entries that have just been started.
+        timeout_ms: Timeout of the routes.
     """
 
     fleet: Fleet
@@ -85,6 +92,11 @@
     last_version: int = 1
     last_disk_loss_s: float = float("-inf")
     request_statuses: list[int] = attrs.field(factory=list)
+    seed: int = 0
+    is_calm: bool = False
+    lost: LostRequests = attrs.field(factory=LostRequests)
+    starting_nodes: set[str] = attrs.field(factory=set)
+    timeout_ms: int = 2000
 
     def log_fault(self, text: str) -> None:
         """Appends a fault to the log."""
@@ -151,21 +163,27 @@
             self.last_version += rng.randrange(1, 4)
             number = self.last_version
             self.observations.record_submission(number)
+            change = Change(time.monotonic())
+            self.lost.work.append(change)
+            configuration = make_configuration(number, self.timeout_ms)
             for _ in range(3):
                 node = rng.choice(self.fleet.controls)
                 if (
-                    self.fleet.replace_configuration(
-                        node, make_configuration(number), 1.0
-                    )
+                    self.fleet.replace_configuration(node, configuration, 1.0)
                     == 200
                 ):
                     self.observations.record_acknowledgement(number)
+                    change.acknowledged_s = time.monotonic()
                     break
             sent_s = time.monotonic()
             version = self._read_version(rng.choice(self.fleet.controls))
             if version is not None:
                 self.observations.check_read(version, sent_s)
-            time.sleep(CHANGE_GAP_S)
+            time.sleep(
+                rng.uniform(*planned.CHANGE_GAP_S)
+                if self.is_calm
+                else CHANGE_GAP_S
+            )
 
     def _read_version(self, node: Node) -> int | None:
         answer = self.fleet.read(node, 1.0)
@@ -331,13 +349,15 @@
         self.partition_lock.release()
 
 
-def make_configuration(number: int) -> dict:
+def make_configuration(number: int, timeout_ms: int = 2000) -> dict:
     """Returns a configuration with a safe and an unsafe route.
 
     Args:
         number: Version of the configuration.
+        timeout_ms: Timeout of both routes.
     """
     content = document(number, "shop")
+    content["resources"][0]["spec"]["timeoutMs"] = timeout_ms
     safe = json.loads(json.dumps(content["resources"][0]))
     safe["metadata"]["name"] = "safe"
     safe["spec"].update(pathPrefix="/reads/", routeType="safe")
@@ -348,30 +368,46 @@
 class _ExecutionRecorder(list):
     """List of executed requests that records each one for the checks."""
 
-    def __init__(self, observations: Observations):
+    def __init__(self, soak: SoakRun, server: str):
         super().__init__()
-        self._observations = observations
+        self._soak = soak
+        self._server = server
 
     def append(self, request_id: str) -> None:
         super().append(request_id)
-        self._observations.record_execution(
+        self._soak.lost.record_begin(request_id, self._server, time.monotonic())
+        self._soak.observations.record_execution(
             request_id, request_id.startswith(SAFE_PREFIX)
         )
 
 
-def run_seed(seed: int, seconds: float) -> SoakRun:
+class _EndRecorder(list):
+    """List of finished requests that records each one for the checks."""
+
+    def __init__(self, soak: SoakRun, server: str):
+        super().__init__()
+        self._soak = soak
+        self._server = server
+
+    def append(self, request_id: str) -> None:
+        super().append(request_id)
+        self._soak.lost.record_end(request_id, self._server, time.monotonic())
+
+
+def run_seed(seed: int, seconds: float, is_calm: bool = False) -> SoakRun:
     """Runs one seed.
 
     Args:
         seed: Determines the faults and when they start.
         seconds: Time during which faults are started.
+        is_calm: Whether planned work is started instead of faults.
 
     Returns:
         The finished run with its observations. The logs of all processes are
         kept in the folder of its fleet if there was a violation.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"gentianwall-soak-{seed}-"))
-    soak = _run_in_folder(seed, seconds, folder)
+    soak = _run_in_folder(seed, seconds, folder, is_calm)
     if soak.observations.violations:
         soak.log.append(f"logs of the processes: {folder}/*/log")
     else:
@@ -379,21 +415,29 @@
     return soak
 
 
-def _run_in_folder(seed: int, seconds: float, folder: pathlib.Path) -> SoakRun:
+def _run_in_folder(
+    seed: int, seconds: float, folder: pathlib.Path, is_calm: bool
+) -> SoakRun:
     with contextlib.ExitStack() as stack:
         block = 1 + seed % ADDRESS_BLOCKS
         fleet = Fleet(folder, CONTROLS, ENTRIES, block)
         stack.callback(fleet.kill_all)
         observations = Observations()
         soak = SoakRun(fleet, observations, random.Random(seed), [], {})
+        soak.seed = seed
+        soak.is_calm = is_calm
+        if is_calm:
+            soak.timeout_ms = soak.rng.choice(planned.TIMEOUTS_MS)
         servers_prefix = f"127.{block}.3."
         for number in range(1, SERVERS + 1):
             host = f"{servers_prefix}{number}"
             server = FakeServer(f"i-{number}", "shop", host)
-            server.executed_ids = _ExecutionRecorder(observations)
+            server.executed_ids = _ExecutionRecorder(soak, server.name)
+            server.finished_ids = _EndRecorder(soak, server.name)
             stack.enter_context(running_server(server))
             soak.servers.append(server)
-        for entry_number, entry in enumerate(fleet.entries, 1):
+        rerouted_entries = [] if is_calm else fleet.entries
+        for entry_number, entry in enumerate(rerouted_entries, 1):
             prefix = f"127.{block}.{10 + entry_number}."
             fleet.rerouted_hosts[entry.host] = {servers_prefix: prefix}
             proxies = soak.proxies[entry.host] = []
@@ -416,14 +460,25 @@
     ]
 
 
+def _caller_threads(soak: SoakRun) -> list[threading.Thread]:
+    if not soak.is_calm:
+        return [
+            threading.Thread(target=soak.send_requests, args=(worker,))
+            for worker in range(WORKERS)
+        ]
+    return [
+        threading.Thread(
+            target=planned.send_requests, args=(soak, worker, SAFE_PREFIX)
+        )
+        for worker in range(planned.QUICK_CALLERS + planned.SLOW_CALLERS)
+    ]
+
+
 def _run_phases(soak: SoakRun, seconds: float) -> None:
     threads = [
         threading.Thread(target=soak.send_heartbeats),
         threading.Thread(target=soak.change_configuration),
-        *(
-            threading.Thread(target=soak.send_requests, args=(worker,))
-            for worker in range(WORKERS)
-        ),
+        *_caller_threads(soak),
     ]
     for thread in threads:
         thread.start()
@@ -431,7 +486,11 @@
         wait_until(
             "traffic is served", lambda: soak.observations.statuses[200] > 20
         )
-        soak.inject_faults(time.monotonic() + seconds)
+        until_s = time.monotonic() + seconds
+        if soak.is_calm:
+            planned.inject_planned_work(soak, until_s)
+        else:
+            soak.inject_faults(until_s)
         wait_until(
             "service has recovered",
             lambda: (
@@ -450,6 +509,8 @@
         soak.stop_requested.set()
         for thread in threads:
             thread.join()
+    if soak.is_calm:
+        soak.observations.violations += soak.lost.find()
     final_versions = [soak._read_version(node) for node in soak.fleet.controls]
     soak.observations.check_final_read(
         max((n for n in final_versions if n is not None), default=None)
