--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -117,9 +117,8 @@
             instance itself, and replies from other instances.
         fault: Unhandled exception that stops the process; empty if none.
         unstored_effects: Effects whose write to disk failed. Until they are
-            written, messages and ticks are dropped and no effect is performed.
-        unreported_snapshot: Report of a snapshot that was written or refused in
-            the meantime.
+            written, messages and ticks are dropped and no effect is performed
+            but that a snapshot is taken, which may make room.
     """
 
     def __init__(self, setup: ControlSetup, reactor, timers: TimerService):
@@ -133,7 +132,6 @@
         self.receive_reply: Callable[[Message], None] = _drop_message
         self.fault = ""
         self.unstored_effects: list[ControlEffect] = []
-        self.unreported_snapshot: SnapshotTaken | SnapshotRefused | None = None
 
     def recover(self) -> None:
         """Reads the journal and rebuilds the replica.
@@ -213,6 +211,9 @@
         """
         if self.unstored_effects:
             return  # As if lost in the network; the senders resend.
+        self._reduce(events)
+
+    def _reduce(self, events: list[ControlEvent]) -> None:
         if self.fault:
             return
         effects: list[ControlEffect] = []
@@ -237,6 +238,14 @@
         self.reactor.callLater(0, self.reactor.stop)
 
     def _perform(self, effects: list[ControlEffect]) -> None:
+        """Stores and performs effects, or keeps them until they are stored."""
+        for effect in effects:
+            if isinstance(effect, TakeSnapshot):
+                self.reactor.callInThread(self._write_snapshot, effect)
+        effects = [e for e in effects if not isinstance(e, TakeSnapshot)]
+        if self.unstored_effects:
+            self.unstored_effects += effects
+            return
         try:
             is_stored = self._store(effects)
         except Exception as error:  # noqa: BLE001 - any exception stops the process
@@ -254,8 +263,6 @@
         self_messages = []
         for effect in effects:
             match effect:
-                case TakeSnapshot():
-                    self.reactor.callInThread(self._write_snapshot, effect)
                 case SendMessage(receiver=self.setup.name):
                     self_messages.append(effect.message)
                 case SendMessage():
@@ -275,9 +282,6 @@
         if self.unstored_effects:
             return
         log.info("Journal written after a retry. Messages are handled again.")
-        report, self.unreported_snapshot = self.unreported_snapshot, None
-        if report is not None:
-            self._report_snapshot(report)
 
     def _write_snapshot(self, effect: TakeSnapshot) -> None:
         """Encodes the register and writes a snapshot file; runs in a thread."""
@@ -303,15 +307,13 @@
         )
 
     def _report_snapshot(self, report: SnapshotTaken | SnapshotRefused) -> None:
-        """Reports the end of a snapshot once no effects are unstored.
+        """Reports the end of a snapshot, also while effects are unstored.
 
         The report must not be lost: it is not sent again, and the replica takes
-        no other snapshot before it.
+        no other snapshot before it. The new journal also holds what is unstored
+        and may fit where the old one has no room to grow.
         """
-        if self.unstored_effects:
-            self.unreported_snapshot = report
-            return
-        self._handle([report])
+        self._reduce([report])
 
     def _store(self, effects: list[ControlEffect]) -> bool:
         """Writes and syncs storage effects; returns whether that succeeded.
--- a/gentianwall/storage/journal.py
+++ b/gentianwall/storage/journal.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import pathlib
 import re
@@ -47,6 +48,8 @@
 # Enough for a snapshot of about 170,000 claims of 380 bytes, the memory per
 # claim that docs/CAPACITY.md gives.
 FREE_SPACE_RESERVE_BYTES = 64 * 1024 * 1024
+# Partly filled blocks of a snapshot, a journal file and their folder.
+COMPACTION_OVERHEAD_BYTES = 16 * 1024
 
 
 @attrs.frozen
@@ -68,6 +71,20 @@
 codec.register_union(JournalRecord)
 
 
+@attrs.frozen
+class RefusedSnapshot:
+    """A snapshot that the disk refused.
+
+    Attributes:
+        size_bytes: Its size.
+        journal_bytes: Size of the journal at that time. Entries appended since
+            are in the next snapshot or are copied behind it.
+    """
+
+    size_bytes: int
+    journal_bytes: int
+
+
 @attrs.frozen
 class JournalDamaged:
     """A journal or snapshot file that is damaged or missing.
@@ -111,6 +128,7 @@
         self._folder = pathlib.Path(folder)
         self._file_number = 0
         self._snapshot_crcs: dict[int, int] = {}
+        self._refused_snapshot: RefusedSnapshot | None = None
         self._fd = -1
         self.size_bytes = 0
 
@@ -122,10 +140,11 @@
 
     def has_space(self, reserve_bytes: int) -> bool:
         """Returns whether more than a reserve is free; 0 skips the check."""
-        if reserve_bytes == 0:
-            return True
+        return reserve_bytes == 0 or self._free_bytes() > reserve_bytes
+
+    def _free_bytes(self) -> int:
         stat = os.statvfs(self._folder)
-        return stat.f_bavail * stat.f_frsize > reserve_bytes
+        return stat.f_bavail * stat.f_frsize
 
     def recover(self) -> PersistentState | JournalDamaged:
         """Reads the stored state, or assigns a disk id to an empty folder."""
@@ -218,7 +237,11 @@
         except OSError:
             # It may have its name already, and the next one has another.
             path.unlink(missing_ok=True)
+            self._refused_snapshot = RefusedSnapshot(
+                len(payload), self.size_bytes
+            )
             raise
+        self._refused_snapshot = None
         self._snapshot_crcs[snapshot.index] = zlib.crc32(payload)
 
     def _snapshot_path(self, index: int) -> pathlib.Path:
@@ -289,9 +312,28 @@
 
     def _append_frame(self, fd: int, records: list[JournalRecord]) -> None:
         frame = _encode_frame(records)
+        self._check_compaction_room(len(frame))
         _write_all(fd, frame, self.size_bytes)
         self.size_bytes += len(frame)
 
+    def _check_compaction_room(self, frame_bytes: int) -> None:
+        """Keeps room to compact the journal after a refused snapshot.
+
+        A journal that takes the last room of its disk could never be compacted.
+
+        Raises:
+            OSError: A frame of this size would take that room.
+        """
+        refused = self._refused_snapshot
+        if refused is None:
+            return
+        added_bytes = self.size_bytes + frame_bytes - refused.journal_bytes
+        needed_bytes = (
+            refused.size_bytes + 2 * added_bytes + COMPACTION_OVERHEAD_BYTES
+        )
+        if self._free_bytes() < frame_bytes + needed_bytes:
+            raise OSError(errno.ENOSPC, "The room left is for a snapshot")
+
     def _sync_folder(self) -> None:
         fd = os.open(self._folder, os.O_RDONLY)
         try:
--- a/harness/full_disks.py
+++ b/harness/full_disks.py
@@ -87,8 +87,11 @@
 
     def has_room(self, size_bytes: int) -> bool:
         """Returns whether some more bytes fit on the disk."""
-        used = sum(path.stat().st_size for path in self.folder.iterdir())
-        return used + size_bytes <= self.capacity_bytes
+        return self.used_bytes() + size_bytes <= self.capacity_bytes
+
+    def used_bytes(self) -> int:
+        """Returns the size of all files on the disk."""
+        return sum(path.stat().st_size for path in self.folder.iterdir())
 
     def check(self, operation: str) -> None:
         """Counts an operation.
@@ -133,6 +136,12 @@
         """Syncs nothing."""
         self._disk_by_fd[fd].check("sync")
 
+    def statvfs(self, folder) -> types.SimpleNamespace:
+        """Returns the free space of the disk of a folder."""
+        disk = self._disks[pathlib.Path(folder)]
+        free_bytes = max(0, disk.capacity_bytes - disk.used_bytes())
+        return types.SimpleNamespace(f_bavail=free_bytes, f_frsize=1)
+
     def rename(self, source, target) -> None:
         """Renames a file."""
         self._disks[pathlib.Path(target).parent].check("rename")
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -51,17 +51,19 @@
 
 
 # The refused snapshot was written again as it was. By then, the entries behind
-# it took more than half of the disk, which had no room to copy them.
+# it took more than half of the disk, which had no room to copy them. In 6 s,
+# they took all of it, so that no snapshot had room.
+@pytest.mark.parametrize("full_s", [2.5, 6.0])
 @pytest.mark.parametrize("refused", ["create", "rename"])
 @pytest.mark.parametrize("is_leader", [True, False])
 def test_an_instance_whose_disk_refuses_new_files_compacts_its_journal_later(
-    is_leader, refused, cluster
+    is_leader, refused, full_s, cluster
 ):
     leader = cluster.leader()
     others = [name for name in cluster.names if name != leader]
     disk = cluster.disks[leader if is_leader else others[0]]
-    disk.fill(refused, 2.5)
-    for _ in range(50):
+    disk.fill(refused, full_s)
+    for _ in range(round(full_s / 0.05)):
         cluster.change(0.05)
     assert disk.refusals
     cluster.check_recovered()
