Let clients that still send a refused body read their answers

What callers saw: nothing on record; found by the audit of places that close connections. A client that sent a body over the limit behind another request was reset: the answer to the other request, which a server had given (LOST), and the 413 did not arrive.

Cause: the connection was closed while the client was still sending, and a close with unread input discards what was not sent yet. Only requests that are refused by their head or for want of memory had time for it.

Change: each body that is refused while it may still arrive is discarded for 1 s after the refusal: over the limit, too slow, in malformed or too small chunks.

Ruled out: malformed heads. They are closed at once as before, as the rest is no request.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -544,7 +544,6 @@
             and not self.is_refused
         )
         if can_answer:
-            self._is_linger_due = True
             self.refuse(RefusalReason.OVERLOADED, None)
             return
         is_unused = self.is_idle and not self._has_partial_request()
@@ -574,7 +573,6 @@
         """
         self.report(Misuse.MEMORY)
         self.budget.stop_waiting(self.account)
-        self._is_linger_due = True
         self.refuse(RefusalReason.OVERLOADED, None)
 
     def _release_partial_request(self) -> None:
@@ -908,6 +906,7 @@
         """
         if misuse is not None and not self.is_refused:
             self.report(misuse)
+        self._is_linger_due = self._is_linger_due or not self.is_refused
         refusal = Refusal(reason, Executed.NO)
         if refusal.status == 503:
             refusal = attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
@@ -916,7 +915,6 @@
     def refuse_unfinished(self) -> None:
         """Refuses the request being received, as the process ends."""
         if self._has_partial_request():
-            self._is_linger_due = True
             self.refuse(RefusalReason.NOT_READY, None)
 
     def refuse_with_status(
@@ -925,6 +923,9 @@
         """Refuses a malformed or slow request and closes the connection."""
         if not self.is_refused:
             self.report(misuse)
+        is_body_due = not self.line_mode and not self._handlingRequest
+        if is_body_due and not self.is_refused:
+            self._is_linger_due = True
         refusal = Refusal(RefusalReason.BAD_REQUEST, Executed.NO, detail=detail)
         problem = render_refusal(refusal, "")
         body = problem.body.replace(b'"status": 400', b'"status": %d' % status)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -637,6 +637,35 @@
     assert transport.disconnected
 
 
+# A refused body that was still being sent reset the connection. Answers to
+# earlier requests, and the refusal, were lost on the way.
+@pytest.mark.parametrize(
+    ("framing", "sent"),
+    [
+        (b"Content-Length: 90000", b""),
+        (b"Transfer-Encoding: chunked", b"ea60\r\n" + bytes(60_000)),
+        (b"Transfer-Encoding: chunked", b"zz\r\n"),
+    ],
+)
+def test_a_client_that_still_sends_a_refused_body_can_read_its_answers(
+    framing, sent
+):
+    process = Process()
+    process.site.bounds = attrs.evolve(BOUNDS, body_bytes=50_000)
+    channel, transport = process.connect()
+    head = b"POST /b HTTP/1.1\r\nHost: a\r\n" + framing + b"\r\n\r\n"
+    channel.dataReceived(GET % b"a" + head)
+    channel.dataReceived(sent)
+    process.received[0].answer(200, [], b"answer-a")
+    _, _, last = transport.value().partition(b"answer-a")
+    assert last.startswith(b"HTTP/1.1 4")
+    assert not transport.disconnecting
+    assert transport.producerState == "producing"
+    channel.dataReceived(bytes(60_000))
+    process.clock.advance(1.1)
+    assert transport.disconnecting
+
+
 # Pipelined requests opened a connection to a server each: 1,028 descriptors.
 def test_connections_run_one_request_at_a_time_when_many_run():
     process = Process(has_servers=True)
