Send the last answer while the next request is being received

What callers saw: nothing on record; found by the audit of places that close connections. In a planned stop each connection ends with its next answer. A client that was sending a body behind that request was reset and lost the rest of the answer, which a server had given (LOST).

Cause: such input was discarded before the close only if reading was paused, not if a request was being received. A close with unread input discards what was not sent yet.

Change: a request that is being received counts as unread input too. What was received of it is released at once.

Ruled out: finishing that request. It is behind another one, so it counts as not read by the close, as before.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -997,11 +997,15 @@
     def _is_input_unread(self) -> bool:
         """Whether a client that did not ask for the close may have sent more.
 
-        That is so if reading is paused.
+        That is so if reading is paused or a request is being received.
         """
         if not self.pipeline.is_closing or self.pipeline.is_read_finished:
             return False
-        return self._waitingForTransport or self._is_read_ahead_full
+        return (
+            self._waitingForTransport
+            or self._is_read_ahead_full
+            or self._has_partial_request()
+        )
 
     def _close_after_discarding(self) -> None:
         """Closes the connection once what the client sent has been read.
@@ -1010,7 +1014,7 @@
         receive the rest of the last answer.
         """
         self.is_refused = True
-        self._dataBuffer.clear()
+        self._release_partial_request()
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
         self._is_linger_due = True
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -666,6 +666,26 @@
     assert transport.disconnecting
 
 
+# A planned stop reset a client that was sending the next request, which then
+# lost the rest of its last answer.
+def test_a_last_answer_is_sent_while_the_next_request_is_received():
+    process = Process()
+    channel, transport = process.connect()
+    is_write_closed = []
+    transport.loseWriteConnection = lambda: is_write_closed.append(True)
+    # Unlike the double, a transport has its producer removed more than once.
+    transport.unregisterProducer = lambda: None
+    channel.dataReceived(GET % b"a" + HEAD % (b"b", 90_000) + bytes(50_000))
+    process.received[0].answer(200, [], b"answer-a", is_closing=True)
+    assert transport.value().endswith(b"answer-a")
+    assert is_write_closed and not transport.disconnecting
+    assert process.budget.used_bytes < 50_000
+    channel.dataReceived(bytes(40_000))
+    assert len(process.received) == 1
+    process.clock.advance(1.1)
+    assert transport.disconnecting
+
+
 # Pipelined requests opened a connection to a server each: 1,028 descriptors.
 def test_connections_run_one_request_at_a_time_when_many_run():
     process = Process(has_servers=True)
