Refuse requests that are too late in a stop before they wait for a token

At an entry that stops, a request of an organisation that found no token waited up to 1.5 s for one, also if it could not be passed on any more. One that came after the last answers of the process waited until the process ended and got none.

Cause: the time until the end is checked when a request is dispatched, which is after its wait for a token. Class of fault: work is admitted without regard to a known end.

It is now checked when the request arrives, too. The check at the dispatch stays, since the wait may take the time that was left.

Test: test_a_request_that_comes_too_late_in_a_stop_waits_for_no_token, shortly before and after the last answers; both cases failed before (no answer, 1 run) and pass now, as do test_stopping, test_gateway, test_gateway_attempts, test_gateway_limits and test_overload and, with real processes, test_planned_stops and test_organisations (1 run each).

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -129,6 +129,10 @@
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
+    service_ms = state.service(call.service).service_ms_for(call.route)
+    if not state.stop.has_time_for(call, service_ms, now_ms):
+        _refuse_before_stop(state, call, now_ms, effects)
+        return
     room_ms = quotas.reserve(state, call, now_ms)
     if room_ms is not None:
         _start(state, call, room_ms, now_ms, effects)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -22,11 +22,16 @@
 )
 from gentianwall.control.messages import FeedNotice, FeedPoll, PeerList
 from gentianwall.core.control import ControlState, reduce_control
-from gentianwall.core.events import MessageArrived, Tick
-from gentianwall.core.refusals import RefusalReason
+from gentianwall.core.events import DrainStarted, MessageArrived, Tick
+from gentianwall.core.refusals import Executed, RefusalReason
 from gentianwall.gateway import dispatching
 from gentianwall.gateway import effects as fx
-from gentianwall.gateway.events import FeedArrived, ReachChecked, RecheckDue
+from gentianwall.gateway.events import (
+    DrainEnded,
+    FeedArrived,
+    ReachChecked,
+    RecheckDue,
+)
 from gentianwall.gateway.state import RoutedCall
 from gentianwall.replication.replica import BatchEnded
 from harness.gateway_entry import (
@@ -156,6 +161,23 @@
     assert entry.state.limits.held["o"].waiting == 0
 
 
+# It waited for a token that it could not use. Once the process had sent its
+# last answers, the connection ended without one.
+@pytest.mark.parametrize("end_ms", [50.0, -10.0])
+def test_a_request_that_comes_too_late_in_a_stop_waits_for_no_token(
+    entry, end_ms
+):
+    entry.advance(60.0)
+    entry.reduce(DrainStarted(entry.now_ms, entry.now_ms + end_ms))
+    if end_ms < 0.0:
+        entry.reduce(DrainEnded(entry.now_ms))
+    refusal = single_refusal(entry.deliver_request())
+    assert refusal.reason is RefusalReason.NOT_READY
+    assert refusal.executed is Executed.NO
+    assert not entry.state.waiting_for_quota
+    assert not entry.state.calls
+
+
 def test_without_a_leader_waiting_requests_are_refused_in_time(entry):
     entry.deliver_request(wait_ms=1000.0)
     entry.now_ms += 300.0
