Check over random events that a stop passes on nothing that it might cut

Requests that wait inside an entry had passed the check of the time that is left by two ways, which were found by reading. The random events of the attempts now also run through a planned stop: nothing is sent or relayed that might not be over by the end, every open request is answered at the end, and those that come later are refused at once.

--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import attrs
@@ -10,11 +11,17 @@
 
 from gentianwall.config.routes import RouteKind
 from gentianwall.control.messages import PeerList
-from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
+from gentianwall.core.events import (
+    CallerDisconnected,
+    DrainStarted,
+    FailureKind,
+    Tick,
+)
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import (
     DeadlineExpired,
+    DrainEnded,
     FeedArrived,
     LoadQueryEnded,
     PeerAnswered,
@@ -24,6 +31,7 @@
     ServerAnswered,
     ServerFailed,
 )
+from gentianwall.gateway.stopping import LIKELY_FACTOR
 from gentianwall.routing.reports import SpeedReport
 from harness.gateway_entry import CONFIGURATION, IDLE, Entry, server
 
@@ -65,6 +73,7 @@
 
     def __init__(self):
         self.requests: dict[int, _Request] = {}
+        self.end_ms = math.inf
         self.entry = Entry()
         self.entry.state.has_peers = True
         routes = tuple(
@@ -96,6 +105,7 @@
                 request = self.requests[effect.call_id]
                 assert not request.has_ended
                 assert effect.attempt not in request.live
+                assert self.is_over_in_time(request)
                 request.live[effect.attempt] = effect
                 request.sends += 1
             case fx.CancelRequest(call_id, attempt):
@@ -109,6 +119,19 @@
                 assert not request.is_answered
                 assert refusal.executed is not Executed.NO or not request.runs
 
+    def is_over_in_time(self, request):
+        """Returns whether a request may be sent before a planned stop."""
+        is_likely = (
+            request.is_idempotent
+            and self.entry.now_ms + LIKELY_FACTOR * SERVICE_MS <= self.end_ms
+        )
+        return is_likely or request.deadline_ms <= self.end_ms
+
+    def stop(self, grace_ms):
+        """Begins a planned stop."""
+        self.end_ms = self.entry.now_ms + grace_ms
+        self.handle(DrainStarted(self.entry.now_ms, self.end_ms))
+
     def end(self, request):
         """Ends a request, once, with nothing left to run for it."""
         assert not request.has_ended
@@ -298,3 +321,24 @@
         driver.step(rng.choice(OPERATIONS), rng.randrange(1000))
     driver.advance(2000.0)
     assert all(request.has_ended for request in driver.requests.values())
+
+
+# Requests that waited inside the entry were passed on shortly before its end.
+@settings(max_examples=EXAMPLES)
+@given(st.integers(0, 2**32 - 1))
+def test_every_request_that_a_stop_leaves_too_little_time_is_refused(seed):
+    rng = random.Random(seed)
+    driver = _Driver()
+    for _ in range(STEPS // 2):
+        driver.step(rng.choice(OPERATIONS), rng.randrange(1000))
+    driver.stop(rng.choice((10.0, 100.0, 400.0, 1500.0)))
+    for _ in range(STEPS):
+        driver.step(rng.choice(OPERATIONS), rng.randrange(1000))
+        if driver.entry.now_ms >= driver.end_ms:
+            break
+    driver.advance(max(0.0, driver.end_ms - driver.entry.now_ms))
+    driver.handle(DrainEnded(driver.entry.now_ms))
+    assert all(request.has_ended for request in driver.requests.values())
+    for _ in range(STEPS // 4):
+        driver.step("arrive", rng.randrange(1000))
+    assert all(request.has_ended for request in driver.requests.values())
