Hand unread answers to the kernel before an entry ends

In a trial with 300 kB read at 2 Mbit/s, segments of 1448 bytes and a small receive buffer, answers that began 0.35 to 0.6 s before the kill were cut after 192 to 250 kB: 5 of 15 callers. With the segments of loopback (64 kB), or a receive buffer of 64 kB, none of 15 was cut: there the kernel takes 300 kB at once.

Cause: an answer is passed to the kernel as fast as the caller reads, beyond a send buffer that begins at some 70 kB with segments of that size. What the process still held was dropped when it ended. Class of fault: work is admitted without regard to a known end, here that of the transfer.

Change: when the last answers are written, 150 ms before the kill, the send buffer of each connection is enlarged. Linux then reports the socket writable, the process writes the rest, and the kernel delivers it after the process has ended. A buffer that has grown above the usual limit of set ones is left, since setting it could shrink it.

Ruled out: a reset by unread input; the callers had sent nothing more. Not passing such a request on is no alternative, as the size of its answer is not known, and requests from before SIGTERM are cut as well.

Evidence: the new test, whose caller reads after the process has ended, failed before with 72,959 of 300,012 bytes and passes after; the trial has 0 of 15 after, also with 1 MB. test_planned_stops, test_channel, test_stopping and test_client_budget pass in one run; a run before ended with "Address already in use" in six fixtures of test_planned_stops, its fixed addresses being taken.

Remains: with 5 MB (a trial with segments of 64 kB) 2.1 to 2.8 MB arrive, as before. net.core.wmem_max is 4 MiB where this ran. In a trial that asks for 212,992 bytes, the default of that limit, one of the seven latest answers of 300 kB is still cut, after 262,144 bytes, and all seven of 400 kB, after 262,144 to 393,216.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -11,6 +11,7 @@
 
 import contextlib
 import enum
+import socket
 from collections.abc import Callable
 
 import attrs
@@ -41,6 +42,10 @@
 # Part of a larger answer that is written at a time. The transport asks for the
 # next one when the client has read it.
 ANSWER_PART_BYTES = 128 * 1024
+# The kernel delivers what it has taken after a process has ended. Linux grants
+# twice what is asked for, up to net.core.wmem_max, which is 212,992 by default.
+FINAL_SEND_BUFFER_BYTES = 4 * 1024 * 1024
+DEFAULT_MAX_SEND_BUFFER_BYTES = 2 * 212_992
 # Time for which a connection waits for memory before one is given up.
 MEMORY_WAIT_S = 2.0
 MEMORY_RECHECK_S = 0.1
@@ -847,6 +852,15 @@
             self._is_linger_due = True
             self.refuse(RefusalReason.NOT_READY, None)
 
+    def enlarge_send_buffer(self) -> None:
+        """Lets the kernel take the rest of an answer, as the process ends."""
+        sock = self.transport.getHandle()
+        option = (socket.SOL_SOCKET, socket.SO_SNDBUF)
+        # A buffer that has grown by itself may exceed the limit of those that
+        # are set.
+        if sock.getsockopt(*option) < DEFAULT_MAX_SEND_BUFFER_BYTES:
+            sock.setsockopt(*option, FINAL_SEND_BUFFER_BYTES)
+
     def refuse_with_status(
         self, status: int, detail: str, misuse: Misuse = Misuse.MALFORMED
     ) -> None:
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -402,6 +402,7 @@
         for site in (self.site, self.peer_site):
             for channel in list(site.channels):
                 channel.refuse_unfinished()
+                channel.enlarge_send_buffer()
 
     def stop_listening(self) -> None:
         """Stops accepting connections and closes those without a request."""
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -243,6 +243,36 @@
     assert len(body) > 300_000, received_head
 
 
+# Answers that the kernel had not taken when the entry ended were cut.
+def test_an_answer_is_whole_if_it_is_read_after_the_end(fleet, servers):
+    (entry,) = fleet.entries
+    for server in servers:
+        server.padding_bytes = 300_000
+    received = b""
+    with socket.socket() as sock:
+        # The kernel's buffers begin as small as on a network.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+        sock.settimeout(15.0)
+        sock.connect((entry.host, CALLERS_PORT))
+        sock.sendall(
+            f"GET {ROUTES[1]} HTTP/1.1\r\nHost: {HOST}\r\n"
+            "X-Gentianwall-Request-Id: slow\r\n"
+            f"X-Gentianwall-Deadline-Ms: {PATIENT_MS}\r\n\r\n".encode()
+        )
+        wait_until(
+            "the request runs",
+            lambda: any("slow" in server.executed_ids for server in servers),
+        )
+        fleet.signal(entry, signal.SIGTERM)
+        assert entry.process.wait(timeout=15.0) == 0
+        with contextlib.suppress(ConnectionError):
+            while data := sock.recv(4096):
+                received += data
+    _, _, body = received.partition(b"\r\n\r\n")
+    assert len(body) > 300_000
+
+
 @pytest.fixture
 def listed_entry():
     """A cluster with an entry at a listed address."""
