Keep reading paused while enough is read ahead

A client that sends requests ahead made the process hold 64 KiB more with each answer: an answered request resumed the reading, however much was read ahead already. What is held for such a connection grew for as long as it was answered more slowly than it was read, up to the budget of the process.

Reading now goes on only if less is read ahead than the bound at which the server library pauses. It is also resumed after requests that were read ahead have been parsed, since otherwise a connection would stay paused whose rest fell below that bound.

The test fails before the change at its second check ("producing" instead of "paused" after the first answer) and passes with it; it then answers all 1,000 requests, which shows that the connection does not stall. tests/test_channel.py, test_client_budget.py and test_body_buffer.py pass.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -666,7 +666,13 @@
         if request.charged_bytes:
             self.budget.charge(self.account, -request.charged_bytes)
             request.charged_bytes = 0
-        if not self._waitingForTransport and not self.account.is_waiting:
+        self._resume_network()
+
+    def _resume_network(self) -> None:
+        """Receives further bytes, unless there is a reason to wait."""
+        is_full = self._handlingRequest and self._is_read_ahead_full
+        is_paused = self._waitingForTransport or self.account.is_waiting
+        if not is_full and not is_paused and not self._is_lost:
             self._networkProducer.resumeProducing()
 
     def pauseProducing(self) -> None:
@@ -735,14 +741,14 @@
             data = b"".join(self._dataBuffer)
             self._dataBuffer.clear()
             self.setLineMode(data)
+            if data:
+                # Reading paused if much was received meanwhile.
+                self._resume_network()
 
     def _start_turn(self) -> None:
         """Reads on after other connections were served."""
         self._turn_call = None
         self._turn_requests = 0
-        if not self._waitingForTransport and not self.account.is_waiting:
-            # Reading paused if much was received meanwhile.
-            self._networkProducer.resumeProducing()
         self._advance()
 
     def _update_receive_timeout(self) -> None:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -607,6 +607,25 @@
     assert answers == MAX_REQUESTS_PER_TURN + 1
 
 
+# Each answer let another 64 KiB be read ahead of a client's requests.
+def test_reading_stays_paused_while_enough_is_read_ahead():
+    process = Process()
+    channel, transport = process.connect()
+    post = HEAD % (b"x", 1) + b"z"
+    channel.dataReceived(post * 999)
+    channel.dataReceived(post)
+    assert transport.producerState == "paused"
+    process.received[0].answer(200, [], b"")
+    assert transport.producerState == "paused"
+    position = 1
+    while position < len(process.received):
+        process.received[position].answer(200, [], b"")
+        process.clock.advance(0.0)
+        position += 1
+    assert position == 1000
+    assert transport.producerState == "producing"
+
+
 # Each piece was an object, which took 17 times what was charged for it.
 def test_requests_read_ahead_in_small_pieces_take_what_is_charged():
     process = Process()
