Do not resume reading a connection that was refused meanwhile

What was read ahead was parsed and refused for its size, which closes the connection, and reading was resumed after that. A TCP transport ignores it.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -809,7 +809,7 @@
             data = b"".join(self._dataBuffer)
             self._dataBuffer.clear()
             self.setLineMode(data)
-            if data:
+            if data and not self.is_refused:
                 # Reading paused if much was received meanwhile.
                 self._resume_network()
 
