Read requests behind many refused ones at a low rate

Sixty clients sent 20,000 repeatable requests ahead on a connection each, to a server that takes 4 at a time. An ordinary request to that server got 503, "the wait cannot be met".

Each refusal let the next request of its connection in at once. So 76 requests ran or waited at any moment (half of the limit, above which each connection has one), and a place that became free went to any of them. An ordinary request waits for a place for 75 ms and rarely got it. Memory and processor time were ruled out: the readiness check was answered within 0.13 s, and 6 MB were held.

A connection now has an allowance of 16 refusals (429 or 503) of requests that others were sent behind, which grows back by one a second. When it is used up, one request is open at a time and the next is not read before the allowance has grown back. Nothing is refused for it. Clients that await each answer, and requests that are served, are not delayed. This works because 60 connections then bring 60 refused requests a second instead of one each at all times. A connection that is closed meanwhile first reads what was sent, as a close with unread input is a reset.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -26,7 +26,7 @@
     BudgetLimits,
     ClientBudget,
 )
-from gentianwall.http.pipelining import Pipeline
+from gentianwall.http.pipelining import Pipeline, RefusalPacing
 from gentianwall.http.problems import CONTENT_TYPE, Problem, render_refusal
 from gentianwall.timers import monotonic_ms
 
@@ -65,6 +65,8 @@
 # Requests of one connection that are received before other connections are
 # served. A single read has 1,400 of the shortest requests.
 MAX_REQUESTS_PER_TURN = 16
+# Statuses of answers that tell the client to come back later.
+COME_BACK_STATUSES = (429, 503)
 
 
 class Misuse(enum.Enum):
@@ -250,6 +252,8 @@
         if self._disconnected or self.finished or self._ready_answer:
             return
         self._ready_answer = (status, headers, body)
+        if status in COME_BACK_STATUSES:
+            self.channel.on_refused()
         self.channel.on_answer_ready(self, len(body), is_closing)
 
     def start_answer(self, is_last: bool) -> bytes:
@@ -344,6 +348,7 @@
         self._closing_call = None
         self._turn_call = None
         self._turn_requests = 0
+        self._pacing = RefusalPacing()
         self._is_linger_due = False
         self._is_lost = False
         self._resources = contextlib.ExitStack()
@@ -555,6 +560,12 @@
             self.budget.prove(account)
         self._advance()
 
+    def on_refused(self) -> None:
+        """Records a refusal if the client has sent further requests ahead."""
+        is_ahead = self._dataBuffer or self._buffer or len(self.requests) > 1
+        if is_ahead and self.site.limits.has_servers:
+            self._pacing.record_refusal(monotonic_ms())
+
     def on_answer_ready(
         self, request: CallerRequest, answer_bytes: int, is_closing: bool
     ) -> None:
@@ -733,9 +744,13 @@
             and self._outgoing is None
             and self.pipeline.can_read
         ):
-            if self._turn_requests >= MAX_REQUESTS_PER_TURN:
+            now_ms = monotonic_ms()
+            if self._pacing.is_used_up(now_ms) and not self.is_idle:
+                return
+            delay_s = self._pacing.delay_ms(now_ms) / 1000.0
+            if delay_s > 0.0 or self._turn_requests >= MAX_REQUESTS_PER_TURN:
                 if self._turn_call is None:
-                    self._turn_call = self.callLater(0, self._start_turn)
+                    self._turn_call = self.callLater(delay_s, self._start_turn)
                 return
             self._handlingRequest = False
             data = b"".join(self._dataBuffer)
@@ -988,7 +1003,10 @@
         """
         self.pipeline.is_closing = True
         if self.is_idle and not self._has_partial_request():
-            self.loseConnection()
+            if self._turn_call is not None:
+                self._close_after_discarding()
+            else:
+                self.loseConnection()
 
 
 HeadCheck = Callable[[CallerRequest], RefusalReason | None]
--- a/gentianwall/http/pipelining.py
+++ b/gentianwall/http/pipelining.py
@@ -5,6 +5,12 @@
 the last one does not wait for all others in turn; their answers are returned in
 the order of the requests. Any other request runs alone: if the connection ends
 early, the caller may then send again whatever was not read.
+
+Load pattern: a few connections send thousands of requests ahead to servers that
+are full. Each refusal lets the next request in at once, so that some request of
+each of these connections competes for every place that becomes free, and those
+of ordinary callers hardly get one. Therefore requests sent ahead are read at a
+low rate once many of their connection were refused.
 """
 
 from __future__ import annotations
@@ -21,6 +27,10 @@
 # Answers that wait for an earlier one are held in memory. No further request is
 # read while they are larger than this.
 MAX_WAITING_BYTES = 1024 * 1024
+# Requests sent ahead on one connection that are refused without a delay, and
+# the interval at which further ones are read, the usual retry-after time.
+MAX_REFUSED_AHEAD = 16
+REFUSED_AHEAD_INTERVAL_MS = 1000.0
 
 T = TypeVar("T")
 
@@ -130,3 +140,33 @@
         else:
             is_last = self.is_read_finished and self.is_empty
         return request, is_last
+
+
+@attrs.define
+class RefusalPacing:
+    """Delays the reading of requests behind many that were refused.
+
+    Each refusal uses a part of an allowance that grows back over time (generic
+    cell rate algorithm).
+    """
+
+    _restored_ms: float = float("-inf")
+
+    def record_refusal(self, now_ms: float) -> None:
+        """Records that a request was refused that others were sent behind."""
+        # Requests that ran beside each other may be refused together. The next
+        # one is still read after one interval.
+        self._restored_ms = min(
+            max(self._restored_ms, now_ms) + REFUSED_AHEAD_INTERVAL_MS,
+            now_ms + MAX_REFUSED_AHEAD * REFUSED_AHEAD_INTERVAL_MS,
+        )
+
+    def is_used_up(self, now_ms: float) -> bool:
+        """Returns whether only one request may be open at a time."""
+        left_ms = self._restored_ms - now_ms
+        return left_ms > (MAX_REFUSED_AHEAD - 2) * REFUSED_AHEAD_INTERVAL_MS
+
+    def delay_ms(self, now_ms: float) -> float:
+        """Returns for how long no further request is read."""
+        allowed_ms = (MAX_REFUSED_AHEAD - 1) * REFUSED_AHEAD_INTERVAL_MS
+        return max(0.0, self._restored_ms - now_ms - allowed_ms)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -16,6 +16,7 @@
 
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.http.channel import (
+    LINGER_S,
     MAX_REQUESTS_PER_TURN,
     CallerBounds,
     CallerSite,
@@ -25,7 +26,9 @@
 from gentianwall.http.client_budget import BudgetLimits, ClientBudget
 from gentianwall.http.pipelining import (
     MAX_OPEN_REQUESTS,
+    MAX_REFUSED_AHEAD,
     MAX_WAITING_BYTES,
+    REFUSED_AHEAD_INTERVAL_MS,
     Pipeline,
 )
 
@@ -626,6 +629,73 @@
     assert transport.producerState == "producing"
 
 
+@pytest.fixture
+def busy(monkeypatch):
+    """A site whose servers are full, with a common clock."""
+    process = Process(has_servers=True)
+    monkeypatch.setattr(
+        "gentianwall.http.channel.monotonic_ms",
+        lambda: process.clock.seconds() * 1000.0,
+    )
+    return process
+
+
+# Refused requests sent ahead took the places of those of ordinary callers.
+@pytest.mark.parametrize("status", [429, 503])
+def test_requests_behind_many_refused_ones_are_read_later(busy, status):
+    busy.site.handle = lambda request: request.answer(status, [], b"")
+    channel, transport = busy.connect()
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
+    line = b"HTTP/1.1 %d " % status
+    for seconds in range(5):
+        busy.clock.pump([0.0, 0.0])
+        answers = transport.value().count(line)
+        assert answers == MAX_REFUSED_AHEAD + seconds
+        busy.clock.advance(REFUSED_AHEAD_INTERVAL_MS / 1000.0)
+
+
+def test_requests_refused_together_are_read_one_at_a_time_afterwards(busy):
+    channel, _ = busy.connect()
+    busy.site.is_repeatable = lambda request: True
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 200)
+    for _ in range(20):
+        for request in busy.received:
+            request.answer(503, [], b"")
+        busy.clock.advance(0.0)
+    received = len(busy.received)
+    assert received <= 2 * MAX_REFUSED_AHEAD
+    busy.clock.advance(REFUSED_AHEAD_INTERVAL_MS / 1000.0)
+    assert len(busy.received) == received + 1
+
+
+# Only requests sent ahead are delayed, and none that are served.
+@pytest.mark.parametrize("is_ahead", [False, True])
+def test_other_requests_are_read_at_once(busy, is_ahead):
+    status = 200 if is_ahead else 503
+    busy.site.handle = lambda request: request.answer(status, [], b"")
+    channel, transport = busy.connect()
+    get = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    for data in [get * 100] if is_ahead else [get] * 100:
+        channel.dataReceived(data)
+        busy.clock.pump([0.0] * 8)
+    assert transport.value().count(b"HTTP/1.1 %d " % status) == 100
+
+
+# A close with unread input would reset the connection.
+def test_a_connection_with_requests_read_later_is_closed_after_reading(busy):
+    busy.site.handle = lambda request: request.answer(503, [], b"")
+    channel, transport = busy.connect()
+    channel.dataReceived(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
+    busy.clock.pump([0.0, 0.0])
+    # Unlike this transport, a socket can be told twice.
+    transport.unregisterProducer = transport.loseWriteConnection = lambda: None
+    channel.close_when_idle()
+    assert not transport.disconnecting
+    busy.clock.advance(LINGER_S)
+    assert transport.disconnecting
+    assert transport.value().count(b"HTTP/1.1 503 ") == MAX_REFUSED_AHEAD
+
+
 # Each piece was an object, which took 17 times what was charged for it.
 def test_requests_read_ahead_in_small_pieces_take_what_is_charged():
     process = Process()
