--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -27,7 +27,7 @@
     BudgetLimits,
     ClientBudget,
 )
-from gentianwall.http.pipelining import Pipeline
+from gentianwall.http.pipelining import Pipeline, RefusalPacing
 from gentianwall.http.problems import CONTENT_TYPE, Problem, render_refusal
 from gentianwall.timers import monotonic_ms
 
@@ -70,6 +70,8 @@
 # Requests of one connection that are received before other connections are
 # served. A single read has 1,400 of the shortest requests.
 MAX_REQUESTS_PER_TURN = 16
+# Statuses of answers that tell the client to come back later.
+COME_BACK_STATUSES = (429, 503)
 
 
 class Misuse(enum.Enum):
@@ -255,6 +257,8 @@
         if self._disconnected or self.finished or self._ready_answer:
             return
         self._ready_answer = (status, headers, body)
+        if status in COME_BACK_STATUSES:
+            self.channel.on_refused()
         self.channel.on_answer_ready(self, len(body), is_closing)
 
     def replace_answer(self) -> int:
@@ -362,6 +366,7 @@
         self._closing_call = None
         self._turn_call = None
         self._turn_requests = 0
+        self._pacing = RefusalPacing()
         self._is_linger_due = False
         self._is_lost = False
         self._resources = contextlib.ExitStack()
@@ -613,6 +618,12 @@
             self.budget.prove(account)
         self._advance()
 
+    def on_refused(self) -> None:
+        """Records a refusal if the client has sent further requests ahead."""
+        is_ahead = self._dataBuffer or self._buffer or len(self.requests) > 1
+        if is_ahead and self.site.limits.has_servers:
+            self._pacing.record_refusal(monotonic_ms())
+
     def on_answer_ready(
         self, request: CallerRequest, answer_bytes: int, is_closing: bool
     ) -> None:
@@ -801,9 +812,13 @@
             and self._outgoing is None
             and self.pipeline.can_read
         ):
-            if self._turn_requests >= MAX_REQUESTS_PER_TURN:
+            now_ms = monotonic_ms()
+            if self._pacing.is_used_up(now_ms) and not self.is_idle:
+                return
+            delay_s = self._pacing.delay_ms(now_ms) / 1000.0
+            if delay_s > 0.0 or self._turn_requests >= MAX_REQUESTS_PER_TURN:
                 if self._turn_call is None:
-                    self._turn_call = self.callLater(0, self._start_turn)
+                    self._turn_call = self.callLater(delay_s, self._start_turn)
                 return
             self._handlingRequest = False
             data = b"".join(self._dataBuffer)
@@ -1018,13 +1033,15 @@
     def _is_input_unread(self) -> bool:
         """Whether a client that did not ask for the close may have sent more.
 
-        That is so if reading is paused or a request is being received.
+        That is so if reading is paused, if requests wait for their turn to be
+        read, or if one is being received.
         """
         if not self.pipeline.is_closing or self.pipeline.is_read_finished:
             return False
         return (
             self._waitingForTransport
             or self._is_read_ahead_full
+            or self._turn_call is not None
             or self._has_partial_request()
         )
 
