Wait until an entry listens before the soak stops it again

A signal was sent 2 s after its start, before it had installed its handlers. It now counts as starting until it answers; the check of its status stays.

--- a/soak/lost.py
+++ b/soak/lost.py
@@ -1,4 +1,4 @@
-"""Checks that planned work cuts no request (LOST on the page of the rules).
+"""Checks that planned work cuts no request.
 
 Planned work is a stop of an entry, its SIGHUP and a changed configuration. The
 check judges what callers and servers saw, at the end of a run without unplanned
@@ -15,7 +15,7 @@
 
 from soak.checks import CONFIG_APPLY_S
 
-# `graceS`, `lossSlackMs` and the other bounds of the rule.
+# Bounds of the rule.
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
 AFTER_GRACE_S = 1.0
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -14,7 +14,14 @@
 
 import attrs
 
-from harness.fleet import CALLERS_PORT, HOST, Node
+from harness.fleet import (
+    CALLERS_PORT,
+    HOST,
+    READINESS_PORT,
+    Node,
+    call,
+    wait_until,
+)
 from soak.lost import GRACE_S, Outcome, Reload, Stop
 
 if TYPE_CHECKING:
@@ -35,8 +42,6 @@
 STOP_GAP_S = (0.2, 2.5)
 RELOAD_GAP_S = (0.1, 1.0)
 CHANGE_GAP_S = (0.05, 0.6)
-# An entry that starts installs its signal handlers within this time.
-STARTING_S = 2.0
 SERVICE_GAP_S = 0.2
 
 
@@ -208,7 +213,10 @@
         soak.fleet.kill(entry)
     soak.starting_nodes.add(entry.folder.name)
     soak.fleet.start(entry)
-    time.sleep(STARTING_S)
+    wait_until(
+        f"{entry.folder.name} listens, and so handles signals",
+        lambda: call(entry.host, READINESS_PORT, "GET", "/readyz").status != 0,
+    )
     soak.faulted_nodes.discard(entry.folder.name)
     soak.starting_nodes.discard(entry.folder.name)
 
