--- a/harness/full_disks.py
+++ b/harness/full_disks.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import shutil
 import types
 
 import attrs
@@ -17,15 +18,16 @@
 from twisted.internet.task import Clock
 
 from gentianwall import timers
-from gentianwall.claims.commands import PutConfiguration
+from gentianwall.claims.commands import ConfigurationHeld, PutConfiguration
 from gentianwall.config.routes import CallerLimits, RouteConfiguration
 from gentianwall.control.messages import CommandReply, CommandRequest
 from gentianwall.core.events import MessageArrived
 from gentianwall.links.messages import Envelope, Message
 from gentianwall.replication.state import Role, Timing
-from gentianwall.runtime import common
+from gentianwall.runtime import common, leader_client
 from gentianwall.runtime import control as runtime_control
 from gentianwall.runtime.control import ControlRuntime, ControlSetup
+from gentianwall.runtime.leader_client import LeaderClient
 from gentianwall.storage import journal
 from gentianwall.storage.journal import Journal
 
@@ -213,24 +215,27 @@
         monkeypatch.setattr(journal, "os", functions)
         seeded = types.SimpleNamespace(SystemRandom=lambda: random_source)
         monkeypatch.setattr(runtime_control, "random", seeded)
-        for module in (timers, runtime_control, common):
+        for module in (timers, runtime_control, common, leader_client):
             monkeypatch.setattr(module, "monotonic_ms", self.now_ms)
+        self.voters = voters
         self.acknowledged = 0
         self.sent = 0
-        self.runtimes = {}
+        self.isolated: set[str] = set()
+        self.runtimes: dict[str, ControlRuntime] = {}
+        self.clients: dict[str, LeaderClient] = {}
         founders = tuple(self.names[:voters])
         for name in self.names:
             if name in founders:
                 Journal(str(self.folders[name])).bootstrap(name, founders)
-            self.runtimes[name] = self._start(name, voters)
+            self._start(name)
 
-    def _start(self, name: str, voters: int) -> ControlRuntime:
+    def _start(self, name: str) -> None:
         setup = ControlSetup(
             name=name,
             data_folder=str(self.folders[name]),
             peers=tuple(n for n in self.names if n != name),
             timing=TIMING,
-            target_voters=voters,
+            target_voters=self.voters,
             can_rejoin_empty=True,
             free_space_bytes=0,
         )
@@ -238,7 +243,17 @@
         runtime = ControlRuntime(setup, self.reactor, service)
         runtime.recover()
         runtime.start(SimulatedLinks(self, name))
-        return runtime
+        self.runtimes[name] = runtime
+        self.clients[name] = LeaderClient(runtime)
+
+    def replace_disk(self, name: str) -> None:
+        """Ends an instance and starts it with an empty folder."""
+        ended = self.runtimes[name]
+        ended.fault = "ended"
+        ended.unstored_effects.clear()
+        ended.journal.close()
+        shutil.rmtree(self.folders[name])
+        self._start(name)
 
     def now_ms(self) -> float:
         """Returns the simulated clock in milliseconds."""
@@ -246,6 +261,8 @@
 
     def deliver(self, sender: str, receiver: str, message: Message) -> None:
         """Passes a message to its receiver; notes acknowledged changes."""
+        if self.isolated & {sender, receiver}:
+            return
         if receiver == CLIENT:
             if isinstance(message, CommandReply):
                 number = message.result.number
@@ -260,6 +277,8 @@
         while self.reactor.seconds() < end_s:
             for runtime in self.runtimes.values():
                 runtime.tick()
+            for client in self.clients.values():
+                client.tick()
             self.reactor.advance(STEP_S)
 
     def leader(self) -> str | None:
@@ -287,9 +306,41 @@
         self.advance(time_s)
         return self.acknowledged == self.sent
 
+    def change_through(self, name: str, time_s: float) -> bool:
+        """Sends a configuration to one instance.
+
+        Returns:
+            Whether that instance acknowledged it within a time.
+        """
+        self.sent += 1
+        number = self.sent
+        is_acknowledged = False
+
+        def on_result(result: leader_client.LeaderResult) -> None:
+            nonlocal is_acknowledged
+            held = isinstance(result, ConfigurationHeld) and result.number
+            if held and held >= number:
+                is_acknowledged = True
+                self.acknowledged = max(self.acknowledged, held)
+
+        configuration = RouteConfiguration(number, (), (), CallerLimits())
+        self.clients[name].put_configuration(
+            configuration, bytes(DOCUMENT_BYTES), on_result
+        )
+        self.advance(time_s)
+        return is_acknowledged
+
+    def change_for(self, time_s: float) -> None:
+        """Sends changes to all instances in turn for a while."""
+        end_s = self.reactor.seconds() + time_s
+        while self.reactor.seconds() < end_s:
+            self.change_through(self.names[self.sent % len(self.names)], 0.05)
+
     def check_recovered(self) -> None:
         """Checks that all disks that have room again are as good as new."""
         self.advance(3.0)
+        for name in self.names:
+            assert self.change_through(name, 1.0), name
         changes = 2 * TIMING.snapshot_entries + 2
         assert all([self.change() for _ in range(changes)])
         self.advance(1.0)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -11,8 +11,7 @@
 
 from gentianwall.claims.commands import ConfigurationHeld
 from gentianwall.config.routes import CallerLimits, RouteConfiguration
-from gentianwall.runtime import leader_client
-from gentianwall.runtime.leader_client import LeaderClient
+from gentianwall.core import control
 from harness.full_disks import (
     CAPACITY_BYTES,
     DOCUMENT_BYTES,
@@ -69,13 +68,100 @@
     cluster.check_recovered()
 
 
+def _make_cluster(folder, monkeypatch, size, voters, seed):
+    # As a disk for the journal of a fleet, a disk has room for all entries that
+    # the leader accepts while none is committed.
+    monkeypatch.setattr(control, "MAX_UNCOMMITTED_BYTES", CAPACITY_BYTES // 8)
+    cluster = FullDiskCluster(folder, monkeypatch, size, voters, seed)
+    cluster.advance(2.0)
+    cluster.change_for(1.0)
+    assert cluster.acknowledged
+    return cluster
+
+
+# Changes were not acknowledged long after the last of many disks had room.
+@pytest.mark.parametrize(
+    ("size", "voters", "seed"), [(3, 3, 1), (5, 3, 2), (5, 5, 3), (12, 5, 4)]
+)
+def test_every_instance_accepts_changes_after_each_disk_was_full(
+    size, voters, seed, tmp_path, monkeypatch
+):
+    cluster = _make_cluster(tmp_path, monkeypatch, size, voters, seed)
+    operations = ["write", "create rename", "create write sync rename"]
+    for number, disk in enumerate(cluster.disks.values()):
+        disk.fill(operations[number % 3], 1.0, after=number)
+        cluster.change_for(2.0)
+        assert disk.refusals
+    cluster.check_recovered()
+
+
+# A leader whose disk was full while it compacted its log, sent a snapshot or
+# admitted a learner has to go on with that, or another has to.
+@pytest.mark.parametrize("full_s", [0.3, 2.5])
+@pytest.mark.parametrize("refused", ["write", "create write sync rename"])
+def test_a_leader_whose_disk_is_full_compacts_its_log_afterwards(
+    refused, full_s, tmp_path, monkeypatch
+):
+    cluster = _make_cluster(tmp_path, monkeypatch, 3, 3, 1)
+    for after in range(4):
+        leader = cluster.leader()
+        while not cluster.runtimes[leader].state.replica.is_snapshot_pending:
+            cluster.change(0.01)
+        cluster.disks[leader].fill(refused, full_s, after)
+        cluster.change_for(full_s + 1.0)
+        assert cluster.disks[leader].refusals
+    cluster.check_recovered()
+
+
+@pytest.mark.parametrize("is_leader_full", [True, False])
+@pytest.mark.parametrize("refused", ["write", "create write sync rename"])
+def test_an_instance_that_lags_gets_a_snapshot_while_a_disk_is_full(
+    refused, is_leader_full, tmp_path, monkeypatch
+):
+    cluster = _make_cluster(tmp_path, monkeypatch, 3, 3, 1)
+    leader = cluster.leader()
+    lagging = next(name for name in cluster.names if name != leader)
+    replica = cluster.runtimes[lagging].state.replica
+    cluster.isolated.add(lagging)
+    cluster.change_for(2.0)
+    assert (
+        cluster.runtimes[leader].state.replica.log.base_index
+        > replica.log.last_index
+    )
+    disk = cluster.disks[leader if is_leader_full else lagging]
+    disk.fill(refused, 1.0, after=2)
+    cluster.isolated.clear()
+    cluster.change_for(2.0)
+    assert disk.refusals
+    cluster.check_recovered()
+
+
+@pytest.mark.parametrize(("size", "voters"), [(3, 3), (5, 3), (12, 5)])
+@pytest.mark.parametrize("is_leader_full", [True, False])
+def test_a_new_disk_is_admitted_after_a_disk_was_full(
+    is_leader_full, size, voters, tmp_path, monkeypatch
+):
+    cluster = _make_cluster(tmp_path, monkeypatch, size, voters, 1)
+    leader = cluster.leader()
+    replaced = next(name for name in cluster.names if name != leader)
+    cluster.replace_disk(replaced)
+    full = cluster.disks[leader if is_leader_full else replaced]
+    full.fill("create write sync rename", 1.0)
+    cluster.change_for(6.0)
+    assert full.refusals
+    cluster.check_recovered()
+    members = cluster.runtimes[cluster.leader()].state.replica.members
+    assert len(members) == voters
+    disk_ids = {r.state.replica.disk_id for r in cluster.runtimes.values()}
+    assert {member.disk_id for member in members} <= disk_ids
+
+
 def test_a_configuration_refused_by_the_disk_is_not_acknowledged(
     tmp_path, monkeypatch
 ):
     cluster = FullDiskCluster(tmp_path, monkeypatch, size=1, voters=1)
-    monkeypatch.setattr(leader_client, "monotonic_ms", cluster.now_ms)
     cluster.advance(2.0)
-    client = LeaderClient(cluster.runtimes["r0"])
+    client = cluster.clients["r0"]
     cluster.disks["r0"].fill("write", 1.0)
     configuration = RouteConfiguration(7, (), (), CallerLimits())
     results = []
