--- a/gentianwall/runtime/control.py
+++ b/gentianwall/runtime/control.py
@@ -119,6 +119,8 @@
         unstored_effects: Effects whose write to disk failed. Until they are
             written, messages and ticks are dropped and no effect is performed
             but that a snapshot is taken, which may make room.
+        is_snapshot_refused: Whether a timer runs until the next snapshot, since
+            the disk refused one.
     """
 
     def __init__(self, setup: ControlSetup, reactor, timers: TimerService):
@@ -132,6 +134,7 @@
         self.receive_reply: Callable[[Message], None] = _drop_message
         self.fault = ""
         self.unstored_effects: list[ControlEffect] = []
+        self.is_snapshot_refused = False
 
     def recover(self) -> None:
         """Reads the journal and rebuilds the replica.
@@ -260,6 +263,8 @@
                 self._retry_store,
             )
             return
+        if any(isinstance(effect, StoreSnapshot) for effect in effects):
+            self._hasten_snapshot()
         self_messages = []
         for effect in effects:
             match effect:
@@ -282,6 +287,7 @@
         if self.unstored_effects:
             return
         log.info("Journal written after a retry. Messages are handled again.")
+        self._hasten_snapshot()
 
     def _write_snapshot(self, effect: TakeSnapshot) -> None:
         """Encodes the register and writes a snapshot file; runs in a thread."""
@@ -295,17 +301,36 @@
             self.journal.write_snapshot(snapshot)
         except OSError as error:
             log.error("Snapshot not written: %s. Another is written.", error)
-            self.reactor.callFromThread(
-                self.timers.start,
-                f"{self.setup.name}.snapshot",
-                monotonic_ms() + SNAPSHOT_RETRY_MS,
-                lambda: self._report_snapshot(SnapshotRefused(monotonic_ms())),
-            )
+            self.reactor.callFromThread(self._on_snapshot_refused)
             return
         self.reactor.callFromThread(
             self._report_snapshot, SnapshotTaken(monotonic_ms(), snapshot)
         )
 
+    def _on_snapshot_refused(self) -> None:
+        self.is_snapshot_refused = True
+        self._schedule_snapshot(SNAPSHOT_RETRY_MS)
+
+    def _hasten_snapshot(self) -> None:
+        """Takes the next snapshot at once if the disk has refused one.
+
+        Called when the disk has room again: an instance that then catches up
+        could fill it before the timer fires.
+        """
+        if self.is_snapshot_refused:
+            self._schedule_snapshot(0.0)
+
+    def _schedule_snapshot(self, delay_ms: float) -> None:
+        self.timers.start(
+            f"{self.setup.name}.snapshot",
+            monotonic_ms() + delay_ms,
+            self._retry_snapshot,
+        )
+
+    def _retry_snapshot(self) -> None:
+        self.is_snapshot_refused = False
+        self._report_snapshot(SnapshotRefused(monotonic_ms()))
+
     def _report_snapshot(self, report: SnapshotTaken | SnapshotRefused) -> None:
         """Reports the end of a snapshot, also while effects are unstored.
 
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -136,6 +136,22 @@
     cluster.check_recovered()
 
 
+# It waited to take the next snapshot after a refused one, although the disk had
+# room again, while the entries that it lagged behind filled the disk.
+def test_an_instance_that_catches_up_after_a_refused_snapshot_compacts_its_log(
+    cluster,
+):
+    leader = cluster.leader()
+    name = next(name for name in cluster.names if name != leader)
+    while not cluster.runtimes[name].state.replica.is_snapshot_pending:
+        cluster.change(0.01)
+    cluster.disks[name].fill("write", 1.3)
+    for _ in range(300):
+        cluster.change(0.01)
+    assert cluster.disks[name].refusals
+    cluster.check_recovered()
+
+
 @pytest.mark.parametrize(("size", "voters"), [(3, 3), (5, 3), (12, 5)])
 @pytest.mark.parametrize("is_leader_full", [True, False])
 def test_a_new_disk_is_admitted_after_a_disk_was_full(
