Test the start of an empty control instance on a full disk

A control instance that starts with an empty folder on a full disk ends with status 1, as the postmortem says, and no test covered what the refused start leaves behind.

The test refuses each operation on the files in turn and then starts the instance again on the same folder, which joins and becomes a member.

--- a/harness/full_disks.py
+++ b/harness/full_disks.py
@@ -227,9 +227,14 @@
         for name in self.names:
             if name in founders:
                 Journal(str(self.folders[name])).bootstrap(name, founders)
-            self._start(name)
+            self.start(name)
 
-    def _start(self, name: str) -> None:
+    def start(self, name: str) -> None:
+        """Starts an instance on what its folder has.
+
+        Raises:
+            OSError: The folder is empty and the disk is full.
+        """
         setup = ControlSetup(
             name=name,
             data_folder=str(self.folders[name]),
@@ -253,7 +258,7 @@
         ended.unstored_effects.clear()
         ended.journal.close()
         shutil.rmtree(self.folders[name])
-        self._start(name)
+        self.start(name)
 
     def now_ms(self) -> float:
         """Returns the simulated clock in milliseconds."""
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -172,6 +172,24 @@
     assert {member.disk_id for member in members} <= disk_ids
 
 
+# An instance without a journal has no identity to go on with. Its process ends
+# and is started again, with what the refused start left behind.
+@pytest.mark.parametrize("refused", ["create", "write", "rename", "sync"])
+def test_an_empty_instance_on_a_full_disk_joins_when_started_again(
+    refused, cluster
+):
+    leader = cluster.leader()
+    name = next(name for name in cluster.names if name != leader)
+    cluster.disks[name].fill(refused, 1.0)
+    with pytest.raises(OSError):
+        cluster.replace_disk(name)
+    cluster.change_for(1.5)
+    cluster.start(name)
+    cluster.change_for(2.0)
+    cluster.check_recovered()
+    assert cluster.runtimes[name].state.replica.is_member
+
+
 def test_a_configuration_refused_by_the_disk_is_not_acknowledged(
     tmp_path, monkeypatch
 ):
