Read on after a last answer until the client has closed its side

At an entry that stops, a caller that sent a further request on a kept connection while it was still reading a large answer got only a part of that answer: 9,961 of 300,000 bytes.

Cause: since a connection is read after its last answer if reading was paused when the answer was written. The last part of a large answer does not pause it, and the kernel still sends for a while after the close. What the client sends then resets the connection, and the rest of the answer is lost. Class of fault: a known answer is dropped.

Whenever this side decides to close after an answer, it now ends its own side and reads and discards what comes, until the client closes or for a second. Closes that the client asked for, and those of connections without anything to send, are as before.

What remains: a client that sends more than a second after the last answer was written, while it still reads it, is reset as before.

Tests: test_an_answer_is_whole_if_a_request_is_sent_while_it_is_read, with real processes, failed before (1 run) and passes now (2 runs). Three tests of test_channel required an immediate close of both sides. They now require that the own side ends at once, that reading goes on, and that the connection is closed after LINGER_S; one also requires that neither side ends earlier. Their transport can end one side, as that of a socket.

test_channel, test_client_budget, test_entries, test_fleet and test_silent_sockets pass.

--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -585,7 +585,8 @@
         finally:
             self._is_advancing = False
         if is_last:
-            self._close_after_answers()
+            is_more_expected = not self.pipeline.is_read_finished
+            self._close_after_answers(is_more_expected)
         elif self._final_problem is not None and self.is_idle:
             self._write_final_problem()
         else:
@@ -931,13 +932,18 @@
             return False
         return self._waitingForTransport or self._is_read_ahead_full
 
-    def _close_after_answers(self) -> None:
+    def _close_after_answers(self, is_more_expected: bool) -> None:
         """Closes the connection, after discarding what the client sent.
 
-        A close with unread input resets the connection, and the client may not
-        receive the rest of the last answer.
+        A close with unread input, or with input that comes while the kernel
+        still sends, resets the connection, and the client may not receive the
+        rest of the last answer.
+
+        Args:
+            is_more_expected: Whether the client may have sent more, or may do
+                so before it has received the last answer.
         """
-        if not self._is_input_unread:
+        if not is_more_expected:
             self.loseConnection()
             return
         self.is_refused = True
@@ -986,7 +992,7 @@
         """
         self.pipeline.is_closing = True
         if self.is_idle and not self._has_partial_request():
-            self._close_after_answers()
+            self._close_after_answers(self._is_input_unread)
 
 
 HeadCheck = Callable[[CallerRequest], RefusalReason | None]
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -34,6 +34,20 @@
 MIB = 1024 * 1024
 
 
+class Transport(StringTransport):
+    """A transport that can end its own side, as that of a socket does."""
+
+    is_write_closed = False
+
+    def loseWriteConnection(self):
+        """Ends the own side once everything is written."""
+        self.is_write_closed = True
+
+    def unregisterProducer(self):
+        """Removes the producer; a second call is accepted."""
+        self.producer = None
+
+
 @pytest.fixture
 def connection():
     """A caller's connection: channel, transport, clock, received requests."""
@@ -42,7 +56,7 @@
     channel = site.buildProtocol(None)
     clock = Clock()
     channel.callLater = clock.callLater
-    transport = StringTransport()
+    transport = Transport()
     channel.makeConnection(transport)
     return channel, transport, clock, received
 
@@ -162,6 +176,15 @@
     return re.findall(rb"answer-(\w)", connection[1].value())
 
 
+def _check_closed_after_answers(connection):
+    """Checks that the own side ends at once, and the connection soon."""
+    _, transport, clock, _ = connection
+    assert transport.is_write_closed
+    assert transport.producerState == "producing"
+    clock.advance(LINGER_S)
+    assert transport.disconnecting
+
+
 def _paths(connection):
     return [request.path[1:] for request in connection[3]]
 
@@ -227,18 +250,19 @@
     _answer(connection, b"a", is_closing=True)
     assert _paths(connection) == [b"a"]
     assert connection[1].value().count(b"Connection: close") == 1
-    assert connection[1].disconnecting
+    _check_closed_after_answers(connection)
 
 
 def test_requests_that_run_are_answered_before_a_close(connection):
     _pipeline(connection, b"a", b"b")
     _answer(connection, b"a", is_closing=True)
     assert not connection[1].disconnecting
+    assert not connection[1].is_write_closed
     assert b"Connection: close" not in connection[1].value()
     _answer(connection, b"b", is_closing=True)
     assert _bodies(connection) == [b"a", b"b"]
     assert connection[1].value().count(b"Connection: close") == 1
-    assert connection[1].disconnecting
+    _check_closed_after_answers(connection)
 
 
 def test_a_shutdown_answers_all_requests_that_run(connection):
@@ -249,7 +273,7 @@
     _answer(connection, b"b")
     _answer(connection, b"a")
     assert _bodies(connection) == [b"a", b"b"]
-    assert connection[1].disconnecting
+    _check_closed_after_answers(connection)
 
 
 def test_a_malformed_request_is_refused_after_the_earlier_answers(connection):
@@ -365,7 +389,7 @@
         """Opens a connection; returns its channel and transport."""
         channel = self.site.buildProtocol(None)
         channel.callLater = self.clock.callLater
-        transport = StringTransport()
+        transport = Transport()
         channel.makeConnection(transport)
         self.channels.append(channel)
         return channel, transport
@@ -605,13 +629,9 @@
 def test_an_answer_that_is_being_sent_is_not_cut_by_a_shutdown():
     process = Process()
     channel, transport = _answer_over_a_slow_link(process)
-    closed = []
-    transport.loseWriteConnection = lambda: closed.append("write")
-    # A real transport accepts a second call.
-    transport.unregisterProducer = lambda: None
     channel.close_when_idle()
     # What the client sends is read until it closes its side.
-    assert closed == ["write"]
+    assert transport.is_write_closed
     assert transport.producerState == "producing"
     assert not transport.disconnecting
     channel.dataReceived(b"GET /y HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -263,6 +263,42 @@
     assert len(body) > 300_000, received_head
 
 
+# The request was sent after the last part of the answer had been written, when
+# nothing was read any more, and the close reset the connection.
+def test_an_answer_is_whole_if_a_request_is_sent_while_it_is_read(
+    fleet, servers
+):
+    (entry,) = fleet.entries
+    for server in servers:
+        server.padding_bytes = 300_000
+    head = (
+        f"GET {ROUTES[0]} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Gentianwall-Request-Id: %s\r\n\r\n"
+    )
+    received = b""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(15.0)
+        sock.connect((entry.host, CALLERS_PORT))
+        sock.sendall((head % "first").encode())
+        wait_until(
+            "the request runs",
+            lambda: any("first" in server.executed_ids for server in servers),
+        )
+        fleet.signal(entry, signal.SIGTERM)
+        received += sock.recv(4096)
+        # The kernel has taken what the entry has written.
+        time.sleep(0.3)
+        with contextlib.suppress(ConnectionError):
+            sock.sendall((head % "second").encode())
+            time.sleep(0.1)
+            while data := sock.recv(4096):
+                received += data
+    received_head, _, body = received.partition(b"\r\n\r\n")
+    assert len(body) > 300_000, received_head
+    assert not any("second" in server.executed_ids for server in servers)
+
+
 @pytest.fixture
 def listed_entry():
     """A cluster with an entry at a listed address."""
