Pass on late requests in a stop only if their whole wait ends in time

What callers saw: in a trial, servers became four times slower (0.5 s to 2 s) at the SIGTERM of an entry with a grace period of 6 s.

Cause: a repeatable request was passed on if three times its expected time was left, also shortly before the end, where nothing is left for a server that becomes slower.

Change: that holds for requests that come in the first half of the time only. Later ones need their whole wait, as those that may run once do. By then the entry has been unready for seconds, and another one can serve them at once.

Ruled out: the whole wait from the signal on, which refuses nearly everything where callers wait for longer than the grace period.

--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -73,7 +73,7 @@
             partitions.start_checks(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
-            state.stop.end_ms = event.end_ms
+            state.stop.begin(event.at_ms, event.end_ms)
             effects.append(Log("draining", {"calls": len(state.calls)}))
         case DrainEnded():
             outcomes.on_drain_ended(state, event.at_ms, effects)
--- a/gentianwall/gateway/stopping.py
+++ b/gentianwall/gateway/stopping.py
@@ -7,8 +7,10 @@
 instead, another entry can serve it at once.
 
 A request is passed on only if the wait of its caller ends before the process
-does. One that may be repeated is also passed on if it is very likely over by
-then, since callers often wait for longer than the grace period.
+does. One that may be repeated and arrives in the first half of that time is
+also passed on if it is very likely over by then, since callers often wait for
+longer than the grace period. A later one would find hardly any room for a
+server that becomes slower, and another entry can serve it.
 """
 
 from __future__ import annotations
@@ -34,14 +36,22 @@
     """State of a planned stop.
 
     Attributes:
+        late_ms: From when requests are passed on only if their whole wait ends
+            in time; infinite while the process does not stop.
         end_ms: When requests without an answer are refused because the process
             ends; infinite while it does not stop.
         refused: Requests refused because they might not be over by then.
     """
 
+    late_ms: float = math.inf
     end_ms: float = math.inf
     refused: int = 0
 
+    def begin(self, at_ms: float, end_ms: float) -> None:
+        """Records when the stop began and when it ends."""
+        self.late_ms = (at_ms + end_ms) / 2.0
+        self.end_ms = end_ms
+
     def has_time_for(
         self, call: RoutedCall, expected_ms: float, now_ms: float
     ) -> bool:
@@ -54,7 +64,8 @@
         """
         if call.deadline_ms <= self.end_ms:
             return True
-        if not call.route.kind.is_idempotent:
+        is_late = call.arrived_ms >= self.late_ms
+        if is_late or not call.route.kind.is_idempotent:
             return False
         likely_ms = max(LIKELY_FACTOR * expected_ms, call.route.target_ms)
         return now_ms + likely_ms <= self.end_ms
