Take what the process uses beside its clients off their budget

An entry with 12,000 routes, memory_mb = 152 and descriptors = 1535 took 154.7 MB when 300 clients sent bodies of 2 MiB in pieces of 512 bytes. It lived and answered, but left the memory that it may use.

The budget reckoned with 55 MB for a process without clients, whatever its configuration holds.

What it exceeds the charged bytes by replaces the 55 MB if it is more, and the budget is 0.9 of the rest, at least 8 MB. If more is held then, only clients are given up that hold parts of requests or do not read. The budget grows again when the process takes less, and connections that wait for memory read on.

The budget of the operators' port of a listed control instance is not adapted.

--- a/gentianwall/commands/fleet_control.py
+++ b/gentianwall/commands/fleet_control.py
@@ -39,7 +39,7 @@
     LEADER_CLIENT_TICK_MS,
     LeaderClient,
 )
-from gentianwall.runtime.process_limits import make_budget
+from gentianwall.runtime.process_limits import make_budget, watch_memory
 from gentianwall.storage.journal import Journal, JournalNotEmpty
 from gentianwall.timers import TimerService, monotonic_ms
 
@@ -128,6 +128,7 @@
                 "gate.tick", LEADER_CLIENT_TICK_MS, leader_client.tick
             ),
             timers.every("gate.members", PEER_UPDATE_INTERVAL_MS, update_peers),
+            watch_memory("gate.memory", budget, settings.memory_mb, timers),
         ):
             yield reload
 
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -290,6 +290,16 @@
                 return
             self._give_up(victim)
 
+    def set_memory(self, memory_bytes: int, now_ms: float) -> None:
+        """Changes how much all connections may hold together.
+
+        Connections that hold complete requests keep what they hold.
+        """
+        self.limits = attrs.evolve(self.limits, memory_bytes=memory_bytes)
+        self.reclaim_from_blocked(now_ms)
+        if self._waiting and not self.is_short:
+            self._resume_all()
+
     def reclaim_from_blocked(self, now_ms: float) -> None:
         """Gives up clients that hold a part of a request or do not read."""
         while self.is_exceeded:
--- a/gentianwall/runtime/entry.py
+++ b/gentianwall/runtime/entry.py
@@ -50,7 +50,7 @@
 from gentianwall.runtime.common import listen, message_events, stop_listening
 from gentianwall.runtime.operators import EntryOperatorHandler
 from gentianwall.runtime.probes import ProbeSender
-from gentianwall.runtime.process_limits import make_budget
+from gentianwall.runtime.process_limits import make_budget, watch_memory
 from gentianwall.timeline import EventKind, Timeline
 from gentianwall.timers import TimerService, monotonic_ms, wall_ms
 
@@ -279,6 +279,11 @@
         name = settings.instance
         runtime.tick()
         stack.callback(timers.cancel, f"{name}.tick")
+        stack.enter_context(
+            watch_memory(
+                f"{name}.memory", runtime.budget, settings.memory_mb, timers
+            )
+        )
         stack.enter_context(
             timers.every(
                 f"{name}.sweep",
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -69,7 +69,7 @@
     AUTHORIZATION,
     GatewayRequestHandler,
 )
-from gentianwall.runtime.process_limits import make_budget
+from gentianwall.runtime.process_limits import make_budget, watch_memory
 from gentianwall.runtime.relay_authentication import RelayAuthenticator
 from gentianwall.runtime.server_checks import ServerChecks
 from gentianwall.runtime.server_pools import ServerPools
@@ -425,6 +425,11 @@
         )
         runtime.start(links)
         stack.enter_context(timers.every("gateway.tick", TICK_MS, runtime.tick))
+        stack.enter_context(
+            watch_memory(
+                "gateway.memory", runtime.budget, settings.memory_mb, timers
+            )
+        )
         stack.enter_context(
             timers.every(
                 "gateway.links", CLOSE_UNUSED_LINKS_MS, links.close_unused
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -13,6 +13,7 @@
     BudgetLimits,
     ClientBudget,
 )
+from gentianwall.runtime.process_limits import adapt_budget, make_budget
 
 MIB = 1024 * 1024
 LIMITS = BudgetLimits(
@@ -173,3 +174,39 @@
         budget.prove(account)
         account.is_serving = True
     assert not budget.make_room(connections.now_ms)
+
+
+# The budget did not look at what a process takes without clients.
+def test_a_budget_shrinks_by_what_the_process_takes_beyond_its_base():
+    budget = make_budget(152.0, 1535)
+    whole_bytes = budget.limits.memory_bytes
+    for resident_mb, share_mb in [(45, 97), (75, 77), (140, 12), (75, 77)]:
+        adapt_budget(budget, 152.0, resident_mb, 0.0)
+        limit_mb = budget.limits.memory_bytes / 1_000_000
+        assert abs(limit_mb - max(8.0, 0.9 * share_mb)) < 0.01
+    adapt_budget(budget, 152.0, 200, 0.0)
+    assert budget.limits.memory_bytes == 8_000_000
+    adapt_budget(budget, 152.0, 45, 0.0)
+    assert budget.limits.memory_bytes == whole_bytes
+
+
+def test_a_smaller_budget_gives_up_clients_that_hold_parts_of_requests():
+    connections = Connections()
+    connections.open("10.0.0.1", 5 * MIB)
+    connections.open("10.0.0.2", 5 * MIB, is_blocked=False)
+    connections.budget.set_memory(4 * MIB, 0.0)
+    assert connections.given_up == [0]
+    connections.close()
+    assert connections.budget.held_bytes == 0
+
+
+def test_connections_that_wait_read_on_when_the_budget_grows():
+    connections = Connections()
+    account = connections.open("10.0.0.1", 7 * MIB)
+    connections.budget.set_memory(8 * MIB, 0.0)
+    connections.budget.start_waiting(account)
+    connections.budget.set_memory(8 * MIB, 0.0)
+    assert connections.resumed == []
+    connections.budget.set_memory(16 * MIB, 0.0)
+    assert connections.resumed == [0]
+    connections.close()
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -47,6 +47,12 @@
 CROWD_MEMORY_MB = 296
 CROWD_DESCRIPTORS = 1535
 CROWD_S = 12.0
+# Limits of a small entry, and a configuration with which a process takes more
+# than is reckoned for one without clients.
+SMALL_MEMORY_MB = 152
+SMALL_DESCRIPTORS = 1535
+SMALL_CROWD = ([shapes.upload(2 * 1024 * 1024, part_bytes=512)], 300)
+MANY_ROUTES = 12_000
 ROUTE = b"/orders/x"
 # Requests of this route run beside each other on one connection.
 SAFE_ROUTE = b"/reads/x"
@@ -97,29 +103,35 @@
     return FakeServer("i-1", "orders", f"127.{BLOCK}.3.1", service_s=0.2)
 
 
-def _document():
+def _document(more_routes=0):
     content = document(1)
     route = json.loads(json.dumps(content["resources"][0]))
     route["metadata"]["name"] = "reads"
     route["spec"] |= {"pathPrefix": "/reads/", "routeType": "safe"}
     content["resources"].append(route)
+    for number in range(more_routes):
+        further = json.loads(json.dumps(route))
+        further["metadata"]["name"] = f"more-{number}"
+        further["spec"]["pathPrefix"] = f"/more-{number}/"
+        content["resources"].append(further)
     return content
 
 
 @contextlib.contextmanager
-def _running_fleet(folder, server, memory_mb, descriptors):
+def _running_fleet(folder, server, memory_mb, descriptors, more_routes=0):
     fleet = Fleet(folder, 1, 1, BLOCK)
     fleet.entry_settings = fleet.control_settings = [
         f"memory_mb = {memory_mb}",
         f"descriptors = {descriptors}",
     ]
+    content = _document(more_routes)
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
         control = fleet.controls[0]
         wait_until(
             "the configuration is acknowledged",
-            lambda: fleet.replace_configuration(control, _document()) == 200,
+            lambda: fleet.replace_configuration(control, content) == 200,
         )
         with running_server(server):
             send_heartbeat_until_acknowledged(fleet, server)
@@ -145,6 +157,14 @@
         yield fleet
 
 
+@pytest.fixture
+def fleet_with_many_routes(tmp_path, server):
+    """The same with the smallest limits and a large configuration."""
+    limits = (SMALL_MEMORY_MB, SMALL_DESCRIPTORS)
+    with _running_fleet(tmp_path, server, *limits, MANY_ROUTES) as fleet:
+        yield fleet
+
+
 def _flood(pid, address, path, shape_name, is_served):
     """Checks a process under a flood; returns what it used."""
     shape, clients = SHAPES[shape_name]
@@ -228,6 +248,23 @@
         )
 
 
+# The budget did not look at what a process takes without clients.
+def test_bodies_beside_a_large_configuration_stay_within_the_memory(
+    fleet_with_many_routes,
+):
+    fleet = fleet_with_many_routes
+    entry = fleet.entries[0]
+    with flooding(entry.host, CALLERS_PORT, ROUTE, *SMALL_CROWD) as flood:
+        _check_usage(
+            flood,
+            entry.process.pid,
+            lambda: _is_entry_serving(fleet),
+            CROWD_S,
+            SMALL_MEMORY_MB,
+            SMALL_DESCRIPTORS,
+        )
+
+
 @pytest.mark.parametrize("port", [READINESS_PORT, PEER_PORT, METRICS_PORT])
 @pytest.mark.parametrize("shape", ["upload", "slow heads"])
 def test_the_other_ports_of_a_fleets_entry(fleet, shape, port):
