--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -365,33 +366,31 @@
     return content
 
 
-class _ExecutionRecorder(list):
-    """List of executed requests that records each one for the checks."""
+class _RecordingList(list):
+    """List of request ids that reports each one that is appended."""
 
-    def __init__(self, soak: SoakRun, server: str):
+    def __init__(self, record: Callable[[str], None]):
         super().__init__()
-        self._soak = soak
-        self._server = server
+        self._record = record
 
     def append(self, request_id: str) -> None:
         super().append(request_id)
-        self._soak.lost.record_begin(request_id, self._server, time.monotonic())
-        self._soak.observations.record_execution(
-            request_id, request_id.startswith(SAFE_PREFIX)
-        )
+        self._record(request_id)
 
 
-class _EndRecorder(list):
-    """List of finished requests that records each one for the checks."""
+def _record_requests(soak: SoakRun, server: FakeServer) -> None:
+    """Lets the checks know what a server has begun and finished."""
 
-    def __init__(self, soak: SoakRun, server: str):
-        super().__init__()
-        self._soak = soak
-        self._server = server
+    def on_begin(request_id: str) -> None:
+        soak.lost.record_begin(request_id, server.name, time.monotonic())
+        is_idempotent = request_id.startswith(SAFE_PREFIX)
+        soak.observations.record_execution(request_id, is_idempotent)
 
-    def append(self, request_id: str) -> None:
-        super().append(request_id)
-        self._soak.lost.record_end(request_id, self._server, time.monotonic())
+    def on_end(request_id: str) -> None:
+        soak.lost.record_end(request_id, server.name, time.monotonic())
+
+    server.executed_ids = _RecordingList(on_begin)
+    server.finished_ids = _RecordingList(on_end)
 
 
 def run_seed(seed: int, seconds: float, is_calm: bool = False) -> SoakRun:
@@ -432,8 +431,7 @@
         for number in range(1, SERVERS + 1):
             host = f"{servers_prefix}{number}"
             server = FakeServer(f"i-{number}", "shop", host)
-            server.executed_ids = _ExecutionRecorder(soak, server.name)
-            server.finished_ids = _EndRecorder(soak, server.name)
+            _record_requests(soak, server)
             stack.enter_context(running_server(server))
             soak.servers.append(server)
         rerouted_entries = [] if is_calm else fleet.entries
