Ignore signals once a process has stopped

What operators saw: nothing on record.

Cause: the interpreter resets Python's signal handlers while it ends, and SIGHUP or a second SIGTERM then has its default effect.

Change: signals are ignored from when the reactor has stopped, in daemons of both kinds of clusters.

Evidence: the new test sends both signals until the process is gone.

--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
 
+from gentianwall.commands.signals import ignore_signals
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.config.settings import (
     InstanceSettings,
@@ -137,6 +138,7 @@
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
             reactor.run(installSignalHandlers=False)
+            ignore_signals()
     except (ControlFailedError, KeyFileError, TokenFileError) as error:
         log.error("%s.", error)
         return EXIT_FAILED
--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -13,6 +13,7 @@
 from twisted.internet.error import CannotListenError
 
 from gentianwall import __version__
+from gentianwall.commands.signals import ignore_signals
 from gentianwall.config.fleet import FleetSettings, load_fleet_settings
 from gentianwall.config.schema import ConfigErrors
 from gentianwall.http.channel import CallerRequest
@@ -102,6 +103,7 @@
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
             reactor.run(installSignalHandlers=False)
+            ignore_signals()
     except ControlFailedError as error:
         log.error("%s.", error)
         return EXIT_FAILED
--- a/gentianwall/commands/signals.py
+++ b/gentianwall/commands/signals.py
@@ -32,6 +32,16 @@
     signal.signal(signal.SIGINT, on_signal)
 
 
+def ignore_signals() -> None:
+    """Ignores further signals, after the reactor has stopped.
+
+    The interpreter resets handlers while it ends. A signal would then change
+    the exit status of a process that has answered everything.
+    """
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def grace_left_ms(grace_s: float, before_kill_ms: float) -> float:
     """Returns how long a process may run on after the signal.
 
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -407,3 +407,14 @@
         caller.read_to_end()
     assert [caller.status for caller in callers] == [503] * len(callers)
     assert entry.process.wait(timeout=15.0) == 0
+
+
+# A signal that came while the interpreter ended changed the exit status.
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_signals_until_the_end_do_not_change_the_exit_status(fleet, role):
+    (node,) = fleet.entries if role == "entry" else fleet.controls
+    while node.process.poll() is None:
+        fleet.signal(node, signal.SIGTERM)
+        fleet.signal(node, signal.SIGHUP)
+        time.sleep(0.001)
+    assert node.process.returncode == 0
