Check in one place whether a request is too late in a stop

Cause: the arrival and the dispatch of a request computed the same answer with the same three lines, and a comment on connections beyond the limit was cut in two. Change: one function, one sentence; no behaviour.

--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -129,8 +129,7 @@
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
-    service_ms = state.service(call.service).service_ms_for(call.route)
-    if not state.stop.has_time_for(call, service_ms, now_ms):
+    if _is_too_late(state, call, now_ms):
         _refuse_before_stop(state, call, now_ms, effects)
         return
     room_ms = quotas.reserve(state, call, now_ms)
@@ -286,8 +285,7 @@
     A partitioned entry sends it to a peer instead, and one that stops refuses
     it if it might not be over in time.
     """
-    service_ms = state.service(call.service).service_ms_for(call.route)
-    if not state.stop.has_time_for(call, service_ms, now_ms):
+    if _is_too_late(state, call, now_ms):
         _refuse_before_stop(state, call, now_ms, effects)
         return
     if relaying.send_to_peer(state, call, now_ms, effects):
@@ -669,6 +667,12 @@
     effects.append(Log("kept", fields))
 
 
+def _is_too_late(state: GatewayState, call: RoutedCall, now_ms: float) -> bool:
+    """Returns whether a request might not be over when the process ends."""
+    service_ms = state.service(call.service).service_ms_for(call.route)
+    return not state.stop.has_time_for(call, service_ms, now_ms)
+
+
 def _refuse_before_stop(
     state: GatewayState,
     call: RoutedCall,
--- a/gentianwall/http/client_budget.py
+++ b/gentianwall/http/client_budget.py
@@ -50,8 +50,8 @@
 # this time, before idle ones are.
 HEAD_GRACE_MS = 1000.0
 # Connections that were given up are closed in the next turn of the reactor, or
-# when their last answer has been sent.
-# This many may be accepted in one turn beyond the limit.
+# when their last answer has been sent. This many may be accepted beyond the
+# limit meanwhile.
 MAX_EXCESS_CONNECTIONS = 32
 
 
