Share the slow caller of the tests of planned stops

Three tests connected with a small receive buffer, waited until a request ran and read to the end, each in its own copy of the same lines.

Change: a context manager and two functions in tests/test_planned_stops.py. No check is changed.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -231,6 +231,37 @@
     assert "Gentianwall-Request-Id" not in headers
 
 
+@contextlib.contextmanager
+def _slow_caller(entry, *options):
+    """Connects a caller with a small receive buffer and further options.
+
+    Most of an answer is still to be sent when the entry has written it.
+    """
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        for option in options:
+            sock.setsockopt(*option)
+        sock.settimeout(15.0)
+        sock.connect((entry.host, CALLERS_PORT))
+        yield sock
+
+
+def _wait_until_running(servers, request_id):
+    wait_until(
+        "the request runs",
+        lambda: any(request_id in server.executed_ids for server in servers),
+    )
+
+
+def _read_rest(sock):
+    """Returns what is received until the connection ends."""
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while data := sock.recv(4096):
+            received += data
+    return received
+
+
 # The close with an unread request reset the connection, and what the kernel had
 # not sent of the answer was lost.
 def test_an_answer_is_whole_if_a_further_request_was_sent(fleet, servers):
@@ -241,24 +272,14 @@
         f"GET {ROUTES[0]} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Gentianwall-Request-Id: %s\r\nContent-Length: %d\r\n\r\n"
     )
-    received = b""
-    with socket.socket() as sock:
-        # Most of the answer is still to be sent when the entry has written it.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.settimeout(15.0)
-        sock.connect((entry.host, CALLERS_PORT))
+    with _slow_caller(entry) as sock:
         sock.sendall((head % ("first", 0)).encode())
-        wait_until(
-            "the request runs",
-            lambda: any("first" in server.executed_ids for server in servers),
-        )
+        _wait_until_running(servers, "first")
         # More than the entry reads while another request runs.
         sock.sendall((head % ("second", 100_000)).encode() + bytes(100_000))
         fleet.signal(entry, signal.SIGTERM)
         time.sleep(2.0 * SERVICE_S)
-        with contextlib.suppress(ConnectionError):
-            while data := sock.recv(4096):
-                received += data
+        received = _read_rest(sock)
     received_head, _, body = received.partition(b"\r\n\r\n")
     assert len(body) > 300_000, received_head
 
@@ -268,27 +289,18 @@
     (entry,) = fleet.entries
     for server in servers:
         server.padding_bytes = 300_000
-    received = b""
-    with socket.socket() as sock:
-        # The kernel's buffers begin as small as on a network.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-        sock.settimeout(15.0)
-        sock.connect((entry.host, CALLERS_PORT))
+    # The kernel's buffers begin as small as on a network.
+    segments = (socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+    with _slow_caller(entry, segments) as sock:
         sock.sendall(
             f"GET {ROUTES[1]} HTTP/1.1\r\nHost: {HOST}\r\n"
             "X-Gentianwall-Request-Id: slow\r\n"
             f"X-Gentianwall-Deadline-Ms: {PATIENT_MS}\r\n\r\n".encode()
         )
-        wait_until(
-            "the request runs",
-            lambda: any("slow" in server.executed_ids for server in servers),
-        )
+        _wait_until_running(servers, "slow")
         fleet.signal(entry, signal.SIGTERM)
         assert entry.process.wait(timeout=15.0) == 0
-        with contextlib.suppress(ConnectionError):
-            while data := sock.recv(4096):
-                received += data
+        received = _read_rest(sock)
     _, _, body = received.partition(b"\r\n\r\n")
     assert len(body) > 300_000
 
@@ -305,25 +317,17 @@
         f"GET {ROUTES[0]} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Gentianwall-Request-Id: %s\r\n\r\n"
     )
-    received = b""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.settimeout(15.0)
-        sock.connect((entry.host, CALLERS_PORT))
+    with _slow_caller(entry) as sock:
         sock.sendall((head % "first").encode())
-        wait_until(
-            "the request runs",
-            lambda: any("first" in server.executed_ids for server in servers),
-        )
+        _wait_until_running(servers, "first")
         fleet.signal(entry, signal.SIGTERM)
-        received += sock.recv(4096)
+        received = sock.recv(4096)
         # The kernel has taken what the entry has written.
         time.sleep(0.3)
         with contextlib.suppress(ConnectionError):
             sock.sendall((head % "second").encode())
             time.sleep(0.1)
-            while data := sock.recv(4096):
-                received += data
+        received += _read_rest(sock)
     received_head, _, body = received.partition(b"\r\n\r\n")
     assert len(body) > 300_000, received_head
     assert not any("second" in server.executed_ids for server in servers)
