--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -20,6 +20,7 @@
 from gentianwall.http.dialect import Dialect
 from gentianwall.http.tokens import TokenFileError
 from gentianwall.logs import BoundedWriter, EventLog, get_logger
+from gentianwall.runtime.clock_watch import watch_clock
 from gentianwall.runtime.common import ControlFailedError
 from gentianwall.timers import TimerService
 
@@ -85,6 +86,7 @@
                     settings, load_handler_factory(), timers
                 )
             reload = stack.enter_context(context)
+            stack.enter_context(watch_clock(event_log, timers))
             watcher = SettingsWatcher(path, settings, reload)
             stack.enter_context(
                 timers.every(
--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -63,6 +63,10 @@
         runtime.end_drain()
         # The process may have been suspended until after the end.
         limit_ms = max(exit_ms, monotonic_ms() + CHECK_INTERVAL_MS)
-        call_when(timers, lambda: runtime.is_idle, limit_ms, reactor.stop)
+        call_when(timers, lambda: runtime.is_idle, limit_ms, stop)
+
+    def stop() -> None:
+        runtime.write_end()
+        reactor.stop()
 
     timers.start("stop", close_ms, close_listener)
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -316,6 +316,11 @@
     is_last: bool
     position: int = 0
 
+    @property
+    def left_bytes(self) -> int:
+        """Bytes of the body that were not written."""
+        return max(0, len(self.body) - self.position)
+
     def write_part(self) -> bool:
         """Writes the next part; returns whether it was the last one."""
         end = self.position + ANSWER_PART_BYTES
@@ -324,6 +329,13 @@
         return end >= len(self.body)
 
 
+def count_unsent_bytes(transport) -> int:
+    """Returns the bytes that a transport of the reactor buffers."""
+    buffered = getattr(transport, "dataBuffer", b"")
+    offset = getattr(transport, "offset", 0)
+    return len(buffered) - offset + getattr(transport, "_tempDataLen", 0)
+
+
 def has_repeatable_method(request: CallerRequest) -> bool:
     """Returns whether a request may be repeated by its method."""
     return request.method in REPEATABLE_METHODS
@@ -369,6 +381,7 @@
         self._pacing = RefusalPacing()
         self._is_linger_due = False
         self._is_lost = False
+        self._last_answered_id = ""
         self._resources = contextlib.ExitStack()
         self.account = None
 
@@ -711,6 +724,9 @@
                 self._outgoing = None
             else:
                 continue
+            self._last_answered_id = request.header(
+                self.site.cut_answers.id_header
+            )
             request.finish()
             if is_last or (self.pipeline.is_closing and self.is_idle):
                 return True
@@ -1076,9 +1092,29 @@
         self.report(Misuse.ANSWER_UNREAD)
         self.transport.abortConnection()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        unsent_bytes = count_unsent_bytes(self.transport)
+        if self._outgoing is not None:
+            unsent_bytes += self._outgoing.left_bytes
+        return unsent_bytes
+
+    def _report_cut_answer(self) -> None:
+        unsent_bytes = self.unsent_bytes
+        if not unsent_bytes:
+            return
+        request_id = self._last_answered_id
+        if self._outgoing is not None:
+            request_id = self._outgoing.request.header(
+                self.site.cut_answers.id_header
+            )
+        self.site.cut_answers.report(request_id, unsent_bytes)
+
     def connectionLost(self, reason) -> None:
         """Cancels the receive timeout and removes the connection."""
         self._is_lost = True
+        self._report_cut_answer()
         self._discard_partial_request()
         self._end_unread()
         for name in (
@@ -1125,6 +1161,10 @@
     request.answer_problem(render_refusal(refusal, ""))
 
 
+def _report_no_cut(request_id: str, unsent_bytes: int) -> None:
+    """Reports nothing."""
+
+
 def _add_no_headers(refusal: Refusal) -> tuple[tuple[bytes, bytes], ...]:
     """Returns no headers."""
     return ()
@@ -1134,6 +1174,20 @@
     """Reports nothing."""
 
 
+@attrs.frozen
+class CutAnswers:
+    """Who hears of answers that were not sent completely.
+
+    Attributes:
+        report: Called with the id of a request and the bytes of its answer that
+            the kernel had not taken when the connection was lost.
+        id_header: Name of the header with the id of a request.
+    """
+
+    report: Callable[[str, int], None] = _report_no_cut
+    id_header: bytes = b"Gentianwall-Request-Id"
+
+
 @attrs.frozen(kw_only=True)
 class SiteLimits:
     """What clients of one port may take.
@@ -1179,6 +1233,7 @@
             which too many requests run.
         refusal_headers: Returns further headers of the refusal of a request
             that was not received completely.
+        cut_answers: Who hears of answers that were not sent completely.
 
     Attributes:
         channels: Open connections, closed at a graceful shutdown.
@@ -1197,6 +1252,7 @@
         refuse_request: Callable[[CallerRequest, RefusalReason], None]
         | None = None,
         refusal_headers: RefusalHeaders = _add_no_headers,
+        cut_answers: CutAnswers | None = None,
     ):
         self.handle = handle
         self.handle_disconnect = handle_disconnect
@@ -1205,6 +1261,7 @@
         self.check_head = check_head or _accept_head
         self.refuse_request = refuse_request or _refuse_request
         self.refusal_headers = refusal_headers
+        self.cut_answers = cut_answers or CutAnswers()
         self._bounds = CallerBounds()
         self.channels: set[CallerChannel] = set()
 
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -48,6 +48,7 @@
     CallerBounds,
     CallerRequest,
     CallerSite,
+    CutAnswers,
     SiteLimits,
     refuse_bodies,
 )
@@ -145,12 +146,14 @@
             lambda: bool(self.state.quarantines),
             settings.peer_port,
         )
+        cut_answers = CutAnswers(self._write_cut_line, dialect.request_id)
         self.peer_site = CallerSite(
             self.requests.on_relayed_request_arrived,
             self.requests.on_caller_disconnected,
             limits=self._server_site_limits("peers"),
             refuse_request=self.requests.refuse_arriving_relayed,
             refusal_headers=refusal_headers,
+            cut_answers=cut_answers,
         )
         self.site = CallerSite(
             self.requests.on_request_arrived,
@@ -159,6 +162,7 @@
             limits=self._server_site_limits("callers"),
             check_head=self._check_head,
             refuse_request=self.requests.refuse_arriving,
+            cut_answers=cut_answers,
         )
         self._events: collections.deque[GatewayEvent] = collections.deque()
         self._is_handling = False
@@ -223,6 +227,10 @@
     def _write_client_line(self, fields: dict[str, object]) -> None:
         self.log.write("client_refused", fields)
 
+    def _write_cut_line(self, request_id: str, unsent_bytes: int) -> None:
+        fields = {"id": request_id, "unsent_bytes": unsent_bytes}
+        self.log.write("answer_cut", fields)
+
     def _answer_readiness(self, request: CallerRequest) -> None:
         is_ready = self.state.is_ready
         body = b"ready\n" if is_ready else b"not ready\n"
@@ -406,6 +414,16 @@
                 channel.refuse_unfinished()
                 channel.enlarge_send_buffer()
 
+    def write_end(self) -> None:
+        """Logs what is still open when the process ends."""
+        channels = self.site.channels | self.peer_site.channels
+        fields = {
+            "requests": len(self.requests.open_requests),
+            "connections": len(channels),
+            "unsent_bytes": sum(channel.unsent_bytes for channel in channels),
+        }
+        self.log.write("left_open", fields)
+
     def stop_listening(self) -> None:
         """Stops accepting connections and closes those without a request."""
         stop_listening(self._ports, self.site, self.peer_site)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -20,6 +20,7 @@
     MAX_REQUESTS_PER_TURN,
     CallerBounds,
     CallerSite,
+    CutAnswers,
     Misuse,
     SiteLimits,
 )
@@ -990,3 +991,17 @@
     assert kept_bytes < charged_bytes
     process.received[0].answer(200, [], b"")
     assert process.received[1].body == b"z"
+
+
+def test_an_answer_that_was_not_sent_completely_is_reported():
+    reports = []
+    process = Process()
+    process.site.cut_answers = CutAnswers(
+        lambda *report: reports.append(report), b"X-Id"
+    )
+    channel, transport = process.connect()
+    channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: a\r\nX-Id: q\r\n\r\n")
+    process.received[0].answer(200, [], b"answer")
+    transport.dataBuffer, transport.offset = b"answer", 2
+    channel.connectionLost(Failure(ConnectionLost()))
+    assert reports == [("q", 4)]
