Measure the delay of timers with a clock that cannot be set

What callers can see: when the wall clock of an entry's machine is set forward, requests that run at servers get 504 at once, in a planned stop too (LOST); set back, requests get no answer at their timeout, and an entry that was told to stop still runs when the platform kills it.

Cause: timers are set by the boot clock, but twisted's reactor measures their delay with time.time(). Class of fault: a duration is measured with a clock that others set. The monotonic clock of the settings, leases and load reports was never affected, only when timers fire.

Change: the reactor of each process takes the boot clock (timers.py), before anything is scheduled, in fleets and in listed clusters.

That the users' machines set their clocks is not shown: their record has no line that could show it.

--- a/gentianwall/commands/daemon.py
+++ b/gentianwall/commands/daemon.py
@@ -25,7 +25,11 @@
 from gentianwall.runtime.control import run_listed_control
 from gentianwall.runtime.entry import EntryRuntime, run_entry
 from gentianwall.storage.journal import Journal, JournalNotEmpty
-from gentianwall.timers import TimerService, monotonic_ms
+from gentianwall.timers import (
+    TimerService,
+    monotonic_ms,
+    use_monotonic_clock,
+)
 
 log = get_logger("daemon")
 
@@ -115,6 +119,7 @@
 
 
 def _run(all_settings: list[Settings]) -> int:
+    use_monotonic_clock(reactor)
     timers = TimerService(reactor)
     try:
         with contextlib.ExitStack() as stack:
--- a/gentianwall/commands/fleet.py
+++ b/gentianwall/commands/fleet.py
@@ -22,7 +22,7 @@
 from gentianwall.logs import BoundedWriter, EventLog, get_logger
 from gentianwall.runtime.clock_watch import watch_clock
 from gentianwall.runtime.common import ControlFailedError
-from gentianwall.timers import TimerService
+from gentianwall.timers import TimerService, use_monotonic_clock
 
 if TYPE_CHECKING:
     # Imported for type checks only: entries do not load what control needs.
@@ -70,6 +70,7 @@
         "voters": settings.target_voters,
     }
     event_log.write("started", fields)
+    use_monotonic_clock(reactor)
     timers = TimerService(reactor)
     try:
         with contextlib.ExitStack() as stack:
--- a/gentianwall/timers.py
+++ b/gentianwall/timers.py
@@ -19,6 +19,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
+def use_monotonic_clock(reactor) -> None:
+    """Lets the reactor measure delays with a clock that cannot be set.
+
+    By default it uses the wall clock, and all timers would fire too early or
+    too late once somebody sets that. Called before anything is scheduled.
+    """
+    reactor.seconds = lambda: monotonic_ms() / 1000.0
+
+
 def wall_ms() -> int:
     """Returns the wall clock in milliseconds since the Unix epoch."""
     return int(time.time() * 1000.0)
