Set clocks and timeouts in the soak of planned work, and slow servers down

Nor did it change the timeouts of routes, or set clocks.

The check takes the least time limit that may be in force, as the rule does.

--- a/harness/stepped_clock.py
+++ b/harness/stepped_clock.py
@@ -57,4 +57,8 @@
     # The reactor looks up the clock when it is imported.
     time.time = clock.time
     sys.argv = sys.argv[1:]
-    runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
+    try:
+        runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
+    finally:
+        # The interpreter resets handlers while it ends.
+        signal.signal(signal.SIGUSR1, signal.SIG_IGN)
--- a/soak/lost.py
+++ b/soak/lost.py
@@ -34,7 +34,7 @@
         host: Address of the entry.
         sent_s: Monotonic time at which its last byte was sent.
         ended_s: Monotonic time of the answer, or of the end of the connection.
-        limit_s: Time limit of the caller or of the route, from `sent_s`.
+        limit_s: Time limit of the caller, from `sent_s`.
         status: Status of the complete answer; 0 for none.
         is_from_server: Whether the answer is that of a server.
     """
@@ -48,9 +48,9 @@
     is_from_server: bool = False
 
     @property
-    def used_ratio(self) -> float:
-        """Part of the time limit that was used."""
-        return (self.ended_s - self.sent_s) / self.limit_s
+    def wait_s(self) -> float:
+        """How long the caller waited after its last byte."""
+        return self.ended_s - self.sent_s
 
 
 @attrs.define
@@ -80,10 +80,17 @@
 
 @attrs.define
 class Change:
-    """A configuration, which may be in force from its sending on."""
+    """A configuration, which may be in force from its sending on.
+
+    Attributes:
+        at_s: When it was sent.
+        acknowledged_s: When it was acknowledged; infinite if it was not.
+        timeout_s: Timeout of the routes.
+    """
 
     at_s: float
     acknowledged_s: float = math.inf
+    timeout_s: float = math.inf
 
 
 def _covers(work: Stop | Reload | Change, outcome: Outcome) -> bool:
@@ -140,7 +147,7 @@
             elif (
                 Change in kinds
                 and not outcome.status
-                and outcome.used_ratio < USED_TIME_RATIO
+                and outcome.wait_s < USED_TIME_RATIO * self._limit_s(outcome)
             ):
                 beside_changes[outcome.host].append(loss)
         for host, losses in beside_changes.items():
@@ -158,9 +165,11 @@
         if outcome.status:
             is_cut = is_running and not outcome.is_from_server
         else:
-            wait_s = outcome.ended_s - outcome.sent_s
-            is_cut = is_passed_on or wait_s > LOSS_SLACK_S
-        if not is_cut or outcome.used_ratio >= 1.0:
+            is_cut = is_passed_on or outcome.wait_s > LOSS_SLACK_S
+        if not is_cut:
+            return None
+        limit_s = self._limit_s(outcome)
+        if outcome.wait_s >= limit_s:
             return None
         stops = [w for w in self.work if _is_stop_of(w, outcome.host)]
         if any(_is_exempt(stop, outcome, executions) for stop in stops):
@@ -176,10 +185,36 @@
         return (
             f"lost: {outcome.request_id} at {outcome.host} was {end}, "
             f"{state if is_passed_on else 'not passed on'}, "
-            f"{outcome.ended_s - outcome.sent_s:.2f} s after its last byte, "
-            f"limit {outcome.limit_s} s{', ' * bool(after)}{after}"
+            f"{outcome.wait_s:.2f} s after its last byte, "
+            f"limit {limit_s} s{', ' * bool(after)}{after}"
         )
 
+    def _limit_s(self, outcome: Outcome) -> float:
+        """Returns the least time limit that may have applied to a request.
+
+        That is the limit of its caller, or the timeout of a configuration that
+        may have been in force while it was open.
+        """
+        changes = [
+            w
+            for w in self.work
+            if isinstance(w, Change) and w.at_s <= outcome.ended_s
+        ]
+        replaced_s = [
+            min(
+                (later.acknowledged_s for later in changes[number:]),
+                default=math.inf,
+            )
+            + CONFIG_APPLY_S
+            for number in range(1, len(changes) + 1)
+        ]
+        timeouts_s = [
+            change.timeout_s
+            for change, until_s in zip(changes, replaced_s, strict=True)
+            if until_s >= outcome.sent_s
+        ]
+        return min([outcome.limit_s, *timeouts_s])
+
     def _is_cut_more_often_beside_changes(self, host: str) -> bool:
         changes = [w for w in self.work if isinstance(w, Change)]
         ratios = []
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -1,4 +1,7 @@
-"""Planned work on entries in calm, and callers that keep their connections."""
+"""Planned work on entries, and callers that keep their connections.
+
+Beside it the wall clocks of processes are set, which must change nothing.
+"""
 
 from __future__ import annotations
 
@@ -22,6 +25,7 @@
     call,
     wait_until,
 )
+from harness.stepped_clock import set_clock
 from soak.lost import GRACE_S, Outcome, Reload, Stop
 
 if TYPE_CHECKING:
@@ -34,11 +38,16 @@
 SLOW_BODY_S = (0.5, 7.0)
 REQUEST_GAP_S = 0.1
 WAITS_MS = (700, 1500, 20_000)
-# Timeouts of the routes; one is chosen for a run.
-TIMEOUTS_MS = (2000, 20_000)
+# Timeouts of the routes; each change chooses one of them.
+TIMEOUTS_MS = (1100, 2000, 20_000)
 # Bounds of the service time of a run, and of its variation.
 SERVICE_S = (0.05, 0.9)
 SERVICE_VARIATION = (0.7, 1.3)
+# Servers that share their machine are as much slower for a moment.
+SLOW_FACTOR = 4.0
+SLOW_SHARE = 0.25
+CLOCK_GAP_S = (0.2, 2.0)
+MAX_CLOCK_OFFSET_S = 20.0
 STOP_GAP_S = (0.2, 2.5)
 RELOAD_GAP_S = (0.1, 1.0)
 CHANGE_GAP_S = (0.05, 0.6)
@@ -134,7 +143,7 @@
     is_quick: bool,
 ) -> bool:
     """Sends a request and records its end; returns whether to send more."""
-    limit_s = min(request.wait_ms, soak.timeout_ms) / 1000.0
+    limit_s = request.wait_ms / 1000.0
     sock.settimeout(limit_s + 2.0)
     answer = http.client.HTTPResponse(sock, method="POST")
     sent_s = None
@@ -184,6 +193,7 @@
     threads = [
         threading.Thread(target=_send_reloads, args=(soak, until_s)),
         threading.Thread(target=_vary_service_time, args=(soak, until_s)),
+        threading.Thread(target=_set_clocks, args=(soak, until_s)),
     ]
     for thread in threads:
         thread.start()
@@ -243,5 +253,24 @@
     soak.log_fault(f"servers work {usual_s:.2f} s")
     while time.monotonic() < until_s:
         for server in soak.servers:
-            server.service_s = usual_s * rng.uniform(*SERVICE_VARIATION)
+            factor = SLOW_FACTOR if rng.random() < SLOW_SHARE else 1.0
+            factor *= rng.uniform(*SERVICE_VARIATION)
+            server.service_s = usual_s * factor
         time.sleep(SERVICE_GAP_S)
+    # Otherwise it depends on the time limits whether requests are served.
+    for server in soak.servers:
+        server.service_s = SERVICE_S[0]
+
+
+def _set_clocks(soak: SoakRun, until_s: float) -> None:
+    rng = random.Random(f"{soak.seed} clocks")
+    nodes = [*soak.fleet.controls, *soak.fleet.entries]
+    while time.monotonic() < until_s:
+        time.sleep(rng.uniform(*CLOCK_GAP_S))
+        node = rng.choice(nodes)
+        # A process that starts has no handler of the signal yet.
+        if node.folder.name in soak.starting_nodes:
+            continue
+        offset_s = rng.uniform(-MAX_CLOCK_OFFSET_S, MAX_CLOCK_OFFSET_S)
+        soak.log_fault(f"clock of {node.folder.name} off by {offset_s:.1f} s")
+        set_clock(node, offset_s)
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,9 +26,11 @@
     FleetError,
     Node,
     document,
+    platform_command,
     running_server,
     wait_until,
 )
+from harness.stepped_clock import stepped_command
 from soak import planned
 from soak.checks import RECOVERY_S, Observations
 from soak.lost import Change, LostRequests
@@ -40,6 +42,7 @@
 WORKERS = 6
 REQUEST_GAP_S = 0.05
 DEADLINE_MS = 1500
+DEFAULT_TIMEOUT_MS = 2000
 HEARTBEAT_S = 0.5
 CHANGE_GAP_S = 0.7
 FAULT_GAP_S = (0.3, 1.5)
@@ -77,7 +80,6 @@
         is_calm: Whether there is only planned work: no faults.
         lost: Requests and planned work of a calm run.
         starting_nodes: Folder names of the entries that have just been started.
-        timeout_ms: Timeout of the routes.
     """
 
     fleet: Fleet
@@ -97,7 +99,6 @@
     is_calm: bool = False
     lost: LostRequests = attrs.field(factory=LostRequests)
     starting_nodes: set[str] = attrs.field(factory=set)
-    timeout_ms: int = 2000
 
     def log_fault(self, text: str) -> None:
         """Appends a fault to the log."""
@@ -164,9 +165,12 @@
             self.last_version += rng.randrange(1, 4)
             number = self.last_version
             self.observations.record_submission(number)
-            change = Change(time.monotonic())
+            timeout_ms = DEFAULT_TIMEOUT_MS
+            if self.is_calm:
+                timeout_ms = rng.choice(planned.TIMEOUTS_MS)
+            change = Change(time.monotonic(), timeout_s=timeout_ms / 1000.0)
             self.lost.work.append(change)
-            configuration = make_configuration(number, self.timeout_ms)
+            configuration = make_configuration(number, timeout_ms)
             for _ in range(3):
                 node = rng.choice(self.fleet.controls)
                 if (
@@ -350,7 +354,9 @@
         self.partition_lock.release()
 
 
-def make_configuration(number: int, timeout_ms: int = 2000) -> dict:
+def make_configuration(
+    number: int, timeout_ms: int = DEFAULT_TIMEOUT_MS
+) -> dict:
     """Returns a configuration with a safe and an unsafe route.
 
     Args:
@@ -419,14 +425,13 @@
 ) -> SoakRun:
     with contextlib.ExitStack() as stack:
         block = 1 + seed % ADDRESS_BLOCKS
-        fleet = Fleet(folder, CONTROLS, ENTRIES, block)
+        command = stepped_command if is_calm else platform_command
+        fleet = Fleet(folder, CONTROLS, ENTRIES, block, command)
         stack.callback(fleet.kill_all)
         observations = Observations()
         soak = SoakRun(fleet, observations, random.Random(seed), [], {})
         soak.seed = seed
         soak.is_calm = is_calm
-        if is_calm:
-            soak.timeout_ms = soak.rng.choice(planned.TIMEOUTS_MS)
         servers_prefix = f"127.{block}.3."
         for number in range(1, SERVERS + 1):
             host = f"{servers_prefix}{number}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -146,6 +146,28 @@
     assert _losses(Stop(HOST, 0.0), {"limit_s": 0.5}, 5.1) == []
 
 
+@pytest.mark.parametrize(
+    ("second", "lost"),
+    [
+        # Replaced 2 s before the request was sent.
+        ({"at_s": 1.5, "acknowledged_s": 2.9}, 1),
+        ({"at_s": 1.5, "acknowledged_s": 3.1}, 0),
+        ({"at_s": 1.5}, 0),
+    ],
+)
+def test_the_timeout_of_a_configuration_in_force_limits_a_request(second, lost):
+    requests = LostRequests(
+        work=[
+            Change(0.0, 0.1, timeout_s=0.4),
+            Change(**second, timeout_s=9.0),
+            Stop(HOST, 0.0),
+        ]
+    )
+    requests.outcomes.append(Outcome("q", HOST, 5.0, 5.5, 20.0, 504))
+    requests.record_begin("q", "i-1", 5.1)
+    assert len(requests.find()) == lost
+
+
 def test_a_request_that_was_sent_early_and_ran_at_the_end_is_not_lost():
     early = {"sent_s": 2.9, "ended_s": 5.9}
     assert _losses(Stop(HOST, 0.0), early, 3.0) == []
