Keep the bodies of endless answers within the memory of the machine

What was seen: three faulty servers that pour bodies without end at one entry with 152 MB, 48 callers: the process took 223 MB (chunked) and 171 MB (until the close). Beyond its memory a process is ended, with the requests of everybody.

Cause: bodies grew on the heap side by side, and each move left gaps that are too small for the others, so a process took far more than the bytes that it counted; and all of them together could take all that clients may use, since uploads of other clients were given up before answers were. Class of fault: work of one service is bounded by what all share.

Change: bodies are kept in the buffer that bodies of clients have (http/body_buffer.py). Answers beside the largest one may take half of what clients may use; the largest one is given up of the service that holds most besides its own largest, so a single answer has all the room that it had.

--- a/gentianwall/http/answer_limits.py
+++ b/gentianwall/http/answer_limits.py
@@ -24,6 +24,8 @@
 # Chunk sizes, extensions and trailers may be as long as the body itself and
 # this many bytes more. Chunks of a few bytes are only sent for small answers.
 MAX_FRAMING_BYTES = 64 * 1024
+# Share of what clients may use that answers may take, beside the largest one.
+ANSWER_SHARE = 0.5
 # Bytes that follow the answer to an older request.
 MAX_PENDING_BYTES = 64 * 1024
 
@@ -52,53 +54,105 @@
         )
 
 
+@attrs.define
+class _HeldAnswer:
+    """An answer that is being received.
+
+    Attributes:
+        service: Service of its server.
+        give_up: Gives it up.
+        size_bytes: Bytes of its body that are held.
+    """
+
+    service: str
+    give_up: Callable[[], None]
+    size_bytes: int = 0
+
+
 @attrs.define
 class AnswerMemory:
     """Limits the memory of all answers that are being received.
 
-    One answer may have any size up to its own limit. If all of them together
-    are over the common limit, the largest one is given up. They share the
-    memory of the process with what its clients hold; clients that make no
-    progress are given up first.
+    One answer may have any size up to its own limit. All others together may
+    take a share of what clients may use, so that endless answers do not take
+    it from clients of other services. If there are more, the largest one is
+    given up of the service that holds most besides its own largest one. So is
+    it if all together are over the common limit; clients that make no progress
+    are given up first then, as answers share the memory of the process with
+    what clients hold.
 
     Attributes:
         limit_bytes: Most bytes of all bodies together.
-        held_bytes: Bytes held, by a key for each answer.
         budget: What the clients of the process hold, if it is limited.
     """
 
     limit_bytes: int
     budget: ClientBudget | None = None
-    held_bytes: dict[int, int] = attrs.field(factory=dict)
-    _give_up: dict[int, Callable[[], None]] = attrs.field(factory=dict)
+    _answers: dict[int, _HeldAnswer] = attrs.field(factory=dict)
 
     def add(
-        self, key: int, size_bytes: int, give_up: Callable[[], None]
+        self,
+        key: int,
+        size_bytes: int,
+        give_up: Callable[[], None],
+        service: str = "",
     ) -> None:
-        """Counts received bytes, and gives up the largest answer if needed.
+        """Counts received bytes, and gives up an answer if needed.
 
         Args:
             key: Identifies the answer.
             size_bytes: Size of the bytes.
             give_up: Gives up this answer; called at most once.
+            service: Service of its server.
         """
-        self.held_bytes[key] = self.held_bytes.get(key, 0) + size_bytes
-        self._give_up[key] = give_up
+        answer = self._answers.get(key)
+        if answer is None:
+            answer = self._answers[key] = _HeldAnswer(service, give_up)
+        answer.size_bytes += size_bytes
         budget = self.budget
         if budget is not None:
             budget.answer_bytes += size_bytes
-            if budget.is_exceeded:
-                budget.reclaim_from_blocked(monotonic_ms())
-        is_over_limit = sum(self.held_bytes.values()) > self.limit_bytes
+        if self._is_over_share:
+            self._give_up_one()
+        if budget is not None and budget.is_exceeded:
+            budget.reclaim_from_blocked(monotonic_ms())
+        is_over_limit = self._held_bytes > self.limit_bytes
         if is_over_limit or (budget is not None and budget.is_exceeded):
-            largest = max(self.held_bytes, key=self.held_bytes.__getitem__)
-            give_up = self._give_up[largest]
-            self.remove(largest)
-            give_up()
+            self._give_up_one()
+
+    @property
+    def _held_bytes(self) -> int:
+        return sum(answer.size_bytes for answer in self._answers.values())
+
+    @property
+    def _is_over_share(self) -> bool:
+        if self.budget is None:
+            return False
+        largest_bytes = max(a.size_bytes for a in self._answers.values())
+        share_bytes = ANSWER_SHARE * self.budget.limits.memory_bytes
+        return self._held_bytes - largest_bytes > share_bytes
+
+    def _give_up_one(self) -> None:
+        sizes_by_service: dict[str, list[int]] = {}
+        for answer in self._answers.values():
+            sizes = sizes_by_service.setdefault(answer.service, [])
+            sizes.append(answer.size_bytes)
+
+        def order(service: str) -> tuple[int, int]:
+            sizes = sizes_by_service[service]
+            return sum(sizes) - max(sizes), sum(sizes)
+
+        service = max(sizes_by_service, key=order)
+        key = max(
+            (k for k, a in self._answers.items() if a.service == service),
+            key=lambda key: self._answers[key].size_bytes,
+        )
+        give_up = self._answers[key].give_up
+        self.remove(key)
+        give_up()
 
     def remove(self, key: int) -> None:
         """Forgets an answer that is complete or given up."""
-        held_bytes = self.held_bytes.pop(key, 0)
-        if self.budget is not None:
-            self.budget.answer_bytes -= held_bytes
-        self._give_up.pop(key, None)
+        answer = self._answers.pop(key, None)
+        if answer is not None and self.budget is not None:
+            self.budget.answer_bytes -= answer.size_bytes
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import io
 import re
 from collections.abc import Callable
 
@@ -29,6 +28,7 @@
     AnswerMemory,
     AnswerMeter,
 )
+from gentianwall.http.body_buffer import BodyBuffer
 from gentianwall.http.client_budget import ClientBudget
 from gentianwall.timers import monotonic_ms
 from gentianwall.utils.addresses import is_ip_address
@@ -75,6 +75,7 @@
         is_close_delimited: Whether an answer without a length is complete when
             the server closes the connection cleanly.
         echo_header: The header in which servers echo the request id.
+        service: Service of the server, whose answers share memory.
     """
 
     method: bytes
@@ -85,6 +86,7 @@
     is_echo_required: bool = False
     is_close_delimited: bool = False
     echo_header: bytes = b"Gentianwall-Request-Id"
+    service: str = ""
 
 
 @attrs.define
@@ -302,13 +304,15 @@
         on_success: Callable[[bytes], None],
         on_error: Callable[[FailureKind], None],
         is_close_accepted: Callable[[], bool],
+        service: str = "",
     ):
         self._meter = meter
+        self._service = service
         self._limit_bytes = limit_bytes
         self._is_close_accepted = is_close_accepted
         self._on_success = on_success
         self._on_error = on_error
-        self._content: io.BytesIO | None = io.BytesIO()
+        self._content = BodyBuffer()
         self._is_finished = False
 
     def dataReceived(self, data) -> None:
@@ -319,7 +323,7 @@
         if self._meter.body_bytes > self._limit_bytes:
             self._give_up()
             return
-        _answer_memory.add(id(self), len(data), self._give_up)
+        _answer_memory.add(id(self), len(data), self._give_up, self._service)
 
     def _give_up(self) -> None:
         self._finish()
@@ -327,7 +331,7 @@
 
     def _finish(self) -> None:
         self._is_finished = True
-        self._content = None
+        self._content.close()
         _answer_memory.remove(id(self))
 
     def connectionLost(self, reason) -> None:
@@ -337,7 +341,7 @@
             reason.check(PotentialDataLoss) and self._is_close_accepted()
         )
         if reason.check(ResponseDone) or is_complete_at_close:
-            body = self._content.getvalue()
+            body = self._content.take()
             self._finish()
             self._on_success(body)
         else:
@@ -506,6 +510,7 @@
                 on_skipped,
                 on_error,
                 lambda: True,
+                self.request.service,
             )
         )
 
@@ -561,6 +566,7 @@
                 on_success,
                 self.fail,
                 is_close_accepted,
+                self.request.service,
             )
         )
 
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -166,6 +166,7 @@
             call.request.body,
             call.is_idempotent,
             effect.is_echo_required,
+            service=call.service,
         )
 
         def on_answer(answer: ServerAnswer) -> None:
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -240,6 +240,7 @@
             effect.organisation,
             effect.is_key_hidden,
         )
+        request.service = effect.notice.key.service
         request.is_close_delimited = True
         request.is_echo_required = True
         request.headers.setRawHeaders(
@@ -277,6 +278,7 @@
             effect.relay.organisation,
             effect.is_key_hidden,
         )
+        request.service = effect.relay.service
         self._authenticator.sign(request, effect.peer, encode(effect.relay))
         attempt = effect.attempt
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -15,6 +15,7 @@
 import pytest
 
 from gentianwall.http.answer_limits import AnswerMemory, AnswerMeter
+from gentianwall.http.client_budget import BudgetLimits, ClientBudget
 from harness.fleet import (
     CALLERS_PORT,
     HOST,
@@ -29,6 +30,7 @@
 )
 
 BLOCK = 77
+SMALL_BLOCK = 76
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 # Start and endlessly repeated part of each shape.
@@ -82,6 +84,8 @@
                 target=self._accept, args=(listener,), daemon=True
             ).start()
             yield self
+            # Otherwise it accepts until the thread has got a connection.
+            listener.shutdown(socket.SHUT_RDWR)
 
     def _accept(self, listener):
         with contextlib.suppress(OSError):
@@ -110,6 +114,15 @@
         self.sent_bytes.append(sent_bytes)
 
 
+# Limits of the smallest machine that entries run on.
+SMALL_MEMORY_MB = 152
+SMALL_DESCRIPTORS = 1535
+CROWD = 48
+CROWD_S = 8.0
+CROWD_WAIT_MS = 2500
+ORDINARY_GAP_S = 0.2
+
+
 def _document():
     content = document(1)
     route, service = content["resources"][:2]
@@ -122,12 +135,19 @@
     return content
 
 
-@pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    """An entry with one good and one endless server; yields both."""
-    fleet = Fleet(tmp_path_factory.mktemp("fleet"), 1, 1, BLOCK)
-    good = FakeServer("i-good", "orders", f"127.{BLOCK}.3.1")
-    bad = EndlessServer("i-bad", "bad", f"127.{BLOCK}.3.2")
+@contextlib.contextmanager
+def _running_fleet(folder, block, entry_settings, endless_servers):
+    """Runs an entry with one good server and some endless ones.
+
+    Yields the fleet and the endless servers.
+    """
+    fleet = Fleet(folder, 1, 1, block)
+    fleet.entry_settings = entry_settings
+    good = FakeServer("i-good", "orders", f"127.{block}.3.1")
+    bad = [
+        EndlessServer(f"i-bad-{number}", "bad", f"127.{block}.3.{number + 1}")
+        for number in range(1, endless_servers + 1)
+    ]
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
@@ -138,8 +158,11 @@
                 == 200
             ),
         )
-        with running_server(good), bad.running():
-            for server in (good, bad):
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(running_server(good))
+            for server in bad:
+                stack.enter_context(server.running())
+            for server in (good, *bad):
                 send_heartbeat_until_acknowledged(fleet, server)
             wait_until(
                 "the good server serves",
@@ -150,14 +173,33 @@
         fleet.kill_all()
 
 
-def _request(fleet, path):
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    """An entry with one good and one endless server; yields both."""
+    folder = tmp_path_factory.mktemp("fleet")
+    with _running_fleet(folder, BLOCK, [], 1) as (fleet, (bad,)):
+        yield fleet, bad
+
+
+@pytest.fixture
+def small_fleet(tmp_path):
+    """A small entry with one good and three endless servers; yields both."""
+    settings = [
+        f"memory_mb = {SMALL_MEMORY_MB}",
+        f"descriptors = {SMALL_DESCRIPTORS}",
+    ]
+    with _running_fleet(tmp_path, SMALL_BLOCK, settings, 3) as running:
+        yield running
+
+
+def _request(fleet, path, wait_ms=DEADLINE_MS):
     headers = {
         "Host": HOST,
         "X-Gentianwall-Request-Id": f"r{path}",
-        "X-Gentianwall-Deadline-Ms": str(DEADLINE_MS),
+        "X-Gentianwall-Deadline-Ms": str(wait_ms),
     }
     host = fleet.entries[0].host
-    timeout_s = DEADLINE_MS / 1000.0 + 1.0
+    timeout_s = wait_ms / 1000.0 + 1.0
     return call(
         host, CALLERS_PORT, "GET", path, b"", headers, timeout_s=timeout_s
     )
@@ -199,6 +241,44 @@
     wait_until("the connection is closed", lambda: bad.sent_bytes, 2.0)
 
 
+def _press(fleet, until_s):
+    """Sends requests to endless servers, each after the last one's end."""
+    while time.monotonic() < until_s:
+        _request(fleet, "/bad/x", CROWD_WAIT_MS)
+
+
+# Bodies in progress together took 172 MB.
+@pytest.mark.parametrize(
+    "shape",
+    [
+        "chunked body",
+        "body without length",
+    ],
+)
+def test_endless_answers_cost_only_their_own_callers(small_fleet, shape):
+    fleet, servers = small_fleet
+    for server in servers:
+        server.shape = shape
+    until_s = time.monotonic() + CROWD_S
+    crowd = [
+        threading.Thread(target=_press, args=(fleet, until_s))
+        for _ in range(CROWD)
+    ]
+    for caller in crowd:
+        caller.start()
+    statuses = []
+    while time.monotonic() < until_s:
+        answer = _request(fleet, "/orders/x", CROWD_WAIT_MS)
+        statuses.append(answer.status)
+        time.sleep(ORDINARY_GAP_S)
+    for caller in crowd:
+        caller.join()
+    assert fleet.entries[0].process.poll() is None
+    assert set(statuses) == {200}
+    assert _peak_kb(fleet) < SMALL_MEMORY_MB * 1000
+    assert _request(fleet, "/orders/x").status == 200
+
+
 @pytest.mark.parametrize(
     ("head_bytes", "wire_bytes", "body_bytes", "is_exceeded"),
     [
@@ -227,3 +307,24 @@
     assert given_up == [2]
     memory.add(1, 20, lambda: given_up.append(1))
     assert given_up == [2]
+
+
+def test_the_largest_answer_of_another_service_is_not_given_up():
+    """The largest answer may take more than the share of all others."""
+    budget = ClientBudget(
+        BudgetLimits(memory_bytes=100, connections=9, running_requests=9)
+    )
+    memory = AnswerMemory(1000, budget)
+    given_up = []
+
+    def add(key, size, service):
+        memory.add(key, size, lambda: given_up.append(key), service)
+
+    add("large", 45, "good")
+    for key in range(6):
+        add(key, 9, "bad")
+    assert given_up == [0]
+    for _ in range(20):
+        add("growing", 3, "bad")
+    assert "large" not in given_up
+    assert budget.answer_bytes <= 100
