--- a/gentianwall/http/answer_limits.py
+++ b/gentianwall/http/answer_limits.py
@@ -28,6 +28,8 @@
 ANSWER_SHARE = 0.5
 # Larger heads are rare, and parsing them is paced.
 UNPACED_HEAD_BYTES = 8 * 1024
+# Small bodies may be little but framing.
+UNPACED_BODY_BYTES = 2 * 1024
 # Bytes that follow the answer to an older request.
 MAX_PENDING_BYTES = 64 * 1024
 
@@ -88,10 +90,12 @@
     Attributes:
         limit_bytes: Most bytes of all bodies together.
         budget: What the clients of the process hold, if it is limited.
+        held_bytes: Bytes of all bodies together.
     """
 
     limit_bytes: int
     budget: ClientBudget | None = None
+    held_bytes: int = 0
     _answers: dict[int, _HeldAnswer] = attrs.field(factory=dict)
 
     def add(
@@ -113,6 +117,7 @@
         if answer is None:
             answer = self._answers[key] = _HeldAnswer(service, give_up)
         answer.size_bytes += size_bytes
+        self.held_bytes += size_bytes
         budget = self.budget
         if budget is not None:
             budget.answer_bytes += size_bytes
@@ -120,21 +125,19 @@
             self._give_up_one()
         if budget is not None and budget.is_exceeded:
             budget.reclaim_from_blocked(monotonic_ms())
-        is_over_limit = self._held_bytes > self.limit_bytes
+        is_over_limit = self.held_bytes > self.limit_bytes
         if is_over_limit or (budget is not None and budget.is_exceeded):
             self._give_up_one()
 
-    @property
-    def _held_bytes(self) -> int:
-        return sum(answer.size_bytes for answer in self._answers.values())
-
     @property
     def _is_over_share(self) -> bool:
         if self.budget is None:
             return False
-        largest_bytes = max(a.size_bytes for a in self._answers.values())
         share_bytes = ANSWER_SHARE * self.budget.limits.memory_bytes
-        return self._held_bytes - largest_bytes > share_bytes
+        if self.held_bytes <= share_bytes:
+            return False
+        largest_bytes = max(a.size_bytes for a in self._answers.values())
+        return self.held_bytes - largest_bytes > share_bytes
 
     def _give_up_one(self) -> None:
         sizes_by_service: dict[str, list[int]] = {}
@@ -158,5 +161,8 @@
     def remove(self, key: int) -> None:
         """Forgets an answer that is complete or given up."""
         answer = self._answers.pop(key, None)
-        if answer is not None and self.budget is not None:
+        if answer is None:
+            return
+        self.held_bytes -= answer.size_bytes
+        if self.budget is not None:
             self.budget.answer_bytes -= answer.size_bytes
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -25,6 +25,7 @@
 from gentianwall.http.answer_limits import (
     HEAD_PART_BYTES,
     MAX_PENDING_BYTES,
+    UNPACED_BODY_BYTES,
     UNPACED_HEAD_BYTES,
     AnswerMemory,
     AnswerMeter,
@@ -299,7 +300,10 @@
         if is_body:
             framing_bytes = len(part) - (meter.body_bytes - body_bytes)
             meter.is_mostly_framing = 2 * framing_bytes > len(part)
-            is_paced = meter.is_mostly_framing
+            is_paced = (
+                meter.is_mostly_framing
+                and meter.wire_body_bytes > UNPACED_BODY_BYTES
+            )
         elif not self._is_head_received:
             meter.head_bytes += len(part)
             is_paced = meter.head_bytes > UNPACED_HEAD_BYTES
