Send configurations until they are acknowledged in one place

Four fixtures and a test each waited until a control instance acknowledged their document, beside replace_configuration_until_acknowledged, which does so for documents of one route only.

Change: send_document_until_acknowledged in harness/fleet.py serves both. No check is changed.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -459,15 +459,26 @@
     number: int,
     nodes: list[Node] | None = None,
     service: str = "orders",
+) -> None:
+    """Sends a configuration of one route until it is acknowledged."""
+    send_document_until_acknowledged(
+        fleet, document(number, service), nodes, timeout_s=1.0
+    )
+
+
+def send_document_until_acknowledged(
+    fleet: Fleet,
+    content: dict,
+    nodes: list[Node] | None = None,
+    timeout_s: float = 3.0,
 ) -> None:
     """Sends a configuration until a control instance acknowledges it."""
     nodes = nodes or fleet.controls
     wait_until(
-        f"configuration {number} is acknowledged",
+        f"configuration {content['version']} is acknowledged",
         lambda: any(
-            fleet.replace_configuration(n, document(number, service), 1.0)
-            == 200
-            for n in nodes
+            fleet.replace_configuration(node, content, timeout_s) == 200
+            for node in nodes
         ),
     )
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -26,6 +26,7 @@
     call,
     document,
     running_server,
+    send_document_until_acknowledged,
     send_heartbeat_until_acknowledged,
     wait_until,
 )
@@ -153,13 +154,7 @@
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
-        wait_until(
-            "the configuration is acknowledged",
-            lambda: (
-                fleet.replace_configuration(fleet.controls[0], _document())
-                == 200
-            ),
-        )
+        send_document_until_acknowledged(fleet, _document())
         with contextlib.ExitStack() as stack:
             stack.enter_context(running_server(good))
             for server in bad:
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -29,6 +29,7 @@
     call,
     document,
     running_server,
+    send_document_until_acknowledged,
     send_heartbeat_until_acknowledged,
     wait_until,
     wait_until_serving,
@@ -128,11 +129,7 @@
     try:
         for node in [*fleet.entries, *fleet.controls]:
             fleet.start(node, is_first_start=True)
-        control = fleet.controls[0]
-        wait_until(
-            "the configuration is acknowledged",
-            lambda: fleet.replace_configuration(control, content) == 200,
-        )
+        send_document_until_acknowledged(fleet, content)
         with running_server(server):
             send_heartbeat_until_acknowledged(fleet, server)
             wait_until_serving(fleet)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -27,6 +27,7 @@
     document,
     replace_configuration_until_acknowledged,
     running_server,
+    send_document_until_acknowledged,
     send_heartbeat_until_acknowledged,
     wait_until,
     wait_until_serving,
@@ -86,13 +87,7 @@
     try:
         for node in (*fleet.controls, *fleet.entries):
             fleet.start(node, is_first_start=True)
-        wait_until(
-            "the configuration is acknowledged",
-            lambda: (
-                fleet.replace_configuration(fleet.controls[0], _document())
-                == 200
-            ),
-        )
+        send_document_until_acknowledged(fleet, _document())
         for server in servers:
             send_heartbeat_until_acknowledged(fleet, server)
         wait_until_serving(fleet)
--- a/tests/test_stepped_clocks.py
+++ b/tests/test_stepped_clocks.py
@@ -18,6 +18,7 @@
     call,
     document,
     running_server,
+    send_document_until_acknowledged,
     send_heartbeat_until_acknowledged,
     wait_until,
     wait_until_serving,
@@ -53,13 +54,7 @@
     try:
         for node in (*fleet.controls, *fleet.entries):
             fleet.start(node, is_first_start=True)
-        wait_until(
-            "the configuration is acknowledged",
-            lambda: (
-                fleet.replace_configuration(fleet.controls[0], _document(1))
-                == 200
-            ),
-        )
+        send_document_until_acknowledged(fleet, _document(1))
         send_heartbeat_until_acknowledged(fleet, server)
         wait_until_serving(fleet)
         yield fleet
