Find the timeouts that may apply in one pass in the soak's check

The check built the time of replacement of each configuration by a scan of all later ones. One pass from the last one back has it at hand.

--- a/soak/lost.py
+++ b/soak/lost.py
@@ -195,25 +195,15 @@
         That is the limit of its caller, or the timeout of a configuration that
         may have been in force while it was open.
         """
-        changes = [
-            w
-            for w in self.work
-            if isinstance(w, Change) and w.at_s <= outcome.ended_s
-        ]
-        replaced_s = [
-            min(
-                (later.acknowledged_s for later in changes[number:]),
-                default=math.inf,
-            )
-            + CONFIG_APPLY_S
-            for number in range(1, len(changes) + 1)
-        ]
-        timeouts_s = [
-            change.timeout_s
-            for change, until_s in zip(changes, replaced_s, strict=True)
-            if until_s >= outcome.sent_s
-        ]
-        return min([outcome.limit_s, *timeouts_s])
+        limit_s = outcome.limit_s
+        replaced_s = math.inf
+        for change in reversed(self.work):
+            if not isinstance(change, Change) or change.at_s > outcome.ended_s:
+                continue
+            if replaced_s + CONFIG_APPLY_S >= outcome.sent_s:
+                limit_s = min(limit_s, change.timeout_s)
+            replaced_s = min(replaced_s, change.acknowledged_s)
+        return limit_s
 
     def _is_cut_more_often_beside_changes(self, host: str) -> bool:
         changes = [w for w in self.work if isinstance(w, Change)]
