Simplify the pacing of parsing, and name the last log line by what it logs

The pacing built a set of services for each charge; the service is entered first now. write_end became log_left_open, as the event is called. A comment reckoned with a copy that bodies of answers have no more. Behaviour is unchanged.

--- a/gentianwall/commands/fleet_entry.py
+++ b/gentianwall/commands/fleet_entry.py
@@ -66,7 +66,7 @@
         call_when(timers, lambda: runtime.is_idle, limit_ms, stop)
 
     def stop() -> None:
-        runtime.write_end()
+        runtime.log_left_open()
         reactor.stop()
 
     timers.start("stop", close_ms, close_listener)
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -45,8 +45,7 @@
 # Answers to older requests that are skipped before the connection is closed.
 MAX_MISMATCHED_ANSWERS = 3
 # Answers that are being received may take up to this much memory together.
-# With the copy of one body whose parts are joined, that is less than half of
-# the 433 MB of the smallest machines that entries run on.
+# Where less is free, the budget of the process limits them further.
 ANSWER_MEMORY_BYTES = 96 * 1024 * 1024
 # Copies of a body that the transport makes while it sends it.
 SENT_BODY_COPIES = 1
--- a/gentianwall/http/parse_pacing.py
+++ b/gentianwall/http/parse_pacing.py
@@ -44,9 +44,9 @@
             How long to wait before more of that service is parsed, in ms.
         """
         self._forget_idle(now_ms)
-        used_until_ms = self._used_until_ms.get(service, now_ms)
-        sharing = len(self._used_until_ms.keys() | {service})
-        used_until_ms += 1000.0 * size_bytes * sharing / self.bytes_per_s
+        used_until_ms = self._used_until_ms.setdefault(service, now_ms)
+        share_per_s = self.bytes_per_s / len(self._used_until_ms)
+        used_until_ms += 1000.0 * size_bytes / share_per_s
         self._used_until_ms[service] = used_until_ms
         burst_ms = 1000.0 * self.burst_bytes / self.bytes_per_s
         return max(0.0, used_until_ms - now_ms - burst_ms)
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -414,7 +414,7 @@
                 channel.refuse_unfinished()
                 channel.enlarge_send_buffer()
 
-    def write_end(self) -> None:
+    def log_left_open(self) -> None:
         """Logs what is still open when the process ends."""
         channels = self.site.channels | self.peer_site.channels
         fields = {
