--- a/review/standins2.py
+++ b/review/standins2.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -332,12 +333,15 @@
         body: bytes = b"",
         deadline_ms: int = 1200,
         source: str | None = None,
+        key: str = "",
     ) -> Message | None:
         """Sends a client's request; None if it got no answer in its time."""
         headers = {
             "X-Gentianwall-Request-Id": request_id,
             "X-Gentianwall-Deadline-Ms": str(deadline_ms),
         }
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         return await exchange(
             machine.ip,
             self.front_port,
@@ -386,6 +390,12 @@
     return {"type": "services", "metadata": {"name": name}, "spec": spec}
 
 
+def tenant(name: str, key: str) -> dict:
+    """Returns a tenant of a desired state, without a limit."""
+    spec = {"apiKeys": [key]}
+    return {"type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def desired_state(version: int, *resources: dict) -> dict:
     """Returns a complete desired state."""
     spec = {
@@ -411,10 +421,16 @@
         self.zone = spec["zone"]
         self.slots = spec.get("slots", 2)
         self.work_s = spec.get("work_ms", 100) / 1000.0
+        # A request of this path crashes the process that begins to run it, if
+        # it comes from this tenant where one is named.
+        self.crash_path = spec.get("crash_path", "")
+        self.crash_tenant = spec.get("crash_tenant", "")
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
         self.waiting = 0
+        # Share of its answers in which the load is spoiled.
+        self.spoiled_share = spec.get("spoiled_share", 0.0)
         self._slots = asyncio.Semaphore(self.slots)
         self._controls = controls
         self._log = log
@@ -472,7 +488,11 @@
         writer.close()
 
     def _load(self) -> str:
-        return f"{self.running},{self.waiting},{self.slots},100"
+        load = f"{self.running},{self.waiting},{self.slots}"
+        if random.random() < self.spoiled_share:
+            self._write("spoils the load of an answer")
+            return f"{load},nan"
+        return f"{load},100"
 
     async def _answer(self, request: Message) -> bytes:
         _, path, _ = request.first_line.split()
@@ -496,7 +516,11 @@
         async with self._slots:
             self.waiting -= 1
             self.running += 1
-            self._write(f"runs {request_id} {path}")
+            tenant = request.headers.get("x-gentianwall-tenant-id", "")
+            self._write(f"runs {request_id} {path} {tenant}")
+            if path == self.crash_path and tenant == self.crash_tenant:
+                self._write(f"crashes {request_id}")
+                os._exit(1)
             try:
                 await asyncio.sleep(self.work_s)
             finally:
