Show that answers with malformed names of headers reach no caller

What operators of other systems saw: an answer whose head held a blank or a control byte in the name of a header reached a caller, and so did the first part of an answer without a length to an upload, after the server had reset the connection.

Change: harness/raw_server.py, a server that sends bytes of the test's choice, taken out of the test of endless answers, and tests/test_malformed_answers.py with a table of shapes, sent to a real entry.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,7 +8,6 @@
 
 import contextlib
 import json
-import socket
 import threading
 import time
 
@@ -20,7 +19,6 @@
 from harness.fleet import (
     CALLERS_PORT,
     HOST,
-    SERVER_PORT,
     FakeServer,
     Fleet,
     call,
@@ -30,6 +28,7 @@
     send_heartbeat_until_acknowledged,
     wait_until,
 )
+from harness.raw_server import RawServer
 
 BLOCK = 77
 SMALL_BLOCK = 76
@@ -65,7 +64,7 @@
 MAX_GROWTH_KB = {True: 16 * 1024, False: 160 * 1024}
 
 
-class EndlessServer(FakeServer):
+class EndlessServer(RawServer):
     """A server that answers requests with endless bytes, up to a close.
 
     Attributes:
@@ -78,34 +77,7 @@
         self.shape = ""
         self.sent_bytes = []
 
-    @contextlib.contextmanager
-    def running(self):
-        """Serves while the context lasts."""
-        with socket.create_server((self.host, SERVER_PORT)) as listener:
-            threading.Thread(
-                target=self._accept, args=(listener,), daemon=True
-            ).start()
-            yield self
-            # Otherwise it accepts until the thread has got a connection.
-            listener.shutdown(socket.SHUT_RDWR)
-
-    def _accept(self, listener):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
-
-    def _serve(self, connection):
-        with contextlib.suppress(OSError), connection:
-            while data := connection.recv(65536):
-                if b"/healthz" in data:
-                    connection.sendall(OK + b"Content-Length: 0\r\n\r\n")
-                else:
-                    self._send_endlessly(connection)
-
-    def _send_endlessly(self, connection):
+    def send_answer(self, connection, request_id):
         start, part = SHAPES[self.shape]
         sent_bytes = 0
         with contextlib.suppress(OSError):
--- /dev/null
+++ b/tests/test_malformed_answers.py
@@ -0,0 +1,172 @@
+"""Tests that answers that break the grammar of HTTP/1.1 reach no caller.
+
+A real server sends each shape to a real entry (RFC 9112, 2 to 7; RFC 9110, 5
+and 15).
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from harness.fleet import (
+    CALLERS_PORT,
+    HOST,
+    Answer,
+    Fleet,
+    call,
+    document,
+    send_document_until_acknowledged,
+    send_heartbeat_until_acknowledged,
+    wait_until,
+)
+from harness.raw_server import REQUEST_ID, RawServer
+
+BLOCK = 75
+_server_numbers = itertools.count(1)
+BODY = b"the whole body"
+UPLOAD = bytes(6_000_000)
+UPLOADS = 12
+SIZE = b"Content-Length: %d" % len(BODY)
+CHUNKED = b"Transfer-Encoding: chunked"
+CHUNKS = b"3\r\nthe\r\nb;a=b\r\n whole body\r\n0\r\nA: b\r\n\r\n"
+OK = b"HTTP/1.1 200 OK"
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+
+def _answer(*lines, status_line=OK, body=BODY, newline=b"\r\n"):
+    """Returns an answer with the stamp and the id of the request."""
+    own = [
+        b"X-Gentianwall-Request-Id: " + REQUEST_ID,
+        b"X-Gentianwall-Server-Stamp: stamp",
+    ]
+    return newline.join([status_line, *own, *lines, b"", b""]) + body
+
+
+def _with_status_line(line):
+    return _answer(SIZE, status_line=line)
+
+
+MALFORMED_NAMES = {
+    "blank in a name": _answer(SIZE, b"A b: c"),
+    "blank after a name": _answer(SIZE, b"A : c"),
+    "blank after the name of the length": _answer(b"Content-Length : 5"),
+    "tab after a name": _answer(SIZE, b"A\t: c"),
+    "blank before the first name": _answer(SIZE, status_line=OK + b"\r\n A: b"),
+    "NUL in a name": _answer(SIZE, b"A\0: c"),
+    "control byte in a name": _answer(SIZE, b"A\x01: c"),
+    "CR in a name": _answer(SIZE, b"A\rB: c"),
+    "DEL in a name": _answer(SIZE, b"A\x7f: c"),
+    "byte above 127 in a name": _answer(SIZE, b"\xc3\xa4: c"),
+    "separator in a name": _answer(SIZE, b"A(b): c"),
+    "empty name": _answer(SIZE, b": c"),
+}
+# Answers that are complete by the grammar, with the status that callers get.
+WHOLE = {
+    "usual": (_answer(SIZE), 200),
+    "no reason": (_with_status_line(b"HTTP/1.1 200 "), 200),
+    "no blank after the status": (_with_status_line(b"HTTP/1.1 200"), 200),
+    "HTTP/1.0": (_with_status_line(b"HTTP/1.0 200 OK"), 200),
+    "bytes above 127 in the reason": (
+        _with_status_line(b"HTTP/1.1 200 \xc3\xa4"),
+        200,
+    ),
+    "unknown success": (_with_status_line(b"HTTP/1.1 299 Odd"), 299),
+    "unknown redirection": (_with_status_line(b"HTTP/1.1 399 Odd"), 399),
+    "unknown client error": (_with_status_line(b"HTTP/1.1 499 Odd"), 499),
+    "unknown server error": (_with_status_line(b"HTTP/1.1 599 Odd"), 599),
+    "all token bytes in a name": (
+        _answer(SIZE, b"!#$%&'*+-.^_`|~09azAZ: b"),
+        200,
+    ),
+    "blanks around a value": (_answer(SIZE, b"A: \t b \t "), 200),
+    "no blank before a value": (_answer(SIZE, b"A:b"), 200),
+    "empty value": (_answer(SIZE, b"A:"), 200),
+    "bytes above 127 in a value": (_answer(SIZE, b"A: \xe4\xff"), 200),
+    "folded value": (_answer(SIZE, b"A: b", b"\t c"), 200),
+    "same length twice": (_answer(SIZE, SIZE), 200),
+    "bare newlines": (_answer(SIZE, newline=b"\n"), 200),
+    "interim answers": (HINTS + HINTS + _answer(SIZE), 200),
+    "chunked": (_answer(CHUNKED, body=CHUNKS), 200),
+    "chunked in capitals": (
+        _answer(b"Transfer-Encoding:CHUNKED ", body=CHUNKS),
+        200,
+    ),
+    "until the close": (_answer(), 200),
+}
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    """A running fleet with an entry."""
+    fleet = Fleet(tmp_path_factory.mktemp("fleet"), 1, 1, BLOCK)
+    try:
+        for node in [*fleet.entries, *fleet.controls]:
+            fleet.start(node, is_first_start=True)
+        send_document_until_acknowledged(fleet, document(1))
+        yield fleet
+    finally:
+        fleet.kill_all()
+
+
+@pytest.fixture
+def server(fleet):
+    """The only server of the entry, new for each test."""
+    name = f"i-{next(_server_numbers)}"
+    server = RawServer(name, "orders", f"127.{BLOCK}.3.1")
+    server.answer = _answer(SIZE)
+    with server.running():
+        send_heartbeat_until_acknowledged(fleet, server)
+        wait_until(
+            "the server serves", lambda: _request(fleet, "warm").status == 200
+        )
+        yield server
+        assert fleet.deregister(fleet.controls[0], server) == 200
+
+
+def _request(fleet, request_id, body=b"order") -> Answer:
+    headers = {
+        "Host": HOST,
+        "X-Gentianwall-Request-Id": request_id,
+        "X-Gentianwall-Deadline-Ms": "2000",
+    }
+    host = fleet.entries[0].host
+    return call(host, CALLERS_PORT, "POST", "/orders/x", body, headers)
+
+
+@pytest.mark.parametrize("shape", MALFORMED_NAMES)
+def test_a_malformed_answer_reaches_no_caller(fleet, server, shape):
+    server.answer = MALFORMED_NAMES[shape]
+    answer = _request(fleet, shape.replace(" ", "-"))
+    assert answer.status == 502
+    assert b"whole" not in answer.body
+    assert "X-Gentianwall-Server-Stamp" not in answer.headers
+
+
+@pytest.mark.parametrize("shape", WHOLE)
+def test_an_odd_but_whole_answer_is_passed_on(fleet, server, shape):
+    server.answer, status = WHOLE[shape]
+    server.is_closing = shape == "until the close"
+    answer = _request(fleet, shape.replace(" ", "-"))
+    assert (answer.status, answer.body) == (status, BODY)
+
+
+# A reset may overtake the part of the answer that was sent before it.
+@pytest.mark.parametrize("is_closing", [False, True])
+def test_a_reset_answer_without_a_length_to_an_upload_is_not_complete(
+    fleet, server, is_closing
+):
+    server.answer = _answer()
+    server.is_closing = is_closing
+    server.is_resetting = not is_closing
+    answers = [
+        _request(fleet, f"upload-{number}", UPLOAD) for number in range(UPLOADS)
+    ]
+    assert {answer.status for answer in answers} == {502}
+
+
+def test_an_early_answer_with_a_length_to_an_upload_is_passed_on(fleet, server):
+    server.answer = _answer(SIZE)
+    answer = _request(fleet, "upload", UPLOAD)
+    assert (answer.status, answer.body) == (200, BODY)
