Check the heads of answers against the grammar before they are parsed

What callers saw: a server answered with the status 000, and the caller got `HTTP/1.1 0 Unknown Status` with the server's stamp and body.

Cause: twisted's parser of answers takes more than the grammar of HTTP/1.1. It reads status and version with int(), keeps every byte in reasons and values, and looks at the first Transfer-Encoding only. Nothing checked what came out. Class of fault: a part of a head is read by something that takes more than the protocol.

Change: http/answer_head.py checks each line of a head, interim answers included, before it is parsed, and at its end that the end of the body can be told in one way only. All answers over HTTP are read by `Connection`, so this one place covers answers to requests, relayed requests, health checks, load queries and probes. A malformed answer is the new `FailureKind.MALFORMED`: none, the request may have run (502, or another server where it may be repeated), its connection is aborted, and the log names the server and the reason. An answer that the parser rejects is one too; before it counted as a lost connection, and so as a trace of a crash.

Why this works: a line that is not in the grammar reaches neither the parser nor a decision, whatever the parser would have made of it.

--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -213,7 +213,7 @@
         case FailureKind.NOT_CONNECTED:
             reason = RefusalReason.SERVER_REFUSED
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
-        case FailureKind.LOST | FailureKind.TRUNCATED:
+        case FailureKind.LOST | FailureKind.TRUNCATED | FailureKind.MALFORMED:
             if event.kind.is_crash_evidence:
                 call.crashed_servers += (attempt.server,)
             reason = RefusalReason.SERVER_LOST
--- a/gentianwall/core/events.py
+++ b/gentianwall/core/events.py
@@ -22,6 +22,7 @@
     TRUNCATED = "answer cut short"
     MISMATCHED = "answer to another request"
     TOO_LARGE = "answer too large"
+    MALFORMED = "answer malformed"
 
     @property
     def is_crash_evidence(self) -> bool:
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -42,6 +42,7 @@
     FailureKind.NOT_CONNECTED: RefusalReason.NO_SERVER,
     FailureKind.LOST: RefusalReason.SERVER_LOST,
     FailureKind.TRUNCATED: RefusalReason.SERVER_LOST,
+    FailureKind.MALFORMED: RefusalReason.SERVER_LOST,
     FailureKind.MISMATCHED: RefusalReason.SERVER_LOST,
     FailureKind.SILENT: RefusalReason.SERVER_SILENT,
     FailureKind.TOO_LARGE: RefusalReason.ANSWER_TOO_LARGE,
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -3,7 +3,7 @@
 Built on twisted's `HTTP11ClientProtocol`. Answers are read completely before
 they are returned. A connection whose request was cancelled, timed out or got
 a truncated answer is closed and not reused, as is one whose bytes exceed the
-limits of `answer_limits`.
+limits of `answer_limits` or break the grammar of HTTP/1.1.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from zope.interface import implementer
 
 from gentianwall.core.events import FailureKind
+from gentianwall.http.answer_head import AnswerFault, AnswerHead
 from gentianwall.http.answer_limits import (
     HEAD_PART_BYTES,
     MAX_PENDING_BYTES,
@@ -33,9 +34,12 @@
 from gentianwall.http.body_buffer import BodyBuffer
 from gentianwall.http.client_budget import ClientBudget
 from gentianwall.http.parse_pacing import ParsePacing
+from gentianwall.logs import get_logger
 from gentianwall.timers import monotonic_ms
 from gentianwall.utils.addresses import is_ip_address
 
+log = get_logger("answers")
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_MS = 4000.0
 REUSE_PAUSE_MS = 60_000.0
@@ -162,6 +166,8 @@
         pending_bytes: Bytes received after the latest answer.
         meter: Counts the bytes of the answer being received.
         is_limit_exceeded: Whether an answer was larger than its limits allow.
+        head: Checks the head of the answer being received.
+        fault: Why the answer is malformed; None if it is not.
         service: Service of the request that is being answered.
     """
 
@@ -180,6 +186,8 @@
         self.pending_bytes = b""
         self.meter = AnswerMeter()
         self.is_limit_exceeded = False
+        self.head = AnswerHead(b"")
+        self.fault: AnswerFault | None = None
         self.service = ""
         self._unparsed_bytes = b""
         self._pacing_call = None
@@ -219,12 +227,17 @@
                 before any of its bytes are parsed.
         """
         self.is_answer_mismatched = False
-        self.meter = AnswerMeter()
         on_deferred(self.request(_NullRequest(method)))
         rest, self.pending_bytes = self.pending_bytes, b""
         if rest:
             self.dataReceived(rest)
 
+    def request(self, request) -> Deferred:
+        """Sends a request; returns a deferred that fires with its answer."""
+        self.meter = AnswerMeter()
+        self.head = AnswerHead(request.method)
+        return super().request(request)
+
     def dataReceived(self, data) -> None:
         """Parses received bytes; aborts the connection on unsolicited ones."""
         self.last_received_ms = monotonic_ms()
@@ -243,7 +256,7 @@
         """Parses what was received, until that has to wait."""
         while self._unparsed_bytes and self._parser is not None:
             paced_bytes = self._parse_part()
-            if self.is_limit_exceeded or self.is_lost:
+            if self.is_limit_exceeded or self.fault or self.is_lost:
                 self._unparsed_bytes = b""
             elif paced_bytes and self._parser is not None:
                 wait_ms = _parse_pacing.charge(
@@ -290,6 +303,11 @@
             part_bytes = len(self._unparsed_bytes)
         part = self._unparsed_bytes[:part_bytes]
         self._unparsed_bytes = self._unparsed_bytes[part_bytes:]
+        if not is_body:
+            fault = self.head.receive(part)
+            if fault is not None:
+                self._abort_malformed(fault)
+                return 0
         body_bytes = meter.body_bytes
         if is_body:
             meter.wire_body_bytes += len(part)
@@ -329,6 +347,17 @@
         self.is_reuse_forbidden = True
         self.transport.abortConnection()
 
+    def _abort_malformed(self, fault: AnswerFault) -> None:
+        self.fault = fault
+        self.is_reuse_forbidden = True
+        self.transport.abortConnection()
+
+    def _giveUp(self, reason) -> None:
+        """Aborts the connection if the answer could not be parsed."""
+        if not reason.check(ConnectionDone):
+            self._abort_malformed(AnswerFault.UNPARSABLE)
+        super()._giveUp(reason)
+
     def _finishResponse(self, rest) -> None:
         self.pending_bytes = rest + self._unparsed_bytes
         self._unparsed_bytes = b""
@@ -503,11 +532,24 @@
         if self._is_finished:
             return
         self._is_finished = True
-        if self._connection is not None and self._connection.is_limit_exceeded:
+        connection = self._connection
+        if connection is not None and connection.is_limit_exceeded:
             kind = FailureKind.TOO_LARGE
+        elif connection is not None and connection.fault is not None:
+            kind = FailureKind.MALFORMED
+            self._log_fault(connection.fault)
         self._abort()
         self._on_failure(kind)
 
+    def _log_fault(self, fault: AnswerFault) -> None:
+        log.warning(
+            "Malformed answer from %s:%d to %s: %s.",
+            self._pool.host,
+            self._pool.port,
+            self._request_id or "a health check",
+            fault.value,
+        )
+
     def _abort(self) -> None:
         if self._connection is not None and not self._connection.is_lost:
             self._connection.is_reuse_forbidden = True
@@ -523,7 +565,6 @@
             self._pool.release_connection(connection)
             return
         self._connection = connection
-        connection.meter = AnswerMeter()
         connection.service = self.request.service
         body = self.request.body
         request = Request(
--- a/gentianwall/runtime/server_checks.py
+++ b/gentianwall/runtime/server_checks.py
@@ -76,9 +76,11 @@
         pool = self._pools.pool_of(notice)
 
         def on_failure(kind: FailureKind) -> None:
-            if kind is FailureKind.LOST and attempt.is_reused:
-                # The server had closed an idle connection, which says nothing
-                # about its health; the query is retried on a new one.
+            is_stale = kind in (FailureKind.LOST, FailureKind.MALFORMED)
+            if is_stale and attempt.is_reused:
+                # The server had closed an idle connection, or sent bytes after
+                # an earlier answer, which says nothing about its health; the
+                # query is retried on a new one.
                 pool.close_idle()
                 self._timers.cancel(f"load-query.{name}")
                 self._load_queries.pop(name, None)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -195,7 +195,13 @@
 
 @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.UPLOAD])
 @pytest.mark.parametrize(
-    "failure", [FailureKind.LOST, FailureKind.TRUNCATED, FailureKind.MISMATCHED]
+    "failure",
+    [
+        FailureKind.LOST,
+        FailureKind.TRUNCATED,
+        FailureKind.MALFORMED,
+        FailureKind.MISMATCHED,
+    ],
 )
 def test_a_request_that_may_have_been_executed_is_never_retried(
     entry, kind, failure
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -78,7 +78,9 @@
     assert refusal.retry_after_ms > 0
 
 
-@pytest.mark.parametrize("kind", [FailureKind.LOST, FailureKind.TRUNCATED])
+@pytest.mark.parametrize(
+    "kind", [FailureKind.LOST, FailureKind.TRUNCATED, FailureKind.MALFORMED]
+)
 def test_a_request_on_a_lost_connection_may_have_been_executed(entry, kind):
     entry.deliver_request(ORDER)
     assert single_refusal(entry.fail_attempt(kind)).executed is Executed.UNKNOWN
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -62,6 +62,58 @@
     "separator in a name": _answer(SIZE, b"A(b): c"),
     "empty name": _answer(SIZE, b": c"),
 }
+MALFORMED_HEADS = {
+    "status 000": _with_status_line(b"HTTP/1.1 000 OK"),
+    "status 000 without a body": _answer(
+        b"Content-Length: 0", status_line=b"HTTP/1.1 000", body=b""
+    ),
+    "status 000 until the close": _answer(status_line=b"HTTP/1.1 000 OK"),
+    "status 099": _with_status_line(b"HTTP/1.1 099 OK"),
+    "status 600": _with_status_line(b"HTTP/1.1 600 OK"),
+    "status 999": _with_status_line(b"HTTP/1.1 999 OK"),
+    "status of one digit": _with_status_line(b"HTTP/1.1 2 OK"),
+    "status of four digits": _with_status_line(b"HTTP/1.1 0200 OK"),
+    "status with a sign": _with_status_line(b"HTTP/1.1 +200 OK"),
+    "negative status": _with_status_line(b"HTTP/1.1 -200 OK"),
+    "status with an underscore": _with_status_line(b"HTTP/1.1 2_00 OK"),
+    "status after a tab": _with_status_line(b"HTTP/1.1 \t200 OK"),
+    "no status": _with_status_line(b"HTTP/1.1"),
+    "another protocol": _with_status_line(b"ICY/1.1 200 OK"),
+    "another version": _with_status_line(b"HTTP/2.0 200 OK"),
+    "version with a sign": _with_status_line(b"HTTP/+1.1 200 OK"),
+    "version of two digits": _with_status_line(b"HTTP/1.01 200 OK"),
+    "NUL in the reason": _with_status_line(b"HTTP/1.1 200 O\0K"),
+    "CR in the reason": _with_status_line(b"HTTP/1.1 200 O\rK"),
+    "bad interim answer": b"HTTP/1.1 103 \0\r\n\r\n" + _answer(SIZE),
+    "switched protocols": b"HTTP/1.1 101 \r\nUpgrade: a\r\n\r\n"
+    + _answer(SIZE),
+    "no colon": _answer(SIZE, b"A"),
+    "NUL in a value": _answer(SIZE, b"A: b\0c"),
+    "CR in a value": _answer(SIZE, b"A: b\rContent-Length: 3"),
+    "CR at the end of a value": _answer(SIZE, b"A: b\r"),
+    "control byte in a value": _answer(SIZE, b"A: b\x01c"),
+    "control byte around a value": _answer(SIZE, b"A: \x0bb\x0c"),
+    "DEL in a value": _answer(SIZE, b"A: b\x7fc"),
+    "control byte in a folded value": _answer(SIZE, b"A: b", b" \0c"),
+    "length with a sign": _answer(b"Content-Length: +14"),
+    "length with an underscore": _answer(b"Content-Length: 1_4"),
+    "hexadecimal length": _answer(b"Content-Length: 0xe"),
+    "empty length": _answer(b"Content-Length:"),
+    "two lengths": _answer(SIZE, b"Content-Length: 3"),
+    "two lengths in a list": _answer(b"Content-Length: 14, 3"),
+    "length and coding": _answer(SIZE, CHUNKED, body=CHUNKS),
+    "other coding": _answer(b"Transfer-Encoding: gzip"),
+    "coding after chunked": _answer(
+        CHUNKED, b"Transfer-Encoding: gzip", body=CHUNKS
+    ),
+    "chunked twice": _answer(CHUNKED, CHUNKED, body=CHUNKS),
+    "chunked in HTTP/1.0": _answer(
+        CHUNKED, status_line=b"HTTP/1.0 200 OK", body=CHUNKS
+    ),
+    "chunk size with a sign": _answer(CHUNKED, body=b"+" + CHUNKS),
+    "no answer": b"\0\1\2\r\n\r\n",
+}
+MALFORMED = MALFORMED_NAMES | MALFORMED_HEADS
 # Answers that are complete by the grammar, with the status that callers get.
 WHOLE = {
     "usual": (_answer(SIZE), 200),
@@ -135,9 +187,14 @@
     return call(host, CALLERS_PORT, "POST", "/orders/x", body, headers)
 
 
-@pytest.mark.parametrize("shape", MALFORMED_NAMES)
+def _log(fleet):
+    return (fleet.entries[0].folder / "log").read_text()
+
+
+@pytest.mark.parametrize("shape", MALFORMED)
 def test_a_malformed_answer_reaches_no_caller(fleet, server, shape):
-    server.answer = MALFORMED_NAMES[shape]
+    server.answer = MALFORMED[shape]
+    server.is_closing = "until the close" in shape
     answer = _request(fleet, shape.replace(" ", "-"))
     assert answer.status == 502
     assert b"whole" not in answer.body
@@ -152,6 +209,20 @@
     assert (answer.status, answer.body) == (status, BODY)
 
 
+@pytest.mark.parametrize("line", [b"HTTP/1.1 000 OK", b"HTTP/1.1 x OK"])
+def test_a_malformed_answer_ends_its_connection_and_is_logged(
+    fleet, server, line
+):
+    server.answer = _with_status_line(line)
+    before = server.closed_by_caller
+    assert _request(fleet, "logged").status == 502
+    wait_until(
+        "the connection is closed", lambda: server.closed_by_caller > before
+    )
+    lines = [line for line in _log(fleet).splitlines() if "logged" in line]
+    assert any(f"{server.host}:" in line and "status" in line for line in lines)
+
+
 # A reset may overtake the part of the answer that was sent before it.
 @pytest.mark.parametrize("is_closing", [False, True])
 def test_a_reset_answer_without_a_length_to_an_upload_is_not_complete(
