Complete an answer without a length only once its request is taken

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written; the caller got that part as a complete answer.

Cause: a server that closes a connection while more of a request is on its way ends its side first, and its kernel resets the connection when the rest arrives. The entry took the end for that of the answer and closed the connection before the reset could arrive. Where the reset comes first, as when unread bytes are left at the close, the answer was refused already.

Change: when the server has ended its side, an answer that ends with its connection waits until the server's kernel has acknowledged all of the request (TIOCOUTQ). If the connection is reset before, the answer is truncated: 502, or another server where the request may be repeated. Nothing waits where the request is acknowledged, which is so for all requests but uploads.

Why this works: a kernel resets a connection that is closed with unread bytes, so a request that is acknowledged without a reset was read, or still can be.

Evidence: tests/test_malformed_answers.py, 12 uploads of 6 MB for each ending; a connection that is ended and reset 30 ms later gave 200 each time before, 502 now. An early answer without a length whose server ends its side and reads on is passed on before and after. A server that never reads on gets 504 at the deadline.

--- a/gentianwall/http/answer_head.py
+++ b/gentianwall/http/answer_head.py
@@ -50,10 +50,12 @@
     Attributes:
         method: Method of the request.
         is_complete: Whether the head of the final answer has been received.
+        is_body_until_close: Whether the body ends with its connection.
     """
 
     method: bytes
     is_complete: bool = False
+    is_body_until_close: bool = False
     _unchecked_bytes: bytes = b""
     _status: int | None = None
     _minor_version: int = 1
@@ -131,6 +133,7 @@
             return None
         codings = self._values(b"transfer-encoding")
         if not codings:
+            self.is_body_until_close = not lengths
             return None
         if lengths:
             return AnswerFault.LENGTH_AND_CODING
--- a/gentianwall/http/channel.py
+++ b/gentianwall/http/channel.py
@@ -29,6 +29,7 @@
 )
 from gentianwall.http.pipelining import Pipeline, RefusalPacing
 from gentianwall.http.problems import CONTENT_TYPE, Problem, render_refusal
+from gentianwall.http.transports import count_unsent_bytes
 from gentianwall.timers import monotonic_ms
 
 MAX_HEADERS = 100
@@ -329,13 +330,6 @@
         return end >= len(self.body)
 
 
-def count_unsent_bytes(transport) -> int:
-    """Returns the bytes that a transport of the reactor buffers."""
-    buffered = getattr(transport, "dataBuffer", b"")
-    offset = getattr(transport, "offset", 0)
-    return len(buffered) - offset + getattr(transport, "_tempDataLen", 0)
-
-
 def has_repeatable_method(request: CallerRequest) -> bool:
     """Returns whether a request may be repeated by its method."""
     return request.method in REPEATABLE_METHODS
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -14,7 +14,9 @@
 import attrs
 from twisted.internet import protocol
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
 from twisted.web import http_headers
 from twisted.web.client import HTTP11ClientProtocol, Request, ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -34,6 +36,7 @@
 from gentianwall.http.body_buffer import BodyBuffer
 from gentianwall.http.client_budget import ClientBudget
 from gentianwall.http.parse_pacing import ParsePacing
+from gentianwall.http.transports import count_unacknowledged_bytes, is_reset
 from gentianwall.logs import get_logger
 from gentianwall.timers import monotonic_ms
 from gentianwall.utils.addresses import is_ip_address
@@ -43,6 +46,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_MS = 4000.0
 REUSE_PAUSE_MS = 60_000.0
+# How often an answer that ended before its request was sent is checked again.
+SENT_CHECK_MS = 10.0
 # Idle connections are not reused after this fraction of the server's keep-alive
 # timeout, so that no request is sent on a connection that is being closed.
 KEEP_ALIVE_FRACTION = 0.6
@@ -146,6 +151,7 @@
         pass
 
 
+@implementer(IHalfCloseableProtocol)
 class Connection(HTTP11ClientProtocol):
     """One connection to a server.
 
@@ -168,6 +174,8 @@
         is_limit_exceeded: Whether an answer was larger than its limits allow.
         head: Checks the head of the answer being received.
         fault: Why the answer is malformed; None if it is not.
+        is_end_awaited: Whether the server's end of the connection completes
+            the answer being received.
         service: Service of the request that is being answered.
     """
 
@@ -188,9 +196,11 @@
         self.is_limit_exceeded = False
         self.head = AnswerHead(b"")
         self.fault: AnswerFault | None = None
+        self.is_end_awaited = False
         self.service = ""
         self._unparsed_bytes = b""
         self._pacing_call = None
+        self._sent_check = None
 
     @property
     def is_closing(self) -> bool:
@@ -236,6 +246,7 @@
         """Sends a request; returns a deferred that fires with its answer."""
         self.meter = AnswerMeter()
         self.head = AnswerHead(request.method)
+        self.is_end_awaited = False
         return super().request(request)
 
     def dataReceived(self, data) -> None:
@@ -368,9 +379,36 @@
         if not self.pool.is_echoing:
             self.pool.pause_reuse()
 
+    def readConnectionLost(self) -> None:
+        """Closes the connection whose server has ended its side.
+
+        A server that stops reading a request ends its side first and resets
+        the connection when more of the request arrives. An answer that ends
+        with its connection is therefore complete only once the request is sent.
+        """
+        self._sent_check = None
+        if not self.is_end_awaited:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+            return
+        unsent_bytes = count_unacknowledged_bytes(self.transport)
+        if is_reset(self.transport):
+            self.transport.connectionLost(Failure(ConnectionLost()))
+        elif unsent_bytes:
+            self._sent_check = self.pool.call_later(
+                SENT_CHECK_MS, self.readConnectionLost
+            )
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Does nothing, as this side never ends alone."""
+
     def connectionLost(self, reason) -> None:
         """Removes the connection from the pool."""
         self.is_lost = True
+        if self._sent_check is not None:
+            self._sent_check.cancel()
+            self._sent_check = None
         if self._pacing_call is not None:
             self._pacing_call.cancel()
             self._pacing_call = None
@@ -646,6 +684,10 @@
             self._connection.has_unnamed_answer = True
             if self.request.is_echo_required:
                 self._connection.is_reuse_forbidden = True
+        self._connection.is_end_awaited = (
+            self.request.is_close_delimited
+            and self._connection.head.is_body_until_close
+        )
         is_length_known = response.length is not UNKNOWN_LENGTH
         if is_length_known and response.length > self._limit_bytes:
             self.fail(FailureKind.TOO_LARGE)
--- a/harness/raw_server.py
+++ b/harness/raw_server.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import re
 import socket
 import struct
 import threading
+import time
 from collections.abc import Iterator
 
 from harness.fleet import SERVER_PORT, FakeServer
@@ -17,9 +19,20 @@
 HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 # Closing a socket with this linger time resets its connection.
 RESET_LINGER = struct.pack("ii", 1, 0)
+RESET_DELAY_S = 0.03
 _ID_LINE = re.compile(rb"X-Gentianwall-Request-Id: *([^\r\n]*)", re.IGNORECASE)
 
 
+class Ending(enum.Enum):
+    """What a server does with a connection after an answer."""
+
+    KEEP = "keep it and read on"
+    CLOSE = "close it"
+    RESET = "reset it"
+    END = "end its own side and read on"
+    END_AND_RESET = "end its own side, and reset it soon after"
+
+
 class RawServer(FakeServer):
     """A server that answers requests with given bytes.
 
@@ -27,16 +40,14 @@
 
     Attributes:
         answer: Bytes of each answer; `REQUEST_ID` is replaced.
-        is_closing: Whether it closes the connection after an answer.
-        is_resetting: Whether it resets the connection after an answer.
+        ending: What it does with the connection after an answer.
         closed_by_caller: Number of connections that the other side closed.
     """
 
     def __init__(self, name: str, service: str, host: str):
         super().__init__(name, service, host)
         self.answer = b""
-        self.is_closing = False
-        self.is_resetting = False
+        self.ending = Ending.KEEP
         self.closed_by_caller = 0
 
     @contextlib.contextmanager
@@ -65,7 +76,7 @@
                     connection.sendall(HEALTHY)
                 elif match := _ID_LINE.search(data):
                     self.send_answer(connection, match.group(1))
-                    if self.is_closing or self.is_resetting:
+                    if self._end(connection):
                         return
         # Also where the other side reset the connection.
         self.closed_by_caller += 1
@@ -73,7 +84,19 @@
     def send_answer(self, connection: socket.socket, request_id: bytes) -> None:
         """Sends the answer to a request."""
         connection.sendall(self.answer.replace(REQUEST_ID, request_id))
-        if self.is_resetting:
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
-            )
+
+    def _end(self, connection: socket.socket) -> bool:
+        """Ends a connection after an answer; returns whether it is closed."""
+        match self.ending:
+            case Ending.KEEP:
+                return False
+            case Ending.CLOSE:
+                return True
+            case Ending.END:
+                connection.shutdown(socket.SHUT_WR)
+                return False
+            case Ending.END_AND_RESET:
+                connection.shutdown(socket.SHUT_WR)
+                time.sleep(RESET_DELAY_S)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        return True
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -21,7 +21,7 @@
     send_heartbeat_until_acknowledged,
     wait_until,
 )
-from harness.raw_server import REQUEST_ID, RawServer
+from harness.raw_server import REQUEST_ID, Ending, RawServer
 
 BLOCK = 75
 _server_numbers = itertools.count(1)
@@ -194,7 +194,8 @@
 @pytest.mark.parametrize("shape", MALFORMED)
 def test_a_malformed_answer_reaches_no_caller(fleet, server, shape):
     server.answer = MALFORMED[shape]
-    server.is_closing = "until the close" in shape
+    if "until the close" in shape:
+        server.ending = Ending.CLOSE
     answer = _request(fleet, shape.replace(" ", "-"))
     assert answer.status == 502
     assert b"whole" not in answer.body
@@ -204,7 +205,8 @@
 @pytest.mark.parametrize("shape", WHOLE)
 def test_an_odd_but_whole_answer_is_passed_on(fleet, server, shape):
     server.answer, status = WHOLE[shape]
-    server.is_closing = shape == "until the close"
+    if "until the close" in shape:
+        server.ending = Ending.CLOSE
     answer = _request(fleet, shape.replace(" ", "-"))
     assert (answer.status, answer.body) == (status, BODY)
 
@@ -223,21 +225,28 @@
     assert any(f"{server.host}:" in line and "status" in line for line in lines)
 
 
-# A reset may overtake the part of the answer that was sent before it.
-@pytest.mark.parametrize("is_closing", [False, True])
+# The end of the server's side is received before the reset that follows it.
+@pytest.mark.parametrize(
+    "ending", [Ending.CLOSE, Ending.RESET, Ending.END_AND_RESET]
+)
 def test_a_reset_answer_without_a_length_to_an_upload_is_not_complete(
-    fleet, server, is_closing
+    fleet, server, ending
 ):
     server.answer = _answer()
-    server.is_closing = is_closing
-    server.is_resetting = not is_closing
+    server.ending = ending
     answers = [
         _request(fleet, f"upload-{number}", UPLOAD) for number in range(UPLOADS)
     ]
     assert {answer.status for answer in answers} == {502}
 
 
-def test_an_early_answer_with_a_length_to_an_upload_is_passed_on(fleet, server):
-    server.answer = _answer(SIZE)
+@pytest.mark.parametrize(
+    ("lines", "ending"), [([SIZE], Ending.KEEP), ([], Ending.END)]
+)
+def test_an_early_whole_answer_to_an_upload_is_passed_on(
+    fleet, server, lines, ending
+):
+    server.answer = _answer(*lines)
+    server.ending = ending
     answer = _request(fleet, "upload", UPLOAD)
     assert (answer.status, answer.body) == (200, BODY)
