--- a/gentianwall/http/reports.py
+++ b/gentianwall/http/reports.py
@@ -1,19 +1,23 @@
-"""Load reports of servers in the ORCA header `endpoint-load-metrics`.
+"""What servers report in headers of answers: their load, and a time to wait.
 
-Both formats are supported: `TEXT a=0.5, b=3` and `JSON {...}`. A value without
-a format name is parsed as `TEXT`.
+Load reports are in the ORCA header `endpoint-load-metrics`. Both formats are
+supported: `TEXT a=0.5, b=3` and `JSON {...}`. A value without a format name is
+parsed as `TEXT`.
 """
 
 from __future__ import annotations
 
 import json
 import math
+import re
 
 from twisted.web.http_headers import Headers
 
 from gentianwall.routing.servers import LoadReport
 
 REPORT_HEADER = b"endpoint-load-metrics"
+DEFAULT_RETRY_AFTER_MS = 1000.0
+_DELAY_SECONDS = re.compile(rb"[0-9]{1,9}")
 IN_FLIGHT_NAMES = (
     "named_metrics.requests_in_flight",
     "named_metrics.inflight",
@@ -28,6 +32,20 @@
     return parse_load_report(values[0].decode("latin-1")) if values else None
 
 
+def read_retry_after_ms(headers: Headers) -> float | None:
+    """Returns the time that a server asks callers to wait, if there is one.
+
+    The other form of `Retry-After`, a date, stands for the default, as does
+    what is malformed.
+    """
+    values = headers.getRawHeaders(b"Retry-After")
+    if not values:
+        return None
+    if not _DELAY_SECONDS.fullmatch(values[0]):
+        return DEFAULT_RETRY_AFTER_MS
+    return 1000.0 * int(values[0])
+
+
 def parse_load_report(value: str) -> LoadReport | None:
     """Parses the value of the load report header.
 
@@ -72,8 +90,9 @@
 
 def _parse_json(text: str) -> dict[str, float]:
     try:
-        content = json.loads(text)
-    except ValueError:
+        # Integers may be too large to be converted later.
+        content = json.loads(text, parse_int=float)
+    except (ValueError, RecursionError):
         return {}
     numbers: dict[str, float] = {}
     if not isinstance(content, dict):
--- a/gentianwall/routing/reports.py
+++ b/gentianwall/routing/reports.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+# Far above what a server can hold, or how slow it can be in percent.
+MAX_REPORTED_NUMBER = 1_000_000
 # Far above any warm-up; a longer one is taken for a wrong unit.
 MAX_WARMUP_MS = 3_600_000
 
@@ -30,13 +32,16 @@
 def parse_speed_report(text: str) -> SpeedReport | None:
     """Parses `running,waiting,slots[,percent]`; returns None if malformed.
 
-    `percent` is the slowness in percent.
+    `percent` is the slowness in percent. `float` also reads numbers that are
+    infinite, or none.
     """
     try:
         numbers = [float(part) for part in text.split(",")]
     except ValueError:
         return None
-    if len(numbers) < 3 or min(numbers) < 0 or numbers[2] < 1:
+    if not all(0 <= number <= MAX_REPORTED_NUMBER for number in numbers):
+        return None
+    if len(numbers) < 3 or numbers[2] < 1:
         return None
     slowness = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
     return SpeedReport(
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import attrs
-from twisted.web.http_headers import Headers
 
 from gentianwall.claims.commands import Outcome
 from gentianwall.core.effects import (
@@ -39,7 +38,7 @@
     make_server_headers,
 )
 from gentianwall.http.problems import render_refusal
-from gentianwall.http.reports import read_load_report
+from gentianwall.http.reports import read_load_report, read_retry_after_ms
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.metrics import Metrics
 from gentianwall.timers import monotonic_ms, wall_ms
@@ -318,20 +317,12 @@
         call_id=call.call_id,
         attempt=attempt,
         status=answer.status,
-        retry_after_ms=_retry_after_ms(headers),
+        retry_after_ms=read_retry_after_ms(headers),
         report=read_load_report(headers),
         outcome=_outcome(answer) if call.has_idempotency_key else None,
     )
 
 
-def _retry_after_ms(headers: Headers) -> float | None:
-    values = headers.getRawHeaders(b"Retry-After")
-    if not values:
-        return None
-    text = values[0].decode("latin-1").strip()
-    return float(text) * 1000.0 if text.isdigit() else 1000.0
-
-
 def _outcome(answer: ServerAnswer) -> Outcome:
     types = answer.headers.getRawHeaders(b"Content-Type")
     is_kept = len(answer.body) <= MAX_RECORDED_BODY_BYTES
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -32,6 +32,8 @@
 CHUNKED = b"Transfer-Encoding: chunked"
 CHUNKS = b"3\r\nthe\r\nb;a=b\r\n whole body\r\n0\r\nA: b\r\n\r\n"
 OK = b"HTTP/1.1 200 OK"
+LOAD = b"X-Gentianwall-Server-Load: "
+KEEP_ALIVE = b"Keep-Alive: timeout="
 HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
 
@@ -146,6 +148,11 @@
         200,
     ),
     "until the close": (_answer(), 200),
+    "infinite load": (_answer(SIZE, LOAD + b"inf,0,8"), 200),
+    "load that is no number": (_answer(SIZE, LOAD + b"0,nan,8"), 200),
+    "load beyond all numbers": (_answer(SIZE, LOAD + b"0,0,1e999"), 200),
+    "slowness that is no number": (_answer(SIZE, LOAD + b"0,0,8,nan"), 200),
+    "endless keep-alive": (_answer(SIZE, KEEP_ALIVE + b"9" * 400), 200),
 }
 
 
