Check the answers that the operators' tool gets in the same way

What operators saw: gentianwallctl ended with a traceback when an instance answered with a status of 000, a malformed chunk or a body that was cut short, and did not ask the next instance. A status of 999, blanks in the name of a header, control bytes in a value and two lengths were taken for answers.

The client of the standard library takes more than the grammar, and raises errors of its own kind for what it does not take.

Change: the lines of a head pass through AnswerHead before they are parsed, and every malformed or cut answer makes its instance `Unreachable`, with the reason.

--- a/gentianwall/ctl/client.py
+++ b/gentianwall/ctl/client.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import urllib.error
 import urllib.request
 
 import attrs
 
+from gentianwall.http.answer_head import AnswerHead
+
 TIMEOUT_S = 5.0
 
 
@@ -98,17 +101,82 @@
         if self.token:
             request.add_header("Authorization", f"Bearer {self.token}")
         try:
-            with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
-                return Reply(answer.status, json.loads(answer.read()))
-        except urllib.error.HTTPError as error:
-            return Reply(error.code, _parse_error_body(error.read()))
-        except (OSError, ValueError) as error:
+            return _send(request)
+        except (OSError, ValueError, http.client.HTTPException) as error:
             return Unreachable(f"{address}: {error}")
 
 
-def _parse_error_body(body: bytes) -> dict:
+class _CheckedLines:
+    """Reads an answer from a file; the lines of its head are checked first."""
+
+    def __init__(self, file, method: str):
+        self._file = file
+        self._head = AnswerHead(method.encode())
+
+    def readline(self, limit: int = -1) -> bytes:
+        line = self._file.readline(limit)
+        if not self._head.is_complete:
+            fault = self._head.receive(line)
+            if fault is not None:
+                raise http.client.HTTPException(
+                    f"malformed answer: {fault.value}"
+                )
+        return line
+
+    def __getattr__(self, name: str):
+        return getattr(self._file, name)
+
+
+class _CheckedResponse(http.client.HTTPResponse):
+    """An answer whose head keeps the grammar of HTTP/1.1."""
+
+    def begin(self) -> None:
+        self.fp = _CheckedLines(self.fp, self._method or "GET")
+        super().begin()
+
+
+class _Connection(http.client.HTTPConnection):
+    response_class = _CheckedResponse
+
+
+class _Handler(urllib.request.HTTPHandler):
+    """Opens connections whose answers are checked."""
+
+    def http_open(self, req):
+        return self.do_open(_Connection, req)
+
+
+_opener = urllib.request.build_opener(_Handler)
+
+
+def _send(request: urllib.request.Request) -> Reply:
+    """Sends a request to one instance.
+
+    Raises:
+        OSError: If the instance is not reached.
+        HTTPException: If its answer is malformed or cut short.
+        ValueError: If the content of its answer is not a JSON object.
+    """
+    try:
+        with _opener.open(request, timeout=TIMEOUT_S) as answer:
+            return Reply(answer.status, _parse_content(answer.read()))
+    except urllib.error.HTTPError as error:
+        with error:
+            return Reply(error.code, _parse_error_body(error.read()))
+
+
+def _parse_content(body: bytes) -> dict:
     try:
         content = json.loads(body)
+    except RecursionError:
+        raise ValueError("the answer is nested too deep") from None
+    if not isinstance(content, dict):
+        raise ValueError("the answer is not a JSON object")
+    return content
+
+
+def _parse_error_body(body: bytes) -> dict:
+    try:
+        return _parse_content(body)
     except ValueError:
         return {"title": body.decode("utf-8", "replace")[:200]}
-    return content if isinstance(content, dict) else {"title": str(content)}
