Replay no recorded outcome whose status is not that of an answer

What callers would see after an upgrade: a build from before the check of heads records a malformed answer, such as one of status 000, under the idempotency key of its request, and a resend gets it as the answer.

Cause: recorded outcomes are read without a check, as answers were.

Change: an outcome whose status is not from 200 to 599 leaves the end of its request unknown: 409 with executed unknown, without a time to wait. What is stored does not change.

--- a/gentianwall/core/claim_results.py
+++ b/gentianwall/core/claim_results.py
@@ -13,7 +13,11 @@
 from gentianwall.control.messages import CommandReply
 from gentianwall.core import claiming, dispatching
 from gentianwall.core.effects import EntryEffect, ReplayAnswer
-from gentianwall.core.refusals import Executed, RefusalReason
+from gentianwall.core.refusals import (
+    FINAL_STATUSES,
+    Executed,
+    RefusalReason,
+)
 from gentianwall.core.state import Call, CallPhase, EntryState
 
 CLAIM_HELD_RETRY_MS = 1000.0
@@ -64,9 +68,13 @@
             refuse(
                 RefusalReason.CLAIM_HELD, Executed.UNKNOWN, CLAIM_HELD_RETRY_MS
             )
-        case ClaimHeld(outcome=outcome):
+        case ClaimHeld(outcome=outcome) if outcome.status in FINAL_STATUSES:
             effects.append(ReplayAnswer(call.call_id, outcome))
             del state.calls[call.call_id]
+        case ClaimHeld():
+            # Earlier versions recorded malformed answers too. The end of such
+            # a request stays unknown, so there is no time to wait for it.
+            refuse(RefusalReason.CLAIM_HELD, Executed.UNKNOWN)
         case ClaimMismatch():
             refuse(RefusalReason.CLAIM_MISMATCH, Executed.NO)
         case ClaimOutOfWindow():
--- a/gentianwall/core/refusals.py
+++ b/gentianwall/core/refusals.py
@@ -68,6 +68,8 @@
 }
 
 
+# Statuses of complete answers (RFC 9110, 15).
+FINAL_STATUSES = range(200, 600)
 # Statuses that promise callers that the request has not run and never will.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 
--- a/gentianwall/http/answer_head.py
+++ b/gentianwall/http/answer_head.py
@@ -16,6 +16,8 @@
 
 import attrs
 
+from gentianwall.core.refusals import FINAL_STATUSES
+
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([0-9]{3})(?: " + _TEXT + rb")?")
 _FIELD_NAME = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):")
@@ -25,7 +27,6 @@
 _BLANKS = b" \t"
 _SWITCHING_PROTOCOLS = 101
 _STATUSES_WITHOUT_BODY = (204, 304)
-FINAL_STATUSES = range(200, 600)
 
 
 class AnswerFault(enum.Enum):
