--- a/gentianwall/ctl/client.py
+++ b/gentianwall/ctl/client.py
@@ -6,6 +6,7 @@
 import json
 import urllib.error
 import urllib.request
+from typing import BinaryIO
 
 import attrs
 
@@ -107,9 +108,9 @@
 
 
 class _CheckedLines:
-    """Reads an answer from a file; the lines of its head are checked first."""
+    """The file that an answer is read from; checks the lines of its head."""
 
-    def __init__(self, file, method: str):
+    def __init__(self, file: BinaryIO, method: str):
         self._file = file
         self._head = AnswerHead(method.encode())
 
--- a/gentianwall/http/answer_head.py
+++ b/gentianwall/http/answer_head.py
@@ -30,7 +30,7 @@
 
 
 class AnswerFault(enum.Enum):
-    """Why an answer is malformed; the value is for the log."""
+    """Why an answer is malformed; the value is the text in the log."""
 
     STATUS_LINE = "malformed status line"
     STATUS = "invalid status"
@@ -51,7 +51,8 @@
     Attributes:
         method: Method of the request.
         is_complete: Whether the head of the final answer has been received.
-        is_body_until_close: Whether the body ends with its connection.
+        is_body_until_close: Whether the body ends with its connection, as
+            neither a length nor a coding is given.
     """
 
     method: bytes
--- a/gentianwall/runtime/server_checks.py
+++ b/gentianwall/runtime/server_checks.py
@@ -76,10 +76,10 @@
         pool = self._pools.pool_of(notice)
 
         def on_failure(kind: FailureKind) -> None:
-            is_stale = kind in (FailureKind.LOST, FailureKind.MALFORMED)
-            if is_stale and attempt.is_reused:
-                # The server had closed an idle connection, or sent bytes after
-                # an earlier answer, which says nothing about its health; the
+            may_be_older = kind in (FailureKind.LOST, FailureKind.MALFORMED)
+            if may_be_older and attempt.is_reused:
+                # The server had closed an idle connection, or the bytes belong
+                # to an earlier answer, which says nothing about its health; the
                 # query is retried on a new one.
                 pool.close_idle()
                 self._timers.cancel(f"load-query.{name}")
