Withdraw the suspicion of a request that a server has completed

Cause: two crash reports within 600 s quarantine a request, whatever other servers make of it. A page that is always in flight is in flight at nearly every server that ends.

Change: an entry that reported a crash, or knows of the quarantine, releases the request with the next answer to it below 500. Usually that is the retry of the request that lost its server. An answer whose body ends with its connection does not count. The entries of listed clusters withdraw a quarantine too. Nothing is new on the wire or on disk: the command is the one that operators use.

Ruled out: servers that are not used again (the other kind is served), and false reports (the servers had been killed with the page in flight).

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -9,6 +9,8 @@
 
 # Memory of the objects of a command without its texts and documents.
 COMMAND_BASE_BYTES = 512
+# Crashes that are further apart do not add up to a quarantine.
+CRASH_WINDOW_MS = 600_000
 # Parsed routes take about twice the memory of the document that they are
 # parsed from.
 CONFIGURATION_MEMORY_FACTOR = 3
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gentianwall.claims.commands import (
+    CRASH_WINDOW_MS,
     FEATURE_REPEATED_WARMUP,
     AnnounceServer,
     ApplyDeclaration,
@@ -59,7 +60,6 @@
 # mistyped names can add to each notice of the feed.
 MAX_EVACUATED_DOMAINS = 256
 CRASHES_TO_QUARANTINE = 2
-CRASH_WINDOW_MS = 600_000
 CLAIMS_FULL_RETRY_AFTER_MS = 1000
 DEFAULT_CLAIM_RETENTION_MS = 24 * 3600 * 1000
 DEFAULT_QUARANTINE_MS = 600_000
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -193,6 +193,9 @@
     )
     if call.claim is not None and event.outcome is not None:
         claiming.record_outcome(state, call, event, effects)
+    is_completed = event.status < attempts.FIRST_ERROR_STATUS
+    if is_completed and call.fingerprint in state.quarantines:
+        claiming.withdraw_quarantine(state, call, event.at_ms, effects)
     del state.calls[call.call_id]
 
 
--- a/gentianwall/core/claiming.py
+++ b/gentianwall/core/claiming.py
@@ -8,6 +8,7 @@
     RecordClaim,
     RecordOutcome,
     ReleaseClaim,
+    ReleaseQuarantine,
     ReportCrash,
 )
 from gentianwall.claims.register import CRASHES_TO_QUARANTINE
@@ -96,6 +97,20 @@
         _send_in_background(state, call, name, command, now_ms, effects)
 
 
+def withdraw_quarantine(
+    state: EntryState, call: Call, now_ms: float, effects: list[EntryEffect]
+) -> None:
+    """Ends the quarantine of a request that a server has completed.
+
+    Its servers ended for another reason: a request that crashes servers does
+    not complete anywhere.
+    """
+    state.quarantines -= {call.fingerprint}
+    at_ms = int(now_ms + call.wall_offset_ms)
+    command = ReleaseQuarantine(call.fingerprint, at_ms)
+    _send_in_background(state, call, "withdraw", command, now_ms, effects)
+
+
 def _send_in_background(
     state: EntryState,
     call: Call,
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -105,7 +105,7 @@
     if organisation is None:
         _refuse_unrouted(event, RefusalReason.UNAUTHENTICATED, effects)
         return
-    if event.fingerprint and event.fingerprint in state.quarantines:
+    if state.is_quarantined(event.fingerprint):
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
     name = state.table.choose_service(route)
@@ -189,7 +189,7 @@
     The peer has counted it for its limit on retries, so only retries count
     here.
     """
-    if event.fingerprint and event.fingerprint in state.quarantines:
+    if state.is_quarantined(event.fingerprint):
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
     if state.table is None or state.reachability.is_partitioned:
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -48,8 +48,8 @@
         host: Requested host.
         path: Requested path without the query.
         wait_ms: How long the caller waits; None if not stated.
-        fingerprint: Digest of the request; empty while no quarantine is in
-            force.
+        fingerprint: Digest of the request; empty while no request is
+            quarantined or suspected.
         relay: Decisions of the peer that relays the request; None if a caller
             sent it.
         authorization: Values of all its `Authorization` headers.
@@ -85,6 +85,9 @@
         rate_limit_per_s: Rate limit that the server names, if any.
         rest_ms: Time for which the server wants nothing from this entry.
         is_leaving: Whether the server states that it leaves.
+        fingerprint: Digest of the request; empty while no request is
+            quarantined or suspected, and where the end of the server might
+            have cut the answer short.
     """
 
     at_ms: float
@@ -97,6 +100,7 @@
     rate_limit_per_s: float | None = None
     rest_ms: float = 0.0
     is_leaving: bool = False
+    fingerprint: str = ""
 
 
 @attrs.define
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -176,6 +176,7 @@
     if notice.quarantines is not None:
         state.quarantine_version = notice.quarantine_version
         state.quarantines = frozenset(notice.quarantines)
+        state.withdrawn.clear()
 
 
 def _update_evacuations(
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -113,12 +113,16 @@
             _log_retry(call, attempt.server, reason, effects)
             dispatching.dispatch(state, call, event.at_ms, effects)
             return
-    elif server is not None:
-        server.record_success(sent, event.at_ms)
-        duration_ms = event.at_ms - attempt.sent_ms
-        service.record_service_time(
-            duration_ms / max(1.0, attempt.load_factor), call.route
+    else:
+        crash_reports.on_completed(
+            state, event.fingerprint, event.at_ms, effects
         )
+        if server is not None:
+            server.record_success(sent, event.at_ms)
+            duration_ms = event.at_ms - attempt.sent_ms
+            service.record_service_time(
+                duration_ms / max(1.0, attempt.load_factor), call.route
+            )
     dispatching.forward_answer(
         state,
         call,
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -281,6 +281,10 @@
         stop: Which requests are still passed on before the process stops.
         crash_reports: Number of crash reports so far.
         unconfirmed_crashes: Crashes that may turn out to be a partition.
+        suspects: When this entry last reported a crash by a request, by
+            fingerprint, the oldest first.
+        withdrawn: When this entry last withdrew a quarantine that is still
+            listed, by fingerprint.
         typical_waits: Typical waits of the callers of each route.
         unrouted: Requests queued for the first configuration, by call id.
         started_ms: When the process started.
@@ -329,6 +333,8 @@
     stop: Stop = attrs.field(factory=Stop)
     crash_reports: int = 0
     unconfirmed_crashes: list[ServerCrashed] = attrs.field(factory=list)
+    suspects: dict[str, float] = attrs.field(factory=dict)
+    withdrawn: dict[str, float] = attrs.field(factory=dict)
     typical_waits: TypicalWaits = attrs.field(factory=TypicalWaits)
     unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
     started_ms: float = 0.0
@@ -363,6 +369,20 @@
         """Whether the entry accepts new callers."""
         return self.table is not None and not self.is_draining
 
+    @property
+    def is_fingerprint_needed(self) -> bool:
+        """Whether any request is quarantined or suspected of a crash."""
+        return bool(
+            self.quarantines or self.suspects or self.unconfirmed_crashes
+        )
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Returns whether a request must not be sent to any server."""
+        return (
+            fingerprint in self.quarantines
+            and fingerprint not in self.withdrawn
+        )
+
     def wait_ms(self, server: str, now_ms: float) -> float:
         """Returns the time for which a server must not be sent a request.
 
--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -103,11 +103,20 @@
 
 @attrs.define
 class ServerAnswer:
-    """A complete answer of a server."""
+    """A complete answer of a server.
+
+    Attributes:
+        status: HTTP status.
+        headers: All headers.
+        body: The complete body.
+        is_body_until_close: Whether the body ended with the connection, so that
+            the end of the server's process may have cut it short.
+    """
 
     status: int
     headers: http_headers.Headers
     body: bytes
+    is_body_until_close: bool = False
 
 
 @implementer(IBodyProducer)
@@ -698,7 +707,14 @@
                 return
             self._is_finished = True
             self._connection.accept_answer()
-            self._on_answer(ServerAnswer(response.code, response.headers, body))
+            self._on_answer(
+                ServerAnswer(
+                    response.code,
+                    response.headers,
+                    body,
+                    self._connection.is_end_awaited,
+                )
+            )
 
         def is_close_accepted() -> bool:
             return (
--- a/gentianwall/runtime/gateway.py
+++ b/gentianwall/runtime/gateway.py
@@ -143,7 +143,7 @@
             self.pools,
             self.checks,
             self.handle,
-            lambda: bool(self.state.quarantines),
+            lambda: self.state.is_fingerprint_needed,
             settings.peer_port,
         )
         cut_answers = CutAnswers(self._write_cut_line, dialect.request_id)
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -78,6 +78,7 @@
         attempts: Attempts that were started, by their numbers.
         server: Name of the server that sent it.
         answer: Last answer that may be forwarded; None for none.
+        fingerprint: Digest of the request; empty if it was not needed so far.
     """
 
     call_id: int
@@ -88,6 +89,13 @@
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     server: str = ""
     answer: ServerAnswer | None = None
+    fingerprint: str = ""
+
+    def compute_fingerprint(self) -> str:
+        """Returns the digest of the request."""
+        if not self.fingerprint:
+            self.fingerprint = _fingerprint(self.request)
+        return self.fingerprint
 
 
 class GatewayRequestHandler:
@@ -101,8 +109,8 @@
         pools: Connection pools of the servers.
         checks: Sends load queries to servers.
         handle: Handles an event in the reducer and performs its effects.
-        is_fingerprint_needed: Returns whether any request is quarantined, so
-            that fingerprints have to be computed.
+        is_fingerprint_needed: Returns whether any request is quarantined or
+            suspected of a crash, so that fingerprints have to be computed.
         peer_port: Port on which peers accept relayed requests.
     """
 
@@ -196,7 +204,7 @@
                 host=request.header(b"Host"),
                 path=request.path.decode("latin-1"),
                 wait_ms=self._wait_ms(request, now_ms),
-                fingerprint=_fingerprint(request) if is_needed else "",
+                fingerprint=call.compute_fingerprint() if is_needed else "",
                 relay=relay,
                 authorization=tuple(
                     request.requestHeaders.getRawHeaders(AUTHORIZATION) or ()
@@ -369,6 +377,9 @@
         reader = self._reader
         is_misdirected = answer.status == MISDIRECTED_STATUS
         is_refusal = is_misdirected or reader.is_not_executed(answer)
+        is_needed = not answer.is_body_until_close and (
+            self._is_fingerprint_needed()
+        )
         return ServerAnswered(
             at_ms=monotonic_ms(),
             call_id=call.call_id,
@@ -383,6 +394,7 @@
             ),
             rest_ms=reader.rest_ms(answer),
             is_leaving=not is_misdirected and reader.is_leaving(answer),
+            fingerprint=call.compute_fingerprint() if is_needed else "",
         )
 
     def query_load(self, effect: QueryLoad) -> None:
@@ -413,7 +425,7 @@
         call = self.open_requests.get(effect.call_id)
         if call is None:
             return
-        fingerprint = _fingerprint(call.request)
+        fingerprint = call.compute_fingerprint()
         pool = self._pools.pool_of(effect.notice)
         service, server = effect.notice.key.service, effect.notice.key.server
         pool.connect(
--- a/tests/test_overdue_calls.py
+++ b/tests/test_overdue_calls.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gentianwall.claims.commands import ReleaseQuarantine
 from gentianwall.config.declaration import (
     Declaration,
     ServiceSettings,
@@ -18,6 +19,7 @@
     CancelAttempt,
     Dispatch,
     RefuseCaller,
+    SendMessage,
 )
 from gentianwall.core.entry import reduce_entry
 from gentianwall.core.events import (
@@ -137,6 +139,21 @@
     assert entry.quarantines == {"f"}
 
 
+# A request that completed at the other servers was refused for ten minutes.
+@pytest.mark.parametrize(("status", "is_released"), [(200, True), (500, False)])
+def test_a_completed_call_ends_the_quarantine_of_its_request(
+    entry, status, is_released
+):
+    entry.quarantines = frozenset({"f", "g"})
+    effects = _answer(entry, 1, status)
+    assert entry.quarantines == ({"g"} if is_released else {"f", "g"})
+    commands = [
+        effect.message.command for effect in _of_type(effects, SendMessage)
+    ]
+    release = ReleaseQuarantine("f", int(OVERDUE_MS - SENT_MS))
+    assert commands == ([release] if is_released else [])
+
+
 @pytest.mark.parametrize(
     "event", [CallerDisconnected(OVERDUE_MS, 1), Tick(SENT_MS + WAIT_MS)]
 )
