Quarantine requests by caller, not for all who send the same

Cause: a request was quarantined by method, host, path and body. Servers also look at the tenant that the entry names, so equal requests of two tenants differ.

Change: the name of a quarantined request covers its organisation, at the entry that got it and at a peer that it is relayed to; for listed clusters it covers the caller. Without organisations it is the fingerprint, as before. The digest that claims are compared by is unchanged.

Ruled out: requests of the other tenant that were reported themselves (one fingerprint in all crash reports).

--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -6,6 +6,7 @@
 
 from gentianwall.admission.prices import choose_tier
 from gentianwall.admission.queue import start_target_ms
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.core import attempts, claiming, dispatching, retrying
 from gentianwall.core.effects import (
     CloseConnections,
@@ -76,7 +77,7 @@
         return Refusal(
             RefusalReason.UNKNOWN_SERVICE, Executed.NO, detail=event.service
         )
-    if event.fingerprint in state.quarantines:
+    if quarantine_key(event.fingerprint, event.caller) in state.quarantines:
         assert state.declaration is not None
         return Refusal(
             RefusalReason.QUARANTINED,
@@ -194,7 +195,7 @@
     if call.claim is not None and event.outcome is not None:
         claiming.record_outcome(state, call, event, effects)
     is_completed = event.status < attempts.FIRST_ERROR_STATUS
-    if is_completed and call.fingerprint in state.quarantines:
+    if is_completed and call.quarantine_key in state.quarantines:
         claiming.withdraw_quarantine(state, call, event.at_ms, effects)
     del state.calls[call.call_id]
 
--- a/gentianwall/core/claiming.py
+++ b/gentianwall/core/claiming.py
@@ -90,9 +90,9 @@
     if len(set(call.crashed_servers)) >= CRASHES_TO_QUARANTINE:
         # Takes effect here at once; other entries receive the quarantine after
         # it is committed.
-        state.quarantines |= {call.fingerprint}
+        state.quarantines |= {call.quarantine_key}
     for number, server in enumerate(call.crashed_servers):
-        command = ReportCrash(call.service, call.fingerprint, server, at_ms)
+        command = ReportCrash(call.service, call.quarantine_key, server, at_ms)
         name = f"crash{number}"
         _send_in_background(state, call, name, command, now_ms, effects)
 
@@ -105,9 +105,9 @@
     Its servers ended for another reason: a request that crashes servers does
     not complete anywhere.
     """
-    state.quarantines -= {call.fingerprint}
+    state.quarantines -= {call.quarantine_key}
     at_ms = int(now_ms + call.wall_offset_ms)
-    command = ReleaseQuarantine(call.fingerprint, at_ms)
+    command = ReleaseQuarantine(call.quarantine_key, at_ms)
     _send_in_background(state, call, "withdraw", command, now_ms, effects)
 
 
--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -10,6 +10,7 @@
 from gentianwall.admission.budget import ProbeBudget, RetryBudget
 from gentianwall.admission.queue import WaitingCalls
 from gentianwall.claims.commands import ClaimKey
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.config.declaration import Declaration, ServiceSettings
 from gentianwall.control.client import ControlClient
 from gentianwall.membership.delay import DelayEstimator
@@ -117,6 +118,11 @@
     crashed_servers: tuple[str, ...] = ()
     wall_offset_ms: float = 0.0
 
+    @property
+    def quarantine_key(self) -> str:
+        """Name under which the request is quarantined."""
+        return quarantine_key(self.fingerprint, self.caller)
+
 
 @attrs.define
 class Service:
@@ -146,7 +152,7 @@
             start.
         declaration: The declaration in force.
         services: Declared services by name.
-        quarantines: Fingerprints of quarantined requests.
+        quarantines: Names of quarantined requests; see `quarantine_key`.
         directory: Notices and leases of the servers.
         delays: Estimates of the message delays from peers.
         calls: Calls by id.
--- a/gentianwall/gateway/crash_reports.py
+++ b/gentianwall/gateway/crash_reports.py
@@ -70,7 +70,8 @@
 
     Args:
         state: State of the entry.
-        fingerprint: Digest of the request; may be empty if none is suspected.
+        fingerprint: Name under which the request is quarantined; may be empty
+            if none is suspected.
         now_ms: The local clock.
         effects: List to which effects are appended.
     """
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -105,7 +105,7 @@
     if organisation is None:
         _refuse_unrouted(event, RefusalReason.UNAUTHENTICATED, effects)
         return
-    if state.is_quarantined(event.fingerprint):
+    if state.is_quarantined(event.fingerprint, organisation.name):
         _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
         return
     name = state.table.choose_service(route)
@@ -189,9 +189,6 @@
     The peer has counted it for its limit on retries, so only retries count
     here.
     """
-    if state.is_quarantined(event.fingerprint):
-        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
-        return
     if state.table is None or state.reachability.is_partitioned:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
         return
@@ -203,6 +200,9 @@
     if route is None or organisation is None:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
         return
+    if state.is_quarantined(event.fingerprint, organisation.name):
+        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
+        return
     call = RoutedCall(
         call_id=event.call_id,
         request_id=event.request_id,
--- a/gentianwall/gateway/effects.py
+++ b/gentianwall/gateway/effects.py
@@ -124,10 +124,17 @@
 
 @attrs.define
 class CheckServer:
-    """Checks whether a server that lost a request still accepts connections."""
+    """Checks whether a server that lost a request still accepts connections.
+
+    Attributes:
+        call_id: Identifies the request.
+        notice: The server.
+        organisation: Organisation of the request; empty for none.
+    """
 
     call_id: int
     notice: ServerNotice
+    organisation: str = ""
 
 
 @attrs.define
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -211,7 +211,14 @@
 
 @attrs.define
 class ServerCrashed:
-    """A server refuses connections after it lost a request."""
+    """A server refuses connections after it lost a request.
+
+    Attributes:
+        at_ms: When the event occurred.
+        server: Name of the server.
+        service: Its service.
+        fingerprint: Name under which the request is quarantined.
+    """
 
     at_ms: float
     server: str
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import (
@@ -114,9 +115,8 @@
             dispatching.dispatch(state, call, event.at_ms, effects)
             return
     else:
-        crash_reports.on_completed(
-            state, event.fingerprint, event.at_ms, effects
-        )
+        key = quarantine_key(event.fingerprint, call.organisation)
+        crash_reports.on_completed(state, key, event.at_ms, effects)
         if server is not None:
             server.record_success(sent, event.at_ms)
             duration_ms = event.at_ms - attempt.sent_ms
@@ -226,7 +226,8 @@
         state.is_evacuated(attempt.server)
     )
     if server is not None and is_crash_suspected:
-        effects.append(CheckServer(call.call_id, server.record.notice))
+        notice = server.record.notice
+        effects.append(CheckServer(call.call_id, notice, call.organisation))
     _retry_or_refuse(
         state,
         call,
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.config.fleet import OverloadPolicy
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
@@ -267,7 +268,7 @@
         number: Number of the configuration in force; -1 for none.
         revision: Revision of the list of servers.
         quarantine_version: Version of the list of quarantines.
-        quarantines: Fingerprints of quarantined requests.
+        quarantines: Names of quarantined requests; see `quarantine_key`.
         services: Services by name.
         service_by_server: Name of the service of each server, by server name.
         calls: Requests that were not answered yet, by call id.
@@ -281,10 +282,10 @@
         stop: Which requests are still passed on before the process stops.
         crash_reports: Number of crash reports so far.
         unconfirmed_crashes: Crashes that may turn out to be a partition.
-        suspects: When this entry last reported a crash by a request, by
-            fingerprint, the oldest first.
+        suspects: When this entry last reported a crash by a request, by the
+            name of the request, the oldest first.
         withdrawn: When this entry last withdrew a quarantine that is still
-            listed, by fingerprint.
+            listed, by the name of the request.
         typical_waits: Typical waits of the callers of each route.
         unrouted: Requests queued for the first configuration, by call id.
         started_ms: When the process started.
@@ -376,12 +377,12 @@
             self.quarantines or self.suspects or self.unconfirmed_crashes
         )
 
-    def is_quarantined(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str, organisation: str) -> bool:
         """Returns whether a request must not be sent to any server."""
-        return (
-            fingerprint in self.quarantines
-            and fingerprint not in self.withdrawn
-        )
+        if not self.quarantines:
+            return False
+        key = quarantine_key(fingerprint, organisation)
+        return key in self.quarantines and key not in self.withdrawn
 
     def wait_ms(self, server: str, now_ms: float) -> float:
         """Returns the time for which a server must not be sent a request.
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.core.events import CallerDisconnected, FailureKind
 from gentianwall.core.refusals import Executed, Refusal, RefusalReason
 from gentianwall.gateway.effects import (
@@ -419,19 +420,19 @@
     def check_server(self, effect: CheckServer) -> None:
         """Checks whether a server that lost a request accepts connections.
 
-        If it does not, it is reported as crashed with the fingerprint of the
-        request.
+        If it does not, it is reported as crashed with the name under which the
+        request is quarantined.
         """
         call = self.open_requests.get(effect.call_id)
         if call is None:
             return
-        fingerprint = call.compute_fingerprint()
+        key = quarantine_key(call.compute_fingerprint(), effect.organisation)
         pool = self._pools.pool_of(effect.notice)
         service, server = effect.notice.key.service, effect.notice.key.server
         pool.connect(
             pool.release_connection,
             lambda: self._handle(
-                ServerCrashed(monotonic_ms(), server, service, fingerprint)
+                ServerCrashed(monotonic_ms(), server, service, key)
             ),
         )
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from gentianwall.claims.commands import ReleaseQuarantine, ReportCrash
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.claims.register import RegisterState, apply_command
+from gentianwall.config.routes import Organisation, RouteKind, digest_key
 from gentianwall.control.messages import CommandRequest, FeedNotice
+from gentianwall.core.events import FailureKind
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import (
     FeedArrived,
     ReachChecked,
+    Relay,
+    RequestArrived,
     ServerAnswered,
     ServerCrashed,
 )
 from harness.gateway_entry import (
+    CONFIGURATION,
     IDLE,
     Entry,
     effects_of_type,
@@ -24,6 +31,7 @@
 )
 
 PAGE = "f" * 32
+KEYS = {"acme": b"Bearer k-1", "emca": b"Bearer k-2"}
 SERVERS = "abcd"
 
 
@@ -106,6 +114,21 @@
     return Deployment()
 
 
+@pytest.fixture
+def organisations(deployment):
+    """A deployment whose requests belong to two organisations."""
+    configuration = attrs.evolve(
+        CONFIGURATION,
+        number=8,
+        organisations=tuple(
+            Organisation(name, (digest_key(key.split()[1]),))
+            for name, key in KEYS.items()
+        ),
+    )
+    deployment.entry.deliver_update(number=8, configuration=configuration)
+    return deployment
+
+
 # A page that many read was refused for ten minutes after two servers had ended.
 def test_servers_that_end_while_others_run_a_request_do_not_quarantine_it(
     deployment,
@@ -195,3 +218,57 @@
     deployment.deliver_quarantines()
     refusal = single_refusal(deployment.entry.deliver_request(fingerprint=PAGE))
     assert refusal.reason is RefusalReason.QUARANTINED
+
+
+# One tenant's request that crashed servers blocked its path for all others.
+def test_a_quarantine_holds_for_the_organisation_whose_request_crashes_servers(
+    organisations,
+):
+    entry = organisations.entry
+    entry.deliver_request(fingerprint=PAGE, authorization=(KEYS["acme"],))
+    effects = entry.fail_attempt(FailureKind.LOST)
+    (check,) = effects_of_type(effects, fx.CheckServer)
+    assert check.organisation == "acme"
+    for name in "ab":
+        organisations.crash(name, quarantine_key(PAGE, "acme"))
+    organisations.deliver_quarantines()
+    organisations.renew_reports()
+    refusal = single_refusal(
+        entry.deliver_request(fingerprint=PAGE, authorization=(KEYS["acme"],))
+    )
+    assert refusal.reason is RefusalReason.QUARANTINED
+    effects = entry.deliver_request(
+        fingerprint=PAGE, authorization=(KEYS["emca"],)
+    )
+    assert effects_of_type(effects, fx.SendRequest)
+    # A run for one organisation says nothing about those of the other.
+    assert not organisations.complete(entry.last_call_id)
+
+
+def test_a_relayed_request_is_quarantined_as_at_its_first_entry(organisations):
+    entry = organisations.entry
+    for name in "ab":
+        organisations.crash(name, quarantine_key(PAGE, "acme"))
+    organisations.deliver_quarantines()
+    for number, name in enumerate(KEYS, 101):
+        relay = Relay("s", RouteKind.SAFE, 400.0, 400.0, 2, name)
+        effects = entry.reduce(
+            RequestArrived(
+                entry.now_ms,
+                number,
+                f"relayed-{name}",
+                "a.example",
+                "/safe/x",
+                1000.0,
+                PAGE,
+                relay,
+            )
+        )
+        refused = effects_of_type(effects, fx.RefuseRequest)
+        assert bool(refused) == (name == "acme")
+
+
+@pytest.mark.parametrize("caller", ["", "acme"])
+def test_a_request_that_is_not_fingerprinted_has_no_name(caller):
+    assert quarantine_key("", caller) == ""
+    assert (quarantine_key(PAGE, caller) == PAGE) == (caller == "")
