Give no address in use to a service that the configuration lacks

Cause: the owner of an address left once any other id was announced there with a later start, whatever its service, and its own reports could not bring it back.

Change: an address in use passes on only to a server that started later and whose service the configuration names, or from one whose service it does not name. It holds for known ids too, which took an address even from a later start. The announcement is refused with 400 and a log line; at a free address it is recorded, as before. Replicas apply the rule once all of them know it (FEATURE_ADDRESS_OWNERS); an older build beside this one decides as before, and control instances of this build refuse such announcements from the start.

Ruled out: entries that send the requests to the other writer's id (they log the servers as left, and the servers get nothing).

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -20,7 +20,12 @@
 # The registry records that a registered server is cold again. An earlier build
 # ignores that, so that its registry would differ.
 FEATURE_REPEATED_WARMUP = 2
-SUPPORTED_FEATURES = FEATURE_EVACUATION | FEATURE_REPEATED_WARMUP
+# The registry decides by the services of the configuration who may take the
+# address of another server. An earlier build decides by the start times only.
+FEATURE_ADDRESS_OWNERS = 8
+SUPPORTED_FEATURES = (
+    FEATURE_EVACUATION | FEATURE_REPEATED_WARMUP | FEATURE_ADDRESS_OWNERS
+)
 # A replica without this one would store configurations without organisations.
 FEATURE_STORED_ORGANISATIONS = 4
 STATED_FEATURES = SUPPORTED_FEATURES | FEATURE_STORED_ORGANISATIONS
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -12,6 +12,7 @@
 
 from gentianwall.claims.commands import (
     CRASH_WINDOW_MS,
+    FEATURE_ADDRESS_OWNERS,
     FEATURE_REPEATED_WARMUP,
     AnnounceServer,
     ApplyDeclaration,
@@ -224,6 +225,7 @@
                     if has_repeated_warmup(state, command.notice)
                     else None
                 ),
+                owning_services(state),
             )
             return Done()
         case DeregisterServer():
@@ -319,6 +321,24 @@
     return ConfigurationHeld(current_number, is_same)
 
 
+def named_services(state: RegisterState) -> frozenset[str]:
+    """Returns the services that the numbered configuration names."""
+    if state.numbered is None:
+        return frozenset()
+    services = state.numbered.configuration.services
+    return frozenset(service.name for service in services)
+
+
+def owning_services(state: RegisterState) -> frozenset[str] | None:
+    """Returns the services whose servers may take the address of another one.
+
+    None if some replica does not decide by services yet.
+    """
+    if not state.features & FEATURE_ADDRESS_OWNERS:
+        return None
+    return named_services(state)
+
+
 def has_repeated_warmup(state: RegisterState, notice: ServerNotice) -> bool:
     """Returns whether every statement of a server's warm-up is recorded.
 
--- a/gentianwall/membership/registry.py
+++ b/gentianwall/membership/registry.py
@@ -89,10 +89,12 @@
     notice: ServerNotice,
     sequence: int,
     cold_until_ms: int | None = None,
+    services: frozenset[str] | None = None,
 ) -> bool:
     """Returns whether an announcement changes the registry.
 
-    An announcement that changes nothing is a heartbeat or outdated.
+    An announcement that changes nothing is a heartbeat or outdated, or it comes
+    from another writer.
 
     Args:
         registry: The registry.
@@ -100,14 +102,21 @@
         sequence: Sequence number of the announcement.
         cold_until_ms: End of the warm-up that it states, or the current time
             if it states none; None if only the first statement counts.
+        services: Services that the configuration names; None if the start
+            times alone decide who takes an address.
     """
     known = registry.servers.get(notice.key.server)
-    if known is None:
+    if services is not None and not _has_address(known, notice):
+        if is_address_kept(registry, notice, services):
+            return False
+    elif known is None:
         previous = _address_owner(registry, notice)
         return (
             previous is None
             or notice.incarnation >= previous.notice.incarnation
         )
+    if known is None:
+        return True
     if notice.incarnation != known.notice.incarnation:
         return notice.incarnation > known.notice.incarnation
     if sequence <= known.sequence:
@@ -134,6 +143,7 @@
     sequence: int,
     warmup_ms: float,
     at_ms: int | None = None,
+    services: frozenset[str] | None = None,
 ) -> None:
     """Records an announcement unless it is outdated or changes nothing.
 
@@ -144,9 +154,13 @@
         warmup_ms: Remaining warm-up time that it states.
         at_ms: Wall-clock time of the leader; None if only the first statement
             of the warm-up time counts.
+        services: Services that the configuration names; None if the start
+            times alone decide who takes an address.
     """
     cold_until_ms = warmup_end_ms(registry, notice, warmup_ms, at_ms)
-    if not changes_registry(registry, notice, sequence, cold_until_ms):
+    if not changes_registry(
+        registry, notice, sequence, cold_until_ms, services
+    ):
         return
     known = registry.servers.get(notice.key.server)
     if known and known.notice.incarnation == notice.incarnation:
@@ -245,6 +259,40 @@
     return update
 
 
+def is_address_kept(
+    registry: ServerRegistry, notice: ServerNotice, services: frozenset[str]
+) -> bool:
+    """Returns whether another server keeps the address that is announced.
+
+    An address in use passes on to a server that started later and whose service
+    the configuration names, or from one whose service it does not name. Other
+    announcements may come from another writer, or late.
+
+    Args:
+        registry: The registry.
+        notice: State that the server announced.
+        services: Services that the configuration names.
+    """
+    owner = _address_owner(registry, notice)
+    if owner is None:
+        return False
+    if notice.key.service not in services:
+        return True
+    if owner.notice.key.service not in services:
+        return False
+    return notice.incarnation < owner.notice.incarnation
+
+
+def _has_address(known: RegisteredServer | None, notice: ServerNotice) -> bool:
+    """Returns whether a start of a server has the address that it announces."""
+    return (
+        known is not None
+        and known.is_present
+        and known.notice.incarnation == notice.incarnation
+        and (known.notice.host, known.notice.port) == (notice.host, notice.port)
+    )
+
+
 def _address_owner(
     registry: ServerRegistry, notice: ServerNotice
 ) -> RegisteredServer | None:
--- a/gentianwall/runtime/leader_client.py
+++ b/gentianwall/runtime/leader_client.py
@@ -26,6 +26,8 @@
     RegisterState,
     has_repeated_warmup,
     held_configuration,
+    named_services,
+    owning_services,
 )
 from gentianwall.config.routes import RouteConfiguration
 from gentianwall.control.client import ControlClient, ControlSend
@@ -44,6 +46,7 @@
 from gentianwall.membership.registry import (
     DEPARTURE_SEQUENCE,
     changes_registry,
+    is_address_kept,
     unrecorded_departure,
     warmup_end_ms,
 )
@@ -79,9 +82,10 @@
 
 @attrs.frozen
 class UnknownService:
-    """A registered server is announced for a service that does not exist.
+    """A server is announced for a service that the configuration lacks.
 
-    The announcement may come from another writer. It changes nothing.
+    It is registered for another service, or another server has its address. The
+    announcement may come from another writer. It changes nothing.
     """
 
     service: str
@@ -131,12 +135,23 @@
         register = self._runtime.state.replica.register
         registry = register.registry
         if not _is_service_possible(register, notice):
+            log.warning(
+                "Refused the announcement of server %s, started %d, at %s:%d: "
+                "the configuration does not name its service %s.",
+                notice.key.server,
+                notice.incarnation,
+                notice.host,
+                notice.port,
+                notice.key.service,
+            )
             on_result(UnknownService(notice.key.service))
             return
         self._server_heartbeats.add(notice.key.server)
         at_ms = wall_ms() if has_repeated_warmup(register, notice) else None
         cold_until_ms = warmup_end_ms(registry, notice, warmup_ms, at_ms)
-        is_changed = changes_registry(registry, notice, sequence, cold_until_ms)
+        is_changed = changes_registry(
+            registry, notice, sequence, cold_until_ms, owning_services(register)
+        )
         if not is_changed and self._is_register_stored():
             on_result(Done())
             return
@@ -409,13 +424,16 @@
 def _is_service_possible(register: RegisterState, notice: ServerNotice) -> bool:
     """Returns whether a server may be announced for its service.
 
-    A new server may come before the configuration that names its service. The
-    service of a registered one does not become an unknown one.
+    A new server may come before the configuration that names its service. It
+    takes no address in use before that. The service of a registered server does
+    not become an unknown one.
     """
+    services = named_services(register)
+    if notice.key.service in services:
+        return True
+    if is_address_kept(register.registry, notice, services):
+        return False
     known = register.registry.servers.get(notice.key.server)
     if known is None or known.notice.key.service in ("", notice.key.service):
         return True
-    if register.numbered is None:
-        return True
-    services = register.numbered.configuration.services
-    return any(service.name == notice.key.service for service in services)
+    return register.numbered is None
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from gentianwall.claims.commands import AnnounceServer, PutConfiguration
+from gentianwall.claims.commands import (
+    FEATURE_ADDRESS_OWNERS,
+    AnnounceServer,
+    Noop,
+    PutConfiguration,
+)
 from gentianwall.claims.register import apply_command
 from gentianwall.config.routes import (
     CallerLimits,
@@ -118,3 +123,44 @@
     LeaderClient(runtime).announce(notice, 1, 0.0, results.append)
     assert results == ([UnknownService(service)] if is_refused else [])
     assert len(runtime.links.sent) == (0 if is_refused else 1)
+
+
+def _announce(runtime, service, server, address="127.0.0.1", incarnation=8):
+    """Announces a server to a control instance; returns the results."""
+    notice = ServerNotice(
+        ServerKey(service, server), address, 80, 2, "pa", incarnation, "up"
+    )
+    results = []
+    LeaderClient(runtime).announce(notice, 1, 0.0, results.append)
+    return results
+
+
+# A report of another writer took the server at its address out for good.
+@pytest.mark.parametrize("is_configured", [True, False])
+def test_a_server_of_an_unknown_service_takes_no_address_in_use(
+    is_configured, runtime
+):
+    if not is_configured:
+        runtime.state.replica.register.numbered = None
+    assert _announce(runtime, "unknown", "i-2") == [UnknownService("unknown")]
+    assert not runtime.links.sent
+    assert _announce(runtime, "unknown", "i-2", "127.0.0.2") == []
+    assert len(runtime.links.sent) == 1
+
+
+def test_a_server_takes_its_address_back_from_an_unknown_service(runtime):
+    register = runtime.state.replica.register
+    apply_command(register, Noop(FEATURE_ADDRESS_OWNERS))
+    address = "127.0.0.3"
+    foreign = ServerNotice(
+        ServerKey("unknown", "i-3"), address, 80, 2, "pa", 99, "up"
+    )
+    apply_command(register, AnnounceServer(foreign, 1, 0.0, 0))
+    assert _announce(runtime, "orders", "i-4", address) == []
+    ((_, request),) = runtime.links.sent
+    apply_command(register, request.command)
+    states = {
+        name: server.notice.state
+        for name, server in register.registry.servers.items()
+    }
+    assert states == {"i-1": "up", "i-3": "left", "i-4": "up"}
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,6 +7,18 @@
 import attrs
 import pytest
 
+from gentianwall.claims.commands import (
+    FEATURE_ADDRESS_OWNERS,
+    AnnounceServer,
+    Noop,
+    PutConfiguration,
+)
+from gentianwall.claims.register import RegisterState, apply_command
+from gentianwall.config.routes import (
+    CallerLimits,
+    RouteConfiguration,
+    RoutedService,
+)
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.membership.registry import (
     DEPARTURE_SEQUENCE,
@@ -170,3 +182,95 @@
         for server in registry.changed_since(revision):
             reconstructed[server.name] = server
         assert reconstructed == registry.servers
+
+
+SERVICES = frozenset({"s", "t"})
+
+
+@pytest.fixture
+def register():
+    """A register that decides by services who may take an address."""
+    register = RegisterState()
+    services = tuple(RoutedService(name, "", 0) for name in sorted(SERVICES))
+    configuration = RouteConfiguration(1, (), services, CallerLimits())
+    apply_command(register, Noop(FEATURE_ADDRESS_OWNERS))
+    apply_command(register, PutConfiguration(configuration, b"", 0))
+    apply_command(register, AnnounceServer(UP, 1, 0.0, 0))
+    return register
+
+
+@pytest.mark.parametrize(
+    ("service", "incarnation", "is_taken"),
+    [("t", 100, True), ("t", 99, False), ("unknown", 200, False)],
+)
+def test_an_address_passes_on_to_later_servers_of_named_services(
+    register, service, incarnation, is_taken
+):
+    key = ServerKey(service, "b")
+    notice = attrs.evolve(UP, key=key, incarnation=incarnation)
+    apply_command(register, AnnounceServer(notice, 1, 0.0, 0))
+    assert ("b" in register.registry.servers) == is_taken
+    expected = "left" if is_taken else "up"
+    assert _get_state(register.registry) == expected
+
+
+def test_a_late_start_of_a_known_server_takes_no_address_of_a_later_one(
+    register,
+):
+    later = attrs.evolve(UP, key=ServerKey("t", "b"), incarnation=300)
+    apply_command(register, AnnounceServer(later, 1, 0.0, 0))
+    late = attrs.evolve(UP, incarnation=200)
+    apply_command(register, AnnounceServer(late, 1, 0.0, 0))
+    assert _get_state(register.registry, "b") == "up"
+
+
+def test_replicas_decide_as_earlier_builds_until_all_know_the_feature(register):
+    """Otherwise their registries would differ during an upgrade."""
+    register.features = 0
+    foreign = attrs.evolve(UP, key=ServerKey("unknown", "b"), incarnation=200)
+    apply_command(register, AnnounceServer(foreign, 1, 0.0, 0))
+    assert _get_state(register.registry) == "left"
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_live_server_is_used_until_a_later_one_has_its_address(
+    register, seed
+):
+    """Reports come late, in any order, and from other writers."""
+    rng = random.Random(seed)
+    starts = []
+    for born in range(101, 113):
+        key = ServerKey(rng.choice("st"), rng.choice("abcde"))
+        port = rng.choice((80, 81))
+        starts.append(attrs.evolve(UP, key=key, incarnation=born, port=port))
+    sequences = dict.fromkeys(range(len(starts)), 0)
+    live = {}
+    for number, start in enumerate(starts):
+        # The start ends the one before it at its address and under its name.
+        live = {
+            other: notice
+            for other, notice in live.items()
+            if notice.port != start.port
+            and notice.key.server != start.key.server
+        }
+        live[number] = start
+        for _ in range(rng.randrange(4)):
+            late = rng.randrange(number) if number else 0
+            sequences[late] += 1
+            _announce(register, starts[late], sequences[late])
+            foreign = attrs.evolve(
+                rng.choice(starts),
+                key=ServerKey("unknown", rng.choice(("x", "y"))),
+                incarnation=rng.randrange(300),
+            )
+            _announce(register, foreign, rng.randrange(9))
+        for other, notice in live.items():
+            sequences[other] += 1
+            _announce(register, notice, sequences[other])
+        for notice in live.values():
+            record = register.registry.servers[notice.key.server]
+            assert record.notice == notice
+
+
+def _announce(register, notice, sequence):
+    apply_command(register, AnnounceServer(notice, sequence, 0.0, 0))
