Take a cut answer of a server that is gone for a crash

Cause: a connection that ended in the middle of an answer was not taken for the trace of a crash, since servers may also cut answers short and run on.

Change: an entry checks the server after a cut answer too and reports a crash if it refuses connections. Entries of listed clusters, which take a lost connection for a crash without a check, check the server of a cut answer.

Ruled out: reports that get lost (none was made), and servers that are back before the check (3 s later, and there was no check).

--- a/examples/standin_server.py
+++ b/examples/standin_server.py
@@ -10,6 +10,8 @@
 - `echo`: answers a POST with the body received.
 - `crash`: exits, if the value is the server's name or `all`.
 - `shed`: answers 503 with `Retry-After`, if the value is its name or `all`.
+- `crash_midway`: exits in the middle of the answer, if the value is the
+  server's name or `all`.
 - `cut`: closes the connection before the answer is complete.
 - `stall`: never answers and keeps the slot.
 """
@@ -28,6 +30,9 @@
 from twisted.internet import reactor, threads
 from twisted.web import resource, server
 
+# Enough to send the first part of an answer.
+CRASH_DELAY_S = 0.05
+
 
 class StandInResource(resource.Resource):
     """Handles the requests for all paths."""
@@ -95,10 +100,14 @@
             self._execute(*self.queue.popleft())
         if request._disconnected:
             return
-        if "cut" in query:
+        is_crashing = query.get("crash_midway", [""])[0] in (self.name, "all")
+        if "cut" in query or is_crashing:
             request.setHeader(b"Content-Length", b"1000")
             request.write(b"only a part")
-            request.transport.loseConnection()
+            if is_crashing:
+                reactor.callLater(CRASH_DELAY_S, os._exit, 3)
+            else:
+                request.transport.loseConnection()
             return
         request.setResponseCode(int(query.get("status", ["200"])[0]))
         self._set_load_report(request)
--- a/features/servers.feature
+++ b/features/servers.feature
@@ -44,6 +44,17 @@
     When the operator releases the quarantine
     Then no request is quarantined
 
+  # Such a request was never quarantined, and went on to crash servers.
+  Scenario: A request that crashes servers in their answers is quarantined too
+    Given 3 servers of "die-ledger" are known
+    When a caller sends GET /die-ledger/poison?crash_midway=all
+    Then the answer has status 502
+    And the answer reports executed "unknown"
+    And the request is reported as quarantined by every entry
+    And 1 server of "die-ledger" is still running
+    When the operator releases the quarantine
+    Then no request is quarantined
+
   Scenario: Silent connections are replaced without ejecting their server
     Given 3 servers of "die-ledger" are known
     And a server of "order-desk" behind a relay
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -218,7 +218,7 @@
             reason = RefusalReason.SERVER_REFUSED
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.LOST | FailureKind.TRUNCATED | FailureKind.MALFORMED:
-            if event.kind.is_crash_evidence:
+            if event.kind is FailureKind.LOST:
                 call.crashed_servers += (attempt.server,)
             reason = RefusalReason.SERVER_LOST
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
--- a/gentianwall/core/events.py
+++ b/gentianwall/core/events.py
@@ -25,14 +25,14 @@
     MALFORMED = "answer malformed"
 
     @property
-    def is_crash_evidence(self) -> bool:
+    def may_be_crash(self) -> bool:
         """Whether the server may have crashed while it executed the request.
 
-        It may have if it ended the connection without an answer. A server that
-        sends an answer which is malformed, too long or cut short still runs, or
-        cannot be told from one that does.
+        It may have if it ended the connection before its answer or in the
+        middle of it. A server that has only cut its answer short still accepts
+        connections.
         """
-        return self is FailureKind.LOST
+        return self in (FailureKind.LOST, FailureKind.TRUNCATED)
 
 
 @attrs.define
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -222,7 +222,7 @@
     _record_failure(server, event.at_ms)
     # Servers of an evacuated failure domain end because of its loss and not
     # because of a request.
-    is_crash_suspected = event.kind.is_crash_evidence and not (
+    is_crash_suspected = event.kind.may_be_crash and not (
         state.is_evacuated(attempt.server)
     )
     if server is not None and is_crash_suspected:
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -27,6 +27,7 @@
 from gentianwall.http.channel import CallerRequest, has_repeatable_method
 from gentianwall.http.connections import (
     Attempt,
+    Connection,
     ConnectionPool,
     ServerAnswer,
     ServerRequest,
@@ -172,13 +173,19 @@
             call.answers[effect.attempt] = answer
             self._handle(_answered_event(call, effect.attempt, answer))
 
-        def on_failure(kind: FailureKind) -> None:
+        def report(kind: FailureKind) -> None:
             self._handle(
                 AttemptFailed(
                     monotonic_ms(), call.call_id, effect.attempt, kind
                 )
             )
 
+        def on_failure(kind: FailureKind) -> None:
+            if kind is FailureKind.TRUNCATED:
+                _check_truncated(pool, report)
+            else:
+                report(kind)
+
         attempt = call.attempts[effect.attempt] = Attempt(
             pool,
             request,
@@ -308,6 +315,21 @@
     return digest.hexdigest()
 
 
+def _check_truncated(
+    pool: ConnectionPool, report: Callable[[FailureKind], None]
+) -> None:
+    """Reports a truncated answer, as `LOST` if its server has crashed.
+
+    A server that has crashed in the middle of its answer refuses connections.
+    """
+
+    def on_connected(connection: Connection) -> None:
+        pool.release_connection(connection)
+        report(FailureKind.TRUNCATED)
+
+    pool.connect(on_connected, lambda: report(FailureKind.LOST))
+
+
 def _answered_event(
     call: OpenCall, attempt: int, answer: ServerAnswer
 ) -> AttemptAnswered:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -272,3 +272,12 @@
 def test_a_request_that_is_not_fingerprinted_has_no_name(caller):
     assert quarantine_key("", caller) == ""
     assert (quarantine_key(PAGE, caller) == PAGE) == (caller == "")
+
+
+# A request that crashed servers in the middle of answers was never quarantined.
+@pytest.mark.parametrize("kind", FailureKind)
+def test_a_server_that_ends_its_connection_is_checked(deployment, kind):
+    deployment.start_request()
+    effects = deployment.entry.fail_attempt(kind)
+    is_checked = bool(effects_of_type(effects, fx.CheckServer))
+    assert is_checked == (kind in (FailureKind.LOST, FailureKind.TRUNCATED))
