Count crashes by the starts of servers, not by their names

Cause: a crash was counted by the name of its server, and a later start has the same.

Change: a crash report names the start: id and incarnation. Messages and files keep their form; beside an older build, a crash that entries of both report counts twice.

Not run with real processes.

--- a/gentianwall/claims/commands.py
+++ b/gentianwall/claims/commands.py
@@ -124,7 +124,14 @@
 
 @attrs.frozen
 class ReportCrash:
-    """Reports that the connection to a server was lost during a request."""
+    """Reports that the connection to a server was lost during a request.
+
+    Attributes:
+        service: Service of the request.
+        fingerprint: Name under which the request is quarantined.
+        server: Name of the start of the server; see `start_name`.
+        at_ms: Wall-clock time of the report.
+    """
 
     service: str
     fingerprint: str
--- a/gentianwall/claims/quarantines.py
+++ b/gentianwall/claims/quarantines.py
@@ -1,4 +1,4 @@
-"""Names of quarantined requests."""
+"""Names of quarantined requests and of the servers that they crashed."""
 
 from __future__ import annotations
 
@@ -25,3 +25,11 @@
     text = f"{fingerprint}\0{caller}"
     digest = hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES)
     return digest.hexdigest()
+
+
+def start_name(server: str, incarnation: int) -> str:
+    """Returns the name of one start of a server, for crash reports.
+
+    A server that starts anew under its name can crash again.
+    """
+    return f"{server}#{incarnation}"
--- a/gentianwall/claims/register.py
+++ b/gentianwall/claims/register.py
@@ -111,7 +111,8 @@
 
     Attributes:
         service: Service of the request.
-        servers: Names of the servers that crashed.
+        servers: Names of the starts of servers that crashed; versions before
+            this one name the servers.
         at_ms: Log time of the first crash.
     """
 
--- a/gentianwall/core/calls.py
+++ b/gentianwall/core/calls.py
@@ -6,7 +6,7 @@
 
 from gentianwall.admission.prices import choose_tier
 from gentianwall.admission.queue import start_target_ms
-from gentianwall.claims.quarantines import quarantine_key
+from gentianwall.claims.quarantines import quarantine_key, start_name
 from gentianwall.core import attempts, claiming, dispatching, retrying
 from gentianwall.core.effects import (
     CloseConnections,
@@ -219,7 +219,8 @@
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.LOST | FailureKind.TRUNCATED | FailureKind.MALFORMED:
             if event.kind is FailureKind.LOST:
-                call.crashed_servers += (attempt.server,)
+                start = start_name(attempt.server, attempt.incarnation)
+                call.crashed_servers += (start,)
             reason = RefusalReason.SERVER_LOST
             retrying.retry_or_refuse(state, call, reason, event.at_ms, effects)
         case FailureKind.SILENT | FailureKind.MISMATCHED:
--- a/gentianwall/core/state.py
+++ b/gentianwall/core/state.py
@@ -89,8 +89,8 @@
             call also runs at another server.
         error_answer: Last answer by which a server failed it. The caller gets
             that if no further attempt is answered; None for none.
-        crashed_servers: Servers that this call may have crashed: their
-            connection was lost during an attempt.
+        crashed_servers: Starts of servers that this call may have crashed:
+            their connection was lost during an attempt.
         wall_offset_ms: Wall clock minus monotonic clock at arrival.
     """
 
--- a/gentianwall/gateway/crash_reports.py
+++ b/gentianwall/gateway/crash_reports.py
@@ -18,6 +18,7 @@
     ReleaseQuarantine,
     ReportCrash,
 )
+from gentianwall.claims.quarantines import start_name
 from gentianwall.control.messages import CommandRequest
 from gentianwall.gateway.effects import GatewayEffect, Log, SendToControl
 from gentianwall.gateway.events import ServerCrashed
@@ -100,7 +101,8 @@
     state: GatewayState, event: ServerCrashed, effects: list[GatewayEffect]
 ) -> None:
     _record_suspect(state, event)
-    command = ReportCrash(event.service, event.fingerprint, event.server, 0)
+    start = start_name(event.server, event.incarnation)
+    command = ReportCrash(event.service, event.fingerprint, start, 0)
     _send(state, command, effects)
     fields = {"server": event.server, "fingerprint": event.fingerprint}
     effects.append(Log("server_crashed", fields))
--- a/gentianwall/gateway/events.py
+++ b/gentianwall/gateway/events.py
@@ -218,12 +218,14 @@
         server: Name of the server.
         service: Its service.
         fingerprint: Name under which the request is quarantined.
+        incarnation: Incarnation of the server that lost the request.
     """
 
     at_ms: float
     server: str
     service: str
     fingerprint: str
+    incarnation: int = 0
 
 
 @attrs.define
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -428,11 +428,14 @@
             return
         key = quarantine_key(call.compute_fingerprint(), effect.organisation)
         pool = self._pools.pool_of(effect.notice)
-        service, server = effect.notice.key.service, effect.notice.key.server
+        notice = effect.notice
+        service, server = notice.key.service, notice.key.server
         pool.connect(
             pool.release_connection,
             lambda: self._handle(
-                ServerCrashed(monotonic_ms(), server, service, key)
+                ServerCrashed(
+                    monotonic_ms(), server, service, key, notice.incarnation
+                )
             ),
         )
 
