Let one entry at a time try a quarantined request again

Change: an entry that refuses a quarantined request says so in its next poll, and the leader permits one entry at a time a single run, at one server, without a retry.

`refused` in polls and `trials` in notices stand at the end and have defaults: an earlier build neither sends nor reads them, and there are no trials through it.

--- a/gentianwall/claims/quarantines.py
+++ b/gentianwall/claims/quarantines.py
@@ -5,6 +5,8 @@
 import hashlib
 
 FINGERPRINT_BYTES = 16
+# How long an entry may use the permission to try a quarantined request.
+TRIAL_MS = 5000.0
 
 
 def quarantine_key(fingerprint: str, caller: str) -> str:
--- a/gentianwall/control/messages.py
+++ b/gentianwall/control/messages.py
@@ -309,6 +309,8 @@
             understands; 0 for builds from before there were any.
         evacuation_version: Version of the entry's evacuations.
         limits: Its use of limits over all entries; None if none is configured.
+        refused: Names of quarantined requests that it refused since its last
+            poll.
     """
 
     number: int
@@ -322,6 +324,7 @@
     features: int = 0
     evacuation_version: int = 0
     limits: LimitPoll | None = None
+    refused: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -366,6 +369,8 @@
         wall_ms: Wall-clock time of the leader at most 250 ms before it sent
             the notice. Times in `servers` and `finished_domains` compare to it.
             0 for builds from before this field.
+        trials: Names of quarantined requests of which the receiver may send
+            one each.
     """
 
     term: int
@@ -386,6 +391,7 @@
     limits: LimitNotice | None = None
     finished_domains: tuple[tuple[str, int], ...] | None = None
     wall_ms: int = 0
+    trials: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/gentianwall/core/feed.py
+++ b/gentianwall/core/feed.py
@@ -27,6 +27,7 @@
 from gentianwall.core.effects import RecordEvent, SendMessage
 from gentianwall.core.limit_leases import LimitLeases
 from gentianwall.core.peers import MOST_PEERS, choose_peers
+from gentianwall.core.quarantine_trials import QuarantineTrials
 from gentianwall.core.rate_shares import RateShares
 from gentianwall.replication.state import ReplicaState, Role
 from gentianwall.timeline import EventKind
@@ -136,6 +137,7 @@
             anew by each process.
         started_ms: When the process started.
         limit_leases: Tokens of limits over all entries that are leased to them.
+        trials: Permissions to try quarantined requests again.
     """
 
     subscribers: dict[str, Subscriber] = attrs.field(factory=dict)
@@ -151,6 +153,7 @@
     relay_key: bytes = attrs.field(default=b"", repr=False)
     started_ms: float = float("-inf")
     limit_leases: LimitLeases = attrs.field(factory=LimitLeases)
+    trials: QuarantineTrials = attrs.field(factory=QuarantineTrials)
 
 
 def on_poll(
@@ -201,13 +204,25 @@
         for name, recall in leases.recalls.items():
             if name in feed.subscribers:
                 _send_notice(feed, replica, name, now_ms, effects, recall)
+    trials = _permit_trials(feed, replica, poll, now_ms)
     is_in_flight = _is_update_in_flight(feed, replica, subscriber, now_ms)
-    if leased is not None or not is_in_flight:
+    if leased is not None or trials or not is_in_flight:
         _send_notice(
-            feed, replica, sender, now_ms, effects, leased, is_in_flight
+            feed, replica, sender, now_ms, effects, leased, is_in_flight, trials
         )
 
 
+def _permit_trials(
+    feed: FeedState, replica: ReplicaState, poll: FeedPoll, now_ms: float
+) -> tuple[str, ...]:
+    """Returns the quarantined requests that an entry may try again."""
+    if not poll.refused:
+        return ()
+    if feed.trials.term != replica.term:
+        feed.trials = QuarantineTrials(replica.term)
+    return feed.trials.permit(replica.register, poll.refused, now_ms)
+
+
 def _current_leases(feed: FeedState, replica: ReplicaState) -> LimitLeases:
     """Returns the leases of the current term, with the limits in force."""
     leases = feed.limit_leases
@@ -276,18 +291,19 @@
     effects: list,
     leased: LimitNotice | None = None,
     is_in_flight: bool = False,
+    trials: tuple[str, ...] = (),
 ) -> None:
     """Sends an entry what it lacks and assumes that the notice arrives.
 
     A lost notice does no harm: the next poll resets the assumed versions. An
-    entry whose update is in flight is sent its lease only.
+    entry whose update is in flight is sent its lease and its trials only.
     """
     subscriber = feed.subscribers[name]
     current = _current_versions(feed, replica)
     if is_in_flight:
         notice = _cached_notice(feed, replica, current, now_ms)
         notice = attrs.evolve(
-            notice, revision=0, base_revision=0, limits=leased
+            notice, revision=0, base_revision=0, limits=leased, trials=trials
         )
         effects.append(SendMessage(name, notice))
         return
@@ -307,8 +323,8 @@
             detail = f"number {current.number}: a build without organisations"
             effects.append(RecordEvent(EventKind.CONFIG_WITHHELD, name, detail))
     notice = _cached_notice(feed, replica, versions, now_ms)
-    if leased is not None:
-        notice = attrs.evolve(notice, limits=leased)
+    if leased is not None or trials:
+        notice = attrs.evolve(notice, limits=leased, trials=trials)
     subscriber.versions = current
     effects.append(SendMessage(name, notice))
 
--- a/gentianwall/gateway/dispatching.py
+++ b/gentianwall/gateway/dispatching.py
@@ -4,6 +4,7 @@
 
 import math
 
+from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.config.routes import RouteKind
 from gentianwall.core.refusals import STATUS, Executed, Refusal, RefusalReason
 from gentianwall.gateway import homes, identity, placement, quotas, relaying
@@ -105,9 +106,15 @@
     if organisation is None:
         _refuse_unrouted(event, RefusalReason.UNAUTHENTICATED, effects)
         return
-    if state.is_quarantined(event.fingerprint, organisation.name):
-        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
-        return
+    key = quarantine_key(event.fingerprint, organisation.name)
+    trial = None
+    if state.is_quarantined(key):
+        trial = state.trials.take(key, now_ms)
+        if trial is None:
+            _refuse_quarantined(state, event, key, effects)
+            return
+        fields = {"id": event.request_id, "fingerprint": key}
+        effects.append(Log("quarantine_trial", fields))
     name = state.table.choose_service(route)
     if name is None:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
@@ -126,6 +133,7 @@
         target_at_ms=event.at_ms + route.target_ms - waited_ms,
         organisation=organisation.name,
         priority=identity.priority_of(organisation, route),
+        trial=trial,
     )
     state.calls[call.call_id] = call
     effects.append(StartDeadlineTimer(call.call_id, call.deadline_ms))
@@ -200,8 +208,9 @@
     if route is None or organisation is None:
         _refuse_unrouted(event, RefusalReason.NO_SERVER, effects)
         return
-    if state.is_quarantined(event.fingerprint, organisation.name):
-        _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
+    key = quarantine_key(event.fingerprint, organisation.name)
+    if state.is_quarantined(key):
+        _refuse_quarantined(state, event, key, effects)
         return
     call = RoutedCall(
         call_id=event.call_id,
@@ -259,6 +268,17 @@
         _refuse_unrouted(event, RefusalReason.NOT_READY, effects)
 
 
+def _refuse_quarantined(
+    state: GatewayState,
+    event: RequestArrived,
+    key: str,
+    effects: list[GatewayEffect],
+) -> None:
+    """Refuses a quarantined request and asks to try it with the next poll."""
+    state.trials.record_refusal(key)
+    _refuse_unrouted(event, RefusalReason.QUARANTINED, effects)
+
+
 def _refuse_unrouted(
     event: RequestArrived,
     reason: RefusalReason,
@@ -602,6 +622,7 @@
             effects,
         )
         return
+    restore_trial(state, call)
     state.calls.pop(call.call_id, None)
     quotas.release(state, call)
     executed = Executed.UNKNOWN if call.is_maybe_executed else Executed.NO
@@ -646,6 +667,13 @@
     effects.append(RefuseRequest(call.call_id, refusal))
 
 
+def restore_trial(state: GatewayState, call: RoutedCall) -> None:
+    """Restores the permission of a trial that has reached no server."""
+    is_sent = call.is_maybe_executed or bool(call.running)
+    if call.trial is not None and not is_sent:
+        state.trials.give_back(call.trial)
+
+
 def _await_running(
     state: GatewayState,
     call: RoutedCall,
--- a/gentianwall/gateway/feed.py
+++ b/gentianwall/gateway/feed.py
@@ -87,6 +87,7 @@
         features=FEATURE_ORGANISATIONS,
         evacuation_version=state.evacuations.version,
         limits=state.limits.make_poll(now_ms),
+        refused=state.trials.take_refused(),
     )
     for receiver in sorted(receivers):
         effects.append(SendToControl(receiver, poll))
@@ -177,6 +178,7 @@
         state.quarantine_version = notice.quarantine_version
         state.quarantines = frozenset(notice.quarantines)
         state.withdrawn.clear()
+    state.trials.permit(notice.trials, event.at_ms)
 
 
 def _update_evacuations(
--- a/gentianwall/gateway/outcomes.py
+++ b/gentianwall/gateway/outcomes.py
@@ -262,7 +262,7 @@
     """Returns whether a request may be retried; if so, uses up one retry."""
     if call.is_maybe_executed and not call.route.kind.is_idempotent:
         return False
-    if call.attempt >= call.route.most_attempts:
+    if call.attempt >= call.most_attempts:
         return False
     service = state.service(call.service)
     service_ms = service.service_ms_for(call.route)
@@ -376,6 +376,7 @@
     if call is None:
         return
     quotas.release(state, call)
+    dispatching.restore_trial(state, call)
     dispatching.cancel_attempts(state, call, effects)
     fields = {
         "id": call.request_id,
--- a/gentianwall/gateway/relaying.py
+++ b/gentianwall/gateway/relaying.py
@@ -47,7 +47,7 @@
         return False
     peer = state.peers.choose(call.tried_peers, state.rng, now_ms)
     state.querying.pop(call.call_id, None)
-    attempts_left = max(1, call.route.most_attempts - call.attempt)
+    attempts_left = max(1, call.most_attempts - call.attempt)
     service_ms = state.service(call.service).service_ms_for(call.route)
     number = call.add_attempt(
         RunningAttempt(peer=peer, sent_ms=now_ms, expected_ms=service_ms)
--- a/gentianwall/gateway/state.py
+++ b/gentianwall/gateway/state.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.config.fleet import OverloadPolicy
 from gentianwall.config.routes import Route
 from gentianwall.gateway.admission import TypicalWaits
@@ -32,6 +31,7 @@
 from gentianwall.gateway.rests import Rests
 from gentianwall.gateway.servers import RoutedServer
 from gentianwall.gateway.stopping import Stop
+from gentianwall.gateway.trials import Permission, Trials
 from gentianwall.routing.reports import SpeedReport
 from gentianwall.routing.routes import RouteTable
 
@@ -140,6 +140,8 @@
         is_quota_spent: Whether it has spent a token, or needs none.
         is_protected: Whether the overload policy treats it as one of the
             highest priority, so that no kind is starved.
+        trial: The permission under which it is sent although it is
+            quarantined; None if it is not.
     """
 
     call_id: int
@@ -170,6 +172,12 @@
     quota_generation: int = -1
     is_quota_spent: bool = False
     is_protected: bool = False
+    trial: Permission | None = None
+
+    @property
+    def most_attempts(self) -> int:
+        """To how many servers it may be sent; a quarantined one to one."""
+        return 1 if self.trial is not None else self.route.most_attempts
 
     def add_attempt(self, attempt: RunningAttempt) -> int:
         """Adds an attempt that starts now; returns its number."""
@@ -286,6 +294,7 @@
             name of the request, the oldest first.
         withdrawn: When this entry last withdrew a quarantine that is still
             listed, by the name of the request.
+        trials: Quarantined requests that the entry refused or may try.
         typical_waits: Typical waits of the callers of each route.
         unrouted: Requests queued for the first configuration, by call id.
         started_ms: When the process started.
@@ -336,6 +345,7 @@
     unconfirmed_crashes: list[ServerCrashed] = attrs.field(factory=list)
     suspects: dict[str, float] = attrs.field(factory=dict)
     withdrawn: dict[str, float] = attrs.field(factory=dict)
+    trials: Trials = attrs.field(factory=Trials)
     typical_waits: TypicalWaits = attrs.field(factory=TypicalWaits)
     unrouted: dict[int, RequestArrived] = attrs.field(factory=dict)
     started_ms: float = 0.0
@@ -377,12 +387,9 @@
             self.quarantines or self.suspects or self.unconfirmed_crashes
         )
 
-    def is_quarantined(self, fingerprint: str, organisation: str) -> bool:
-        """Returns whether a request must not be sent to any server."""
-        if not self.quarantines:
-            return False
-        key = quarantine_key(fingerprint, organisation)
-        return key in self.quarantines and key not in self.withdrawn
+    def is_quarantined(self, name: str) -> bool:
+        """Returns whether a request is quarantined under a name."""
+        return name in self.quarantines and name not in self.withdrawn
 
     def wait_ms(self, server: str, now_ms: float) -> float:
         """Returns the time for which a server must not be sent a request.
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -11,6 +11,7 @@
     AnnounceServer,
     MarkSilent,
     PutConfiguration,
+    ReportCrash,
 )
 from gentianwall.claims.register import apply_command
 from gentianwall.config.routes import (
@@ -33,6 +34,7 @@
 from gentianwall.core.control import ControlState, reduce_control
 from gentianwall.core.effects import RecordEvent, SendMessage
 from gentianwall.core.events import MessageArrived
+from gentianwall.core.quarantine_trials import FIRST_TRIAL_MS
 from gentianwall.membership.messages import ServerKey, ServerNotice
 from gentianwall.replication.replica import BatchEnded
 from gentianwall.replication.state import Role
@@ -178,6 +180,27 @@
         assert notice.servers == ()
 
 
+def test_one_entry_that_refuses_a_quarantined_request_may_try_it(control):
+    register = control.replica.register
+    for name in ("a#1", "b#1"):
+        apply_command(register, ReportCrash("s", "f", name, 0))
+    poll = FeedPoll(7, 1, 1, True, refused=("f", "g"))
+
+    def permitted(sender, at_ms):
+        control.replica.lease_start_ms = at_ms
+        notices = _send(control, poll, at_ms, sender)
+        return [notice.trials for notice in notices]
+
+    assert permitted("e1", NOW_MS) == [()]
+    trial_ms = NOW_MS + FIRST_TRIAL_MS
+    assert permitted("e1", trial_ms) == [("f",)]
+    assert permitted("e2", trial_ms) == [()]
+    # A new leader does not know the trials of the one before.
+    control.feed.trials.term -= 1
+    assert permitted("e2", trial_ms) == [()]
+    assert permitted("e2", trial_ms + FIRST_TRIAL_MS) == [("f",)]
+
+
 def test_an_older_build_receives_no_configuration_with_organisations(control):
     """Guards against an entry that serves such a configuration without keys."""
     configuration = RouteConfiguration(
