Forget suspects whose crashes count no more

Cause: an entry forgot a suspect only when another crash was reported, so after one crash it computed the digest of every request for good.

Change: suspects expire with each tick.

--- a/gentianwall/gateway/crash_reports.py
+++ b/gentianwall/gateway/crash_reports.py
@@ -97,6 +97,16 @@
     effects.append(Log("crash_withdrawn", fields))
 
 
+def expire_suspects(state: GatewayState, now_ms: float) -> None:
+    """Forgets the suspects whose crashes count no more."""
+    suspects = state.suspects
+    while suspects:
+        oldest = next(iter(suspects))
+        if suspects[oldest] > now_ms - CRASH_WINDOW_MS:
+            break
+        del suspects[oldest]
+
+
 def _report(
     state: GatewayState, event: ServerCrashed, effects: list[GatewayEffect]
 ) -> None:
@@ -109,18 +119,12 @@
 
 
 def _record_suspect(state: GatewayState, event: ServerCrashed) -> None:
-    """Records a reported crash and forgets the oldest ones."""
     suspects = state.suspects
     suspects.pop(event.fingerprint, None)
     suspects[event.fingerprint] = event.at_ms
     state.withdrawn.pop(event.fingerprint, None)
-    oldest = next(iter(suspects))
-    while (
-        len(suspects) > MAX_SUSPECTS
-        or suspects[oldest] <= event.at_ms - CRASH_WINDOW_MS
-    ):
-        del suspects[oldest]
-        oldest = next(iter(suspects))
+    if len(suspects) > MAX_SUSPECTS:
+        del suspects[next(iter(suspects))]
 
 
 def _send(
--- a/gentianwall/gateway/reducer.py
+++ b/gentianwall/gateway/reducer.py
@@ -4,6 +4,7 @@
 
 from gentianwall.core.events import CallerDisconnected, DrainStarted, Tick
 from gentianwall.gateway import (
+    crash_reports,
     dispatching,
     feed,
     outcomes,
@@ -70,6 +71,7 @@
             feed.send_early_poll(state, event.at_ms, effects)
             dispatching.start_waiting(state, event.at_ms, effects)
             outcomes.on_tick(state, event.at_ms, effects)
+            crash_reports.expire_suspects(state, event.at_ms)
             partitions.start_checks(state, event.at_ms, effects)
         case DrainStarted():
             state.is_draining = True
--- a/tests/test_answer_head.py
+++ b/tests/test_answer_head.py
@@ -149,3 +149,20 @@
     assert exchange.is_closed
     exchange.reactor.advance(0)
     assert exchange.results == [FailureKind.MALFORMED]
+
+
+@pytest.mark.parametrize(
+    ("framing", "body", "is_until_close"),
+    [
+        (b"Content-Length: 4\r\n", b"body", False),
+        (b"Transfer-Encoding: chunked\r\n", b"4\r\nbody\r\n0\r\n\r\n", False),
+        (b"", b"body", True),
+    ],
+)
+def test_a_body_that_ends_with_its_connection_is_told_apart(
+    framing, body, is_until_close
+):
+    """The end of its server would look the same."""
+    answer = _receive(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body)
+    assert answer.body == b"body"
+    assert answer.is_body_until_close == is_until_close
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -5,12 +5,16 @@
 import attrs
 import pytest
 
-from gentianwall.claims.commands import ReleaseQuarantine, ReportCrash
+from gentianwall.claims.commands import (
+    CRASH_WINDOW_MS,
+    ReleaseQuarantine,
+    ReportCrash,
+)
 from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.claims.register import RegisterState, apply_command
 from gentianwall.config.routes import Organisation, RouteKind, digest_key
 from gentianwall.control.messages import CommandRequest, FeedNotice
-from gentianwall.core.events import FailureKind
+from gentianwall.core.events import FailureKind, Tick
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import (
@@ -290,3 +294,15 @@
     assert not deployment.register.quarantines
     deployment.crash("a", incarnation=2)
     assert list(deployment.register.quarantines) == [PAGE]
+
+
+def test_a_suspect_is_forgotten_once_its_crash_does_not_count(deployment):
+    deployment.crash("a")
+    entry = deployment.entry
+    crashed_ms = entry.now_ms
+    for at_ms, is_needed in (
+        (crashed_ms + CRASH_WINDOW_MS - 1.0, True),
+        (crashed_ms + CRASH_WINDOW_MS, False),
+    ):
+        entry.reduce(Tick(at_ms))
+        assert entry.state.is_fingerprint_needed == is_needed
