Send no call that crashed a server on as overdue

In listed clusters, a request that crashed its servers could crash all three: after the first crash its second attempt became overdue, and the call went to a third.

Cause: a retry counts the crashes of its call, and an overdue call did not.

Evidence: the new unit test fails on the parent.

--- a/gentianwall/core/retrying.py
+++ b/gentianwall/core/retrying.py
@@ -47,9 +47,10 @@
     """Sends a call also to a server that has room and is expected to be faster.
 
     The first server may still be at work, so its attempt runs on until either
-    one answers.
+    one answers. A call that may have crashed a server goes to one other server
+    at most.
     """
-    if not call.is_idempotent or len(call.running) > 1:
+    if not call.is_idempotent or len(call.running) > 1 or call.crashed_servers:
         return
     pool = service.pool
     target = pool.pick(call.tried_servers, now_ms, state.rng)
--- a/tests/test_overdue_calls.py
+++ b/tests/test_overdue_calls.py
@@ -141,6 +141,16 @@
     assert entry.quarantines == {"f"}
 
 
+# Such a call went on to the third server and crashed that one too.
+def test_an_overdue_call_that_crashed_a_server_runs_at_one_other_server(entry):
+    _fail(entry, 1, FailureKind.LOST)
+    effects = reduce_entry(entry, Tick(SENT_MS + 3 * (OVERDUE_MS - SENT_MS)))
+    assert not _of_type(effects, Dispatch)
+    effects = _fail(entry, 2, FailureKind.LOST)
+    assert not _of_type(effects, Dispatch)
+    assert entry.quarantines == {"f"}
+
+
 # A request that completed at the other servers was refused for ten minutes.
 @pytest.mark.parametrize(("status", "is_released"), [(200, True), (500, False)])
 def test_a_completed_call_ends_the_quarantine_of_its_request(
