Do not take a connection that an ending server accepted for a sign of life

Crashes of servers were not reported, so that their requests were not quarantined.

Cause: a process that ends may close its connections before its listening socket. The check that follows a lost connection could still be accepted.

Change: a connection that does not last 50 ms shows nothing, and a second one decides; for entries on the users' platform and, after cut answers, for those of listed clusters.

Evidence: tests/test_connections.py.

--- a/gentianwall/http/connections.py
+++ b/gentianwall/http/connections.py
@@ -46,6 +46,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_MS = 4000.0
 REUSE_PAUSE_MS = 60_000.0
+# A process that ends has closed all its sockets within this time.
+PROCESS_END_MS = 50.0
 # How often an answer that ended before its request was sent is checked again.
 SENT_CHECK_MS = 10.0
 # Idle connections are not reused after this fraction of the server's keep-alive
@@ -855,6 +857,34 @@
             timeout=self.connect_timeout_s,
         )
 
+    def check_accepting(
+        self,
+        on_accepting: Callable[[], None],
+        on_refusing: Callable[[], None],
+    ) -> None:
+        """Checks whether the server accepts connections, or has ended.
+
+        A process that ends may close its connections before its listening
+        socket. So a connection that does not last shows nothing, and a second
+        one decides.
+        """
+
+        def on_connected(connection: Connection) -> None:
+            self.release_connection(connection)
+            self.call_later(PROCESS_END_MS, lambda: decide(connection))
+
+        def decide(connection: Connection) -> None:
+            if connection.is_lost:
+                self.connect(on_reconnected, on_refusing)
+            else:
+                on_accepting()
+
+        def on_reconnected(connection: Connection) -> None:
+            self.release_connection(connection)
+            on_accepting()
+
+        self.connect(on_connected, on_refusing)
+
     def call_soon(self, call: Callable[[], None]) -> None:
         """Calls a function after the current input has been processed."""
         self._reactor.callLater(0, call)
--- a/gentianwall/runtime/calls.py
+++ b/gentianwall/runtime/calls.py
@@ -27,7 +27,6 @@
 from gentianwall.http.channel import CallerRequest, has_repeatable_method
 from gentianwall.http.connections import (
     Attempt,
-    Connection,
     ConnectionPool,
     ServerAnswer,
     ServerRequest,
@@ -182,7 +181,11 @@
 
         def on_failure(kind: FailureKind) -> None:
             if kind is FailureKind.TRUNCATED:
-                _check_truncated(pool, report)
+                # A server that has crashed in its answer refuses connections.
+                pool.check_accepting(
+                    lambda: report(FailureKind.TRUNCATED),
+                    lambda: report(FailureKind.LOST),
+                )
             else:
                 report(kind)
 
@@ -315,21 +318,6 @@
     return digest.hexdigest()
 
 
-def _check_truncated(
-    pool: ConnectionPool, report: Callable[[FailureKind], None]
-) -> None:
-    """Reports a truncated answer, as `LOST` if its server has crashed.
-
-    A server that has crashed in the middle of its answer refuses connections.
-    """
-
-    def on_connected(connection: Connection) -> None:
-        pool.release_connection(connection)
-        report(FailureKind.TRUNCATED)
-
-    pool.connect(on_connected, lambda: report(FailureKind.LOST))
-
-
 def _answered_event(
     call: OpenCall, attempt: int, answer: ServerAnswer
 ) -> AttemptAnswered:
--- a/gentianwall/runtime/gateway_requests.py
+++ b/gentianwall/runtime/gateway_requests.py
@@ -430,8 +430,8 @@
         pool = self._pools.pool_of(effect.notice)
         notice = effect.notice
         service, server = notice.key.service, notice.key.server
-        pool.connect(
-            pool.release_connection,
+        pool.check_accepting(
+            lambda: None,
             lambda: self._handle(
                 ServerCrashed(
                     monotonic_ms(), server, service, key, notice.incarnation
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,13 +9,18 @@
 from hypothesis import strategies as st
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from gentianwall.core.events import FailureKind
 from gentianwall.http import connections
 from gentianwall.http.answer_limits import HEAD_PART_BYTES
-from gentianwall.http.connections import ConnectionPool, ServerAnswer
+from gentianwall.http.connections import (
+    PROCESS_END_MS,
+    ConnectionPool,
+    ServerAnswer,
+)
 from gentianwall.http.parse_pacing import ParsePacing
-from harness.server_exchange import ID_HEADER, Exchange
+from harness.server_exchange import ID_HEADER, Exchange, ServerTransport
 
 BODY = bytes(range(256)) * 36
 LATE_BODY = b"late"
@@ -238,3 +243,60 @@
     for _ in range(20):
         slow_exchange.reactor.advance(1.0)
     assert slow_exchange.results == [FailureKind.TRUNCATED]
+
+
+class Check:
+    """A check whether a server accepts connections."""
+
+    def __init__(self):
+        self.reactor = MemoryReactorClock()
+        self.results = []
+        pool = ConnectionPool(self.reactor, "127.0.0.1", 1)
+        pool.check_accepting(
+            lambda: self.results.append("accepts"),
+            lambda: self.results.append("refuses"),
+        )
+
+    def accept(self):
+        """Accepts the latest connection; returns its protocol."""
+        protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        protocol.makeConnection(ServerTransport())
+        return protocol
+
+    def refuse(self):
+        """Refuses the latest connection."""
+        error = Failure(ConnectionRefusedError())
+        self.reactor.tcpClients[-1][2].clientConnectionFailed(None, error)
+
+    def wait(self):
+        """Waits until a process that was ending has ended."""
+        self.reactor.advance(PROCESS_END_MS / 1000.0)
+
+
+def test_a_server_that_keeps_a_connection_accepts():
+    check = Check()
+    check.accept()
+    assert check.results == []
+    check.wait()
+    assert check.results == ["accepts"]
+    assert len(check.reactor.tcpClients) == 1
+
+
+# A server that crashed in its answer counted as one that had cut it short.
+@pytest.mark.parametrize("is_back", [False, True])
+def test_a_connection_that_a_server_closed_in_its_end_is_no_proof(is_back):
+    check = Check()
+    check.accept().connectionLost(Failure(ConnectionLost()))
+    check.wait()
+    assert check.results == []
+    if is_back:
+        check.accept()
+    else:
+        check.refuse()
+    assert check.results == ["accepts" if is_back else "refuses"]
+
+
+def test_a_server_that_refuses_a_connection_has_ended():
+    check = Check()
+    check.refuse()
+    assert check.results == ["refuses"]
