Wait in a feature until ended servers are unknown before they start again

Cause: "Given 3 servers are known" started servers that had ended, and counted them as known by what the entries still knew of the ended ones. So a scenario after crashes began while some servers did not serve yet.

--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -24,9 +24,24 @@
     return context.cluster.executions().get(f"POST /orders {key}", 0)
 
 
+def _wait_until_ended_servers_are_unknown(cluster, service, names):
+    """Otherwise a restarted server would count as known before it serves."""
+    ended = {name for name in names if not cluster.is_running(name)}
+    wait_until(
+        lambda: (
+            not any(
+                ended & cluster.known_servers(entry, service)
+                for entry in cluster.names("entry")
+            )
+        ),
+        "servers that have ended are not known to any entry",
+    )
+
+
 @given('{count:d} servers of "{service}" are known')
 def step_servers(context, count, service):
     names = {f"{service}-{n}" for n in range(count)}
+    _wait_until_ended_servers_are_unknown(context.cluster, service, names)
     for name in names:
         if not context.cluster.is_running(name):
             if name in context.cluster.commands:
