Build an entry's state and its quarantine notices once in the tests

Cause: three test files built the same state of an entry of a listed cluster, and two the same notice of quarantines.

Change: a shared fixture in tests/conftest.py and a method of harness/gateway_entry.py. No assertion, bound or case is changed.

--- a/harness/gateway_entry.py
+++ b/harness/gateway_entry.py
@@ -101,6 +101,22 @@
         )
         return self.reduce(FeedArrived(self.now_ms, "c1", notice))
 
+    def deliver_quarantines(self, register, trials=(), entries=1):
+        """Delivers the quarantines of a register, and permissions to try."""
+        notice = FeedNotice(
+            3,
+            7,
+            None,
+            0,
+            (),
+            register.quarantine_version,
+            tuple(register.quarantines),
+            ("c1",),
+            entries,
+            trials=trials,
+        )
+        return self.reduce(FeedArrived(self.now_ms, "c1", notice))
+
     def deliver_request(
         self,
         kind=RouteKind.SAFE,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings of Hypothesis, and tests that are expected to fail.
+"""Settings of Hypothesis, shared fixtures, and tests expected to fail.
 
 Tests listed in KNOWN-RED.txt fail for a known fault and are marked as xfail.
 """
@@ -6,10 +6,14 @@
 from __future__ import annotations
 
 import pathlib
+import random
 
 import pytest
 from hypothesis import HealthCheck, settings
 
+from gentianwall.control.client import ControlClient
+from gentianwall.core.state import EntryState
+
 KNOWN_FAILURES_FILE = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 settings.register_profile(
@@ -22,6 +26,19 @@
 settings.load_profile("ci")
 
 
+@pytest.fixture
+def entry_state():
+    """The state of an entry of a listed cluster, without a configuration."""
+    return EntryState(
+        name="e",
+        failure_domain="",
+        peers=(),
+        boot_id="b",
+        rng=random.Random(1),
+        control=ControlClient(("c",)),
+    )
+
+
 def pytest_collection_modifyitems(items):
     if not KNOWN_FAILURES_FILE.exists():
         return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -23,7 +21,6 @@
     ServiceSettings,
     TierSettings,
 )
-from gentianwall.control.client import ControlClient
 from gentianwall.core import configuration
 from gentianwall.core.effects import Dispatch, RefuseCaller
 from gentianwall.core.entry import reduce_entry
@@ -34,7 +31,6 @@
     Tick,
 )
 from gentianwall.core.refusals import Executed, RefusalReason
-from gentianwall.core.state import EntryState
 from gentianwall.membership.messages import ServerKey, ServerNotice
 
 TIERS = (
@@ -44,16 +40,9 @@
 
 
 @pytest.fixture
-def entry():
+def entry(entry_state):
     """An entry with one server of one slot."""
-    state = EntryState(
-        name="e",
-        failure_domain="",
-        peers=(),
-        boot_id="b",
-        rng=random.Random(1),
-        control=ControlClient(("c",)),
-    )
+    state = entry_state
     settings = ServiceSettings(expected_service_ms=10.0, max_queued_calls=50)
     declaration = Declaration(tiers=TIERS, services={"s": settings})
     configuration.apply_declaration(state, declaration, 0.0, [])
--- a/tests/test_claim_results.py
+++ b/tests/test_claim_results.py
@@ -2,31 +2,21 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 
 from gentianwall.claims.commands import ClaimHeld, Outcome
-from gentianwall.control.client import ControlClient
 from gentianwall.control.messages import CommandReply
 from gentianwall.core.claim_results import on_claim_result
 from gentianwall.core.claiming import INTERNAL_PREFIX
 from gentianwall.core.effects import RefuseCaller, ReplayAnswer
 from gentianwall.core.refusals import Executed
-from gentianwall.core.state import Call, CallPhase, EntryState
+from gentianwall.core.state import Call, CallPhase
 
 
 @pytest.fixture
-def entry():
+def entry(entry_state):
     """An entry with a call whose claim is asked for."""
-    state = EntryState(
-        name="e",
-        failure_domain="",
-        peers=(),
-        boot_id="b",
-        rng=random.Random(1),
-        control=ControlClient(("c",)),
-    )
+    state = entry_state
     state.calls[1] = Call(
         call_id=1,
         request_id="b-1",
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -13,12 +13,11 @@
 from gentianwall.claims.quarantines import quarantine_key
 from gentianwall.claims.register import RegisterState, apply_command
 from gentianwall.config.routes import Organisation, RouteKind, digest_key
-from gentianwall.control.messages import CommandRequest, FeedNotice
+from gentianwall.control.messages import CommandRequest
 from gentianwall.core.events import FailureKind, Tick
 from gentianwall.core.refusals import RefusalReason
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import (
-    FeedArrived,
     ReachChecked,
     Relay,
     RequestArrived,
@@ -68,18 +67,7 @@
 
     def deliver_quarantines(self):
         """Delivers the quarantines of the register to the entry."""
-        notice = FeedNotice(
-            3,
-            7,
-            None,
-            0,
-            (),
-            self.register.quarantine_version,
-            tuple(self.register.quarantines),
-            ("c1",),
-            1,
-        )
-        self.entry.reduce(FeedArrived(self.entry.now_ms, "c1", notice))
+        self.entry.deliver_quarantines(self.register)
 
     def crash(self, name, fingerprint=PAGE, incarnation=1):
         """Ends a server that runs a request; others are reached after it."""
--- a/tests/test_overdue_calls.py
+++ b/tests/test_overdue_calls.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 
 from gentianwall.claims.commands import ReleaseQuarantine
@@ -13,7 +11,6 @@
     ServiceSettings,
     TierSettings,
 )
-from gentianwall.control.client import ControlClient
 from gentianwall.core import configuration
 from gentianwall.core.effects import (
     AnswerCaller,
@@ -34,7 +31,6 @@
 )
 from gentianwall.core.refusals import Executed
 from gentianwall.core.retrying import OVERDUE_FACTOR
-from gentianwall.core.state import EntryState
 from gentianwall.membership.messages import ServerKey, ServerNotice
 
 SERVICE_MS = 10.0
@@ -44,16 +40,9 @@
 
 
 @pytest.fixture
-def entry():
+def entry(entry_state):
     """An entry with three servers, and an overdue call at two of them."""
-    state = EntryState(
-        name="e",
-        failure_domain="",
-        peers=(),
-        boot_id="b",
-        rng=random.Random(1),
-        control=ControlClient(("c",)),
-    )
+    state = entry_state
     settings = ServiceSettings(
         expected_service_ms=SERVICE_MS, retry_budget_ratio=1.0
     )
--- a/tests/test_quarantine_trials.py
+++ b/tests/test_quarantine_trials.py
@@ -16,7 +16,7 @@
 )
 from gentianwall.claims.quarantines import TRIAL_MS
 from gentianwall.claims.register import RegisterState, apply_command
-from gentianwall.control.messages import CommandRequest, FeedNotice, FeedPoll
+from gentianwall.control.messages import CommandRequest, FeedPoll
 from gentianwall.core.events import CallerDisconnected, FailureKind, Tick
 from gentianwall.core.quarantine_trials import (
     FIRST_TRIAL_MS,
@@ -27,7 +27,6 @@
 from gentianwall.gateway import effects as fx
 from gentianwall.gateway.events import (
     DeadlineExpired,
-    FeedArrived,
     LoadQueryEnded,
     ReachChecked,
     ServerAnswered,
@@ -126,19 +125,8 @@
                 self._reply(entry, sent.message)
 
     def _reply(self, entry, poll):
-        notice = FeedNotice(
-            3,
-            7,
-            None,
-            0,
-            (),
-            self.register.quarantine_version,
-            tuple(self.register.quarantines),
-            ("c1",),
-            len(self.entries),
-            trials=self.trials.permit(self.register, poll.refused, self.now_ms),
-        )
-        entry.reduce(FeedArrived(self.now_ms, "c1", notice))
+        trials = self.trials.permit(self.register, poll.refused, self.now_ms)
+        entry.deliver_quarantines(self.register, trials, len(self.entries))
 
     def request(self, entry, fingerprint):
         """Sends a request; returns whether it is served, and its refusal."""
