Review case 12: a foreign report at a restarted instance evicts servers

Cause: the service of a report about a known server is checked only by the instance that receives it, whose register is empty just after its start.

--- a/review/standins3.py
+++ b/review/standins3.py
@@ -446,7 +446,16 @@
     def beat(self, node: Node, state: str = "ready") -> int:
         """Sends a liveness report; returns the status."""
         self._sequence += 1
-        report = {
+        report = self.make_report(state, self._sequence)
+        address = (node.address, self._platform.control_port)
+        path = f"/rpc?call=instances.heartbeat&of={self.name}"
+        headers = {"Content-Type": "application/json"}
+        body = json.dumps(report).encode()
+        return exchange(address, "POST", path, body, headers)[0]
+
+    def make_report(self, state: str, sequence: int) -> dict:
+        """Returns a liveness report."""
+        return {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": "rajkot-a",
@@ -454,14 +463,9 @@
             "maxConcurrency": 8,
             "state": state,
             "warmupLeftMs": 0,
-            "sequence": self._sequence,
+            "sequence": sequence,
             "born": self._born,
         }
-        address = (node.address, self._platform.control_port)
-        path = f"/rpc?call=instances.heartbeat&of={self.name}"
-        headers = {"Content-Type": "application/json"}
-        body = json.dumps(report).encode()
-        return exchange(address, "POST", path, body, headers)[0]
 
     def keep_beating(self, nodes: list[Node]) -> None:
         """Sends a report every 1.5 s, to the next node if one does not ack."""
@@ -543,8 +547,8 @@
     }
 
 
-def make_document(number: int, resources: list[dict], service: str) -> bytes:
-    """Returns a desired state with one service and the default limits."""
+def make_document(number: int, resources: list[dict], *services: str) -> bytes:
+    """Returns a desired state with some services and the default limits."""
     spec = {"healthPath": "/healthz", "maxConns": 940, "protocol": "h1"}
     limits = {
         "maxHeaderBytes": 16384,
@@ -552,15 +556,19 @@
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     }
+    declared = [
+        {
+            "type": "services",
+            "metadata": {"name": service},
+            "spec": {**spec, "tls": False},
+        }
+        for service in services
+    ]
     content = {
         "version": f"r{number}",
         "resources": [
             *resources,
-            {
-                "type": "services",
-                "metadata": {"name": service},
-                "spec": {**spec, "tls": False},
-            },
+            *declared,
             {"type": "limits", "metadata": {}, "spec": limits},
         ],
     }
